--- a/packages/test_helpers/src/index.ts
+++ b/packages/test_helpers/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./wait_for.ts";
