--- /dev/null
+++ b/packages/emulator/src/daemon_process.ts
@@ -0,0 +1,218 @@
+import { writeFile } from "node:fs/promises";
+import { join, resolve } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Vm } from "@tanagercove/types";
+import { request } from "undici";
+import { LogBuffer } from "./log_buffer.ts";
+import { ManagedProcess } from "./managed_process.ts";
+import { formatSettings, type IniSections } from "./settings_file.ts";
+import type { VersionObservation } from "./version_history.ts";
+
+/** A VM of a fleet. */
+export interface FleetVm {
+  /** As the platform publishes it. */
+  readonly vm: Vm;
+  /** Address that the daemon listens on; the published one by default. */
+  readonly address?: string;
+}
+
+/** Answer of a daemon's `/status`; fields beyond these depend on the daemon. */
+export interface DaemonStatus {
+  /** Version of the two lists in force. */
+  readonly revision: number | undefined;
+  readonly hash: string | undefined;
+  readonly json: Readonly<Record<string, unknown>>;
+}
+
+/** Options of `DaemonProcess`. */
+export interface DaemonProcessOptions {
+  readonly fleetVm: FleetVm;
+  /** Folder for the settings file. */
+  readonly folder: string;
+  readonly settings: () => IniSections;
+  readonly onObservation: (observation: VersionObservation) => void;
+  /** Called before a process starts and after one has ended. */
+  readonly onListening?: (listening: boolean) => Promise<void>;
+  readonly ownProcessGroup?: boolean;
+}
+
+const PROGRAM = resolve("dist/tanagercove.cjs");
+const STATUS_INTERVAL_MS = 100;
+const STATUS_TIMEOUT_MS = 1_000;
+const DUMP_TIMEOUT_MS = 5_000;
+const UP_TIMEOUT_MS = 20_000;
+
+/** The daemon of one VM, over all processes that run it in turn. */
+export class DaemonProcess {
+  readonly vm: Vm;
+  readonly address: string;
+  readonly operatorUrl: string;
+  readonly log = new LogBuffer();
+  readonly #options: DaemonProcessOptions;
+  #process: ManagedProcess | undefined;
+  #processNumber = 0;
+  #paused = false;
+  #closed = false;
+
+  constructor(options: DaemonProcessOptions) {
+    this.#options = options;
+    this.vm = options.fleetVm.vm;
+    this.address = options.fleetVm.address ?? this.vm.address;
+    this.operatorUrl = `http://${this.address}:${operatorPortOf(this.vm)}`;
+  }
+
+  get id(): string {
+    return this.vm.id;
+  }
+
+  /** Counts the processes of this VM from 1. */
+  get processNumber(): number {
+    return this.#processNumber;
+  }
+
+  get isRunning(): boolean {
+    return this.#process?.isRunning ?? false;
+  }
+
+  get isPaused(): boolean {
+    return this.#paused;
+  }
+
+  /** Starts a process and waits until its operators' port answers. */
+  async start(): Promise<void> {
+    if (this.isRunning) throw new Error(`Daemon "${this.id}" runs already`);
+    const file = join(this.#options.folder, `${this.id}.ini`);
+    await writeFile(file, formatSettings(this.#options.settings()));
+    await this.#options.onListening?.(true);
+    const processNumber = this.#processNumber += 1;
+    this.log.add(`--- process ${processNumber} of ${this.id}`);
+    this.#paused = false;
+    this.#process = new ManagedProcess({
+      args: [PROGRAM, "run", "--settings", file],
+      endWithThisProcess: true,
+      log: this.log,
+      ownProcessGroup: this.#options.ownProcessGroup,
+      onLine: (line) => this.#observeLine(line, processNumber),
+    });
+    void this.#observeStatus(this.#process, processNumber);
+    await this.#waitUntilUp(this.#process);
+  }
+
+  /** `kill -9`. */
+  async kill(): Promise<void> {
+    await this.#process?.kill();
+    await this.#options.onListening?.(false);
+  }
+
+  /** SIGTERM; waits for the process to end, which may take its drain time. */
+  async stop(graceMs?: number): Promise<void> {
+    await this.#process?.stop(graceMs);
+    await this.#options.onListening?.(false);
+  }
+
+  /** SIGSTOP. */
+  pause(): void {
+    this.#paused = true;
+    this.#process?.pause();
+  }
+
+  /** SIGCONT. */
+  resume(): void {
+    this.#process?.resume();
+    this.#paused = false;
+  }
+
+  async restart(): Promise<void> {
+    await this.stop();
+    await this.start();
+  }
+
+  async status(): Promise<DaemonStatus> {
+    const json = await this.#get("/status", STATUS_TIMEOUT_MS);
+    const fields = json as Readonly<Record<string, unknown>>;
+    const lists = (fields.lists ?? fields) as Readonly<Record<string, unknown>>;
+    const revision = fields.revision ?? lists.revision;
+    const hash = fields.hash ?? lists.hash;
+    return {
+      revision: typeof revision === "number" ? revision : undefined,
+      hash: typeof hash === "string" ? hash : undefined,
+      json: fields,
+    };
+  }
+
+  /** State dump of the daemon. */
+  dump(): Promise<unknown> {
+    return this.#get("/dump", DUMP_TIMEOUT_MS);
+  }
+
+  async close(): Promise<void> {
+    this.#closed = true;
+    await this.#process?.stop();
+  }
+
+  async #get(path: string, timeoutMs: number): Promise<unknown> {
+    const response = await request(`${this.operatorUrl}${path}`, {
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    return await response.body.json();
+  }
+
+  async #waitUntilUp(child: ManagedProcess): Promise<void> {
+    const deadlineMs = performance.now() + UP_TIMEOUT_MS;
+    while (performance.now() < deadlineMs) {
+      if (await this.status().then(() => true, () => false)) return;
+      if (!child.isRunning) break;
+      await sleep(STATUS_INTERVAL_MS / 4);
+    }
+    const tail = this.log.lines.slice(-20).join("\n");
+    throw new Error(
+      `Daemon "${this.id}" is not up (exit code ${child.exitCode}):\n${tail}`,
+    );
+  }
+
+  #observeLine(line: string, processNumber: number): void {
+    const fields = parseLine(line);
+    if (fields?.event !== "version_taken") return;
+    if ((fields.kind ?? "lists") !== "lists") return;
+    const { revision, hash } = fields;
+    if (typeof revision !== "number" || typeof hash !== "string") return;
+    this.#observe({ processNumber, source: "log", revision, hash });
+  }
+
+  async #observeStatus(
+    child: ManagedProcess,
+    processNumber: number,
+  ): Promise<void> {
+    while (child.isRunning && !this.#closed) {
+      await sleep(STATUS_INTERVAL_MS);
+      if (this.#paused) continue;
+      const status = await this.status().catch(() => undefined);
+      const { revision, hash } = status ?? {};
+      if (revision === undefined || hash === undefined) continue;
+      // An answer that arrives after a restart may come from the next process.
+      if (processNumber !== this.#processNumber) return;
+      this.#observe({ processNumber, source: "status", revision, hash });
+    }
+  }
+
+  #observe(seen: Omit<VersionObservation, "vmId" | "atMs">): void {
+    const atMs = performance.now();
+    this.#options.onObservation({ ...seen, vmId: this.id, atMs });
+  }
+}
+
+/** Operators' port of a VM's daemon. */
+export function operatorPortOf(vm: Vm): number {
+  return vm.peerPort + OPERATOR_PORT_OFFSET;
+}
+
+/** Leaves the upstream its own port between the two. */
+const OPERATOR_PORT_OFFSET = 10;
+
+function parseLine(line: string): Record<string, unknown> | undefined {
+  try {
+    return JSON.parse(line) as Record<string, unknown>;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/emulator/src/demo.ts
+++ b/packages/emulator/src/demo.ts
@@ -1,79 +1,237 @@
-import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
-import { formatVms } from "@tanagercove/lists";
-import { HEADERS, type Vm } from "@tanagercove/types";
-import { startFleet } from "./fleet.ts";
-import { startPlatformStandIn } from "./platform_stand_in.ts";
-import { startUpstreamStandIn } from "./upstream_stand_in.ts";
+import { HEADERS } from "@tanagercove/types";
+import { runLoad } from "./load.ts";
+import type { CallRecord, LoadReport } from "./load_report.ts";
+import { executionsOf, type Mesh, startMesh } from "./mesh.ts";
+import { formatTable } from "./text_table.ts";
 
-const ZONES = ["zone-a", "zone-b", "zone-c"];
+/** Options of `runDemo`. */
+export interface RunDemoOptions {
+  /** Ends after a short load instead of at `signal`. */
+  readonly once: boolean;
+  readonly signal: AbortSignal;
+  readonly write: (line: string) => void;
+}
+
+interface DemoCall {
+  readonly customer: string;
+  readonly service: string;
+}
+
+const ZONES = ["perth-1", "perth-2", "perth-3"];
 const SERVICES = ["swatches", "reservations"];
+const SEED = 7;
+const LOAD_PER_SECOND = 20;
+const ONCE_LOAD_MS = 3_000;
+const REPORT_INTERVAL_MS = 5_000;
+/** Stated bound of docs/design.md for an accepted version. */
+const IN_FORCE_BOUND_MS = 3_000;
+/** Time that the demo leaves to a slow machine before it gives up. */
+const IN_FORCE_TIMEOUT_MS = 15_000;
 
-/** Runs three zones of daemons and upstreams, edits the lists and shows a request routed by them. */
-export async function runDemo(): Promise<void> {
-  const platform = await startPlatformStandIn();
-  const vms: Vm[] = [];
-  const upstreams = [];
-  for (const [z, zone] of ZONES.entries()) {
-    for (const [s, service] of SERVICES.entries()) {
-      const address = `127.10.${z + 1}.${s + 1}`;
-      const upstream = await startUpstreamStandIn({
-        name: `${service}-${z}`,
-        host: address,
-      });
-      upstreams.push(upstream);
-      vms.push({
-        id: `${service}-${z}`,
-        service,
-        zone,
-        region: "region-1",
-        address,
-        callerPort: 8080,
-        peerPort: 8081,
-        upstreamPort: upstream.port,
-        state: "live",
-      });
-    }
+/**
+ * Runs three zones of daemons and upstream processes, edits both lists, shows each edit in force and
+ * requests decided by it, and then keeps a light load. False where anything was not as it should be.
+ */
+export async function runDemo(options: RunDemoOptions): Promise<boolean> {
+  const { write } = options;
+  write(`Starting ${ZONES.length} zones with ${SERVICES.join(", ")} in each`);
+  const mesh = await startMesh({
+    zones: ZONES,
+    services: SERVICES,
+    upstreams: "processes",
+    upstreamOptions: () => ({
+      serviceTime: { shape: "exponential", meanMs: 3 },
+    }),
+    plans: "# customer = plan\nisla = basic\n",
+    allowances: "basic = swatches\n",
+    ownProcessGroup: true,
+  });
+  try {
+    await showEdits(mesh, write);
+    const report = await keepLoad(mesh, options);
+    return showEnd({ mesh, report, write });
+  } finally {
+    await mesh.close();
+    write("All processes have ended");
   }
-  platform.publish("vms", formatVms(vms));
-  platform.publish(
+}
+
+async function showEdits(
+  mesh: Mesh,
+  write: RunDemoOptions["write"],
+): Promise<void> {
+  const { platform } = mesh;
+  await showVersion(mesh, {
+    title: "Before any edit",
+    revision: platform.revision,
+    write,
+  });
+  await showCalls(mesh, write);
+  const allowed = platform.publish(
     "allowances",
     "basic = swatches\nfull = swatches, reservations\n",
   );
-  const fleet = await startFleet({ platformUrl: platform.url, vms });
-  for (const plan of ["basic", "full"]) {
-    const revision = platform.publish("plans", `perth = ${plan}\n`);
-    await inForce(revision);
-    console.log(
-      `perth = ${plan}: revision ${revision} in force on ${vms.length} daemons`,
-    );
-    for (const service of SERVICES) {
-      console.log(`  ${service}: ${await call(service)}`);
-    }
-  }
-  await fleet.close();
-  await Promise.all(upstreams.map((upstream) => upstream.close()));
-  await platform.close();
+  await showVersion(mesh, {
+    title: "Edit of allowances: full = swatches, reservations",
+    revision: allowed,
+    write,
+  });
+  const planned = platform.publish(
+    "plans",
+    "# customer = plan\nisla = full\nfergus = basic\n",
+  );
+  await showVersion(mesh, {
+    title: "Edit of plans: isla = full, fergus = basic",
+    revision: planned,
+    write,
+  });
+  await showCalls(mesh, write);
+}
 
-  async function inForce(revision: number): Promise<void> {
-    for (const daemon of fleet.daemons) {
-      while (await revisionOf(daemon.operatorUrl) !== revision) await sleep(50);
-    }
-  }
+interface ShowVersionOptions {
+  readonly title: string;
+  readonly revision: number;
+  readonly write: RunDemoOptions["write"];
+}
 
-  async function call(service: string): Promise<string> {
-    const answer = await request(`http://${vms[0]!.address}:8080/venues`, {
-      headers: { [HEADERS.customer]: "perth", [HEADERS.service]: service },
-    });
-    return `${answer.statusCode} ${await answer.body.text()}`;
-  }
+async function showVersion(
+  { fleet }: Mesh,
+  { title, revision, write }: ShowVersionOptions,
+): Promise<void> {
+  const startedAtMs = performance.now();
+  await fleet.waitInForce(revision, { timeoutMs: IN_FORCE_TIMEOUT_MS });
+  const rows = fleet.daemons.map(({ id, vm, processNumber }) => {
+    const held = fleet.history.latest(id, processNumber);
+    const atMs = fleet.history.heldAtMs(id, { processNumber, revision }) ??
+      startedAtMs;
+    const afterMs = Math.max(0, Math.round(atMs - startedAtMs));
+    return [
+      id,
+      vm.zone,
+      String(held?.revision),
+      held?.hash.slice(0, 12) ?? "",
+      `${afterMs} ms${afterMs > IN_FORCE_BOUND_MS ? " (late)" : ""}`,
+    ];
+  });
+  const head = ["daemon", "zone", "revision", "hash", "in force after"];
+  write(`\n${title}: revision ${revision}\n${formatTable([head, ...rows])}`);
 }
 
-async function revisionOf(operatorUrl: string): Promise<number | undefined> {
-  try {
-    const answer = await request(`${operatorUrl}/status`);
-    return (await answer.body.json() as { revision?: number }).revision;
-  } catch {
-    return undefined;
-  }
+async function showCalls(
+  mesh: Mesh,
+  write: RunDemoOptions["write"],
+): Promise<void> {
+  const calls: readonly DemoCall[] = [
+    { customer: "isla", service: "swatches" },
+    { customer: "isla", service: "reservations" },
+    { customer: "fergus", service: "reservations" },
+  ];
+  const head = [
+    "customer",
+    "service",
+    "status",
+    "outcome",
+    "reason or upstream",
+  ];
+  const rows = await Promise.all(calls.map((call) => sendOne(mesh, call)));
+  write(`\nRequests to ${mesh.vms[0]!.id}\n${formatTable([head, ...rows])}`);
+}
+
+async function sendOne(
+  mesh: Mesh,
+  { customer, service }: DemoCall,
+): Promise<readonly string[]> {
+  const url = mesh.callerUrl(mesh.vms[0]!.id);
+  const response = await request(`${url}/demo`, {
+    headers: { [HEADERS.customer]: customer, [HEADERS.service]: service },
+  });
+  const body = await response.body.json() as {
+    upstream?: string;
+    reason?: string;
+  };
+  return [
+    customer,
+    service,
+    String(response.statusCode),
+    String(response.headers[HEADERS.outcome]),
+    body.upstream ?? body.reason ?? "",
+  ];
+}
+
+async function keepLoad(
+  mesh: Mesh,
+  { once, signal, write }: RunDemoOptions,
+): Promise<LoadReport> {
+  const wait = once ? `${ONCE_LOAD_MS / 1_000} s` : "until ctrl-C";
+  write(`\nLoad of ${LOAD_PER_SECOND} requests/s, seed ${SEED}, ${wait}`);
+  let recent: CallRecord[] = [];
+  const timer = setInterval(() => {
+    write(describeCalls(recent));
+    recent = [];
+  }, REPORT_INTERVAL_MS);
+  const report = await runLoad({
+    targets: mesh.vms.map(({ id }) => mesh.callerUrl(id)),
+    customers: ["isla", "fergus"],
+    services: SERVICES,
+    ratePerSecond: LOAD_PER_SECOND,
+    durationMs: once ? ONCE_LOAD_MS : Infinity,
+    seed: SEED,
+    signal,
+    onCall: (call) => recent.push(call),
+    executions: () => executionsOf(mesh),
+  });
+  clearInterval(timer);
+  return report;
+}
+
+function describeCalls(calls: readonly CallRecord[]): string {
+  const count = (outcome: CallRecord["outcome"]) =>
+    calls.filter((call) => call.outcome === outcome).length;
+  return `${calls.length} requests: ${count("answered")} answered, ${
+    count("not_run")
+  } not run, ${count("unknown") + count("none")} unknown`;
+}
+
+interface ShowEndOptions {
+  readonly mesh: Mesh;
+  readonly report: LoadReport;
+  readonly write: RunDemoOptions["write"];
+}
+
+function showEnd({ mesh, report, write }: ShowEndOptions): boolean {
+  const { comparison, latency, wrongAnswers } = report;
+  const { violations } = mesh.fleet.history;
+  const { calls } = mesh.platform;
+  write(`\n${
+    formatTable([
+      ["requests", "count", "p50 ms", "p90 ms", "p99 ms", "max ms"],
+      ...Object.entries(latency).map(([name, summary]) => [
+        `answered, ${name === "idempotent" ? "GET" : "POST"}`,
+        String(summary.count),
+        summary.p50Ms.toFixed(2),
+        summary.p90Ms.toFixed(2),
+        summary.p99Ms.toFixed(2),
+        summary.maxMs.toFixed(2),
+      ]),
+    ])
+  }`);
+  const faults = [
+    ...(comparison?.runTwice ?? []).map((id) => `${id} ran twice`),
+    ...(comparison?.lost ?? []).map((id) => `${id} is lost`),
+    ...(comparison?.notRunThatRan ?? []).map((id) => `${id} was told not run`),
+    ...wrongAnswers,
+    ...violations,
+  ];
+  write(
+    `\n${report.byOutcome.answered} answered, ${report.byOutcome.not_run} not run, ${
+      report.byOutcome.unknown + report.byOutcome.none
+    } unknown; platform calls: ${calls.watch} watches, ${calls.index} indexes, ${calls.value} values`,
+  );
+  write(
+    faults.length === 0
+      ? "Nothing ran twice, was lost or was reported wrongly; no daemon's version fell"
+      : faults.join("\n"),
+  );
+  return faults.length === 0;
 }
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -1,82 +1,201 @@
-import { type ChildProcess, spawn } from "node:child_process";
-import { once } from "node:events";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
-import { join, resolve } from "node:path";
-import type { Vm } from "@tanagercove/types";
-
-/** One daemon process of a fleet. */
-export interface FleetDaemon {
-  readonly vm: Vm;
-  readonly operatorUrl: string;
-  readonly process: ChildProcess;
-}
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  DaemonProcess,
+  type FleetVm,
+  operatorPortOf,
+} from "./daemon_process.ts";
+import type { Relay } from "./relay.ts";
+import { type IniSections, mergeSections } from "./settings_file.ts";
+import { type PublishedId, VersionHistory } from "./version_history.ts";
 
 /** Options of `startFleet`. */
 export interface StartFleetOptions {
   readonly platformUrl: string;
-  readonly vms: readonly Vm[];
+  readonly vms: readonly FleetVm[];
+  /** Versions that the platform published; every version that a daemon reports is checked against it. */
+  readonly published?: () => readonly PublishedId[];
+  /** Settings beyond the generated ones, for all daemons or by VM. */
+  readonly settings?: IniSections | ((fleetVm: FleetVm) => IniSections);
+  /** The relay refuses connections to a daemon that does not run. */
+  readonly relay?: Relay;
+  /** Keeps a terminal's ctrl-C away from the daemons. */
+  readonly ownProcessGroup?: boolean;
+  /** Daemons that start at the same time. */
+  readonly startsAtOnce?: number;
 }
 
-/** Daemons running as processes. */
-export interface Fleet {
-  readonly daemons: readonly FleetDaemon[];
-  close(): Promise<void>;
+/** Options of `Fleet.waitInForce`. */
+export interface WaitInForceOptions {
+  readonly timeoutMs: number;
+  /** All running daemons that are not paused, by default. */
+  readonly daemons?: readonly DaemonProcess[];
 }
 
-const PROGRAM = resolve("dist/tanagercove.cjs");
+const DEFAULT_STARTS_AT_ONCE = 12;
+const POLL_MS = 10;
+const LOG_TAIL_LINES = 30;
+const SEEDS_PER_DAEMON = 5;
+
+/** Daemons that run as processes. */
+export class Fleet {
+  readonly daemons: readonly DaemonProcess[];
+  readonly history: VersionHistory;
+  readonly #folder: string;
+
+  constructor(folder: string, options: StartFleetOptions) {
+    this.#folder = folder;
+    this.history = new VersionHistory({ published: options.published });
+    this.daemons = options.vms.map((fleetVm) =>
+      new DaemonProcess({
+        fleetVm,
+        folder,
+        settings: () => settingsFor(fleetVm, options),
+        onObservation: (observation) => this.history.observe(observation),
+        onListening: async (listening) => {
+          const { id, callerPort, peerPort } = fleetVm.vm;
+          const ports = [callerPort, peerPort];
+          if (listening) await options.relay?.accept(id, ports);
+          else await options.relay?.refuse(id, ports);
+        },
+        ownProcessGroup: options.ownProcessGroup,
+      })
+    );
+  }
+
+  daemon(id: string): DaemonProcess {
+    const daemon = this.daemons.find((known) => known.id === id);
+    if (daemon === undefined) throw new Error(`No daemon "${id}"`);
+    return daemon;
+  }
+
+  /** Daemons of a zone. */
+  zone(zone: string): readonly DaemonProcess[] {
+    return this.daemons.filter(({ vm }) => vm.zone === zone);
+  }
+
+  /** Running daemons that are not paused. */
+  get active(): readonly DaemonProcess[] {
+    return this.daemons.filter((daemon) =>
+      daemon.isRunning && !daemon.isPaused
+    );
+  }
+
+  /** Starts daemons, all by default, a bounded number at a time. */
+  async start(
+    daemons: readonly DaemonProcess[] = this.daemons,
+    startsAtOnce: number = DEFAULT_STARTS_AT_ONCE,
+  ): Promise<void> {
+    const waiting = [...daemons];
+    const lane = async () => {
+      for (let next = waiting.shift(); next; next = waiting.shift()) {
+        await next.start();
+      }
+    };
+    await Promise.all(Array.from({ length: startsAtOnce }, lane));
+  }
 
-/** Starts a daemon process for each VM. */
+  async kill(daemons: readonly DaemonProcess[]): Promise<void> {
+    await Promise.all(daemons.map((daemon) => daemon.kill()));
+  }
+
+  /**
+   * Waits until daemons hold this revision of the lists or a higher one, and returns the time from the
+   * call to the last of them. The error names those that do not.
+   */
+  async waitInForce(
+    revision: number,
+    options: WaitInForceOptions,
+  ): Promise<number> {
+    const daemons = options.daemons ?? this.active;
+    const startedAtMs = performance.now();
+    const behind = () =>
+      daemons.filter(({ id, processNumber }) =>
+        (this.history.latest(id, processNumber)?.revision ?? 0) < revision
+      );
+    while (behind().length > 0) {
+      if (performance.now() - startedAtMs > options.timeoutMs) {
+        const list = behind().map(({ id, processNumber }) =>
+          `${id} at ${this.history.latest(id, processNumber)?.revision}`
+        );
+        throw new Error(
+          `Revision ${revision} is not in force after ${options.timeoutMs} ms on: ${
+            list.join(", ")
+          }`,
+        );
+      }
+      await sleep(POLL_MS);
+    }
+    const times = daemons.map(({ id, processNumber }) =>
+      this.history.heldAtMs(id, { processNumber, revision }) ?? startedAtMs
+    );
+    return Math.max(0, ...times.map((atMs) => atMs - startedAtMs));
+  }
+
+  /** The newest log lines of each daemon, for the report of a failed test. */
+  formatLogs(tailLines: number = LOG_TAIL_LINES): string {
+    return this.daemons.map(({ id, log }) =>
+      [`=== ${id}`, ...log.lines.slice(-tailLines)].join("\n")
+    ).join("\n");
+  }
+
+  /** Ends all daemons. */
+  async close(): Promise<void> {
+    await Promise.all(this.daemons.map((daemon) => daemon.close()));
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+}
+
+/** Starts a daemon process for each VM and waits until each is up. */
 export async function startFleet(options: StartFleetOptions): Promise<Fleet> {
   const folder = await mkdtemp(join(tmpdir(), "tanagercove-"));
-  const daemons: FleetDaemon[] = [];
-  for (const vm of options.vms) {
-    const file = join(folder, `${vm.id}.ini`);
-    await writeFile(file, settingsFor(vm, options));
-    const child = spawn(
-      process.execPath,
-      [PROGRAM, "run", "--settings", file],
-      {
-        stdio: ["ignore", "ignore", "inherit"],
-      },
-    );
-    daemons.push({
-      vm,
-      operatorUrl: `http://${vm.address}:${vm.peerPort + 1}`,
-      process: child,
-    });
+  const fleet = new Fleet(folder, options);
+  try {
+    await fleet.start(fleet.daemons, options.startsAtOnce);
+  } catch (error) {
+    await fleet.close();
+    throw error;
   }
-  return {
-    daemons,
-    async close() {
-      await Promise.all(daemons.map(async ({ process: child }) => {
-        if (child.exitCode !== null || child.signalCode !== null) return;
-        child.kill("SIGTERM");
-        await once(child, "exit");
-      }));
-      await rm(folder, { recursive: true, force: true });
+  return fleet;
+}
+
+function settingsFor(
+  fleetVm: FleetVm,
+  options: StartFleetOptions,
+): IniSections {
+  const { vm } = fleetVm;
+  const address = fleetVm.address ?? vm.address;
+  const extra = typeof options.settings === "function"
+    ? options.settings(fleetVm)
+    : options.settings ?? {};
+  return mergeSections({
+    daemon: {
+      vm_id: vm.id,
+      zone: vm.zone,
+      region: vm.region,
+      service: vm.service,
+      address,
+      caller_port: vm.callerPort,
+      peer_port: vm.peerPort,
     },
-  };
+    platform: { url: options.platformUrl },
+    peers: { seeds: seedsFor(fleetVm, options.vms).join(", ") },
+    upstream: { address, port: vm.upstreamPort },
+    operators: { address, port: operatorPortOf(vm) },
+  }, extra);
 }
 
-function settingsFor(vm: Vm, options: StartFleetOptions): string {
-  return [
-    "[daemon]",
-    `vm_id = ${vm.id}`,
-    `zone = ${vm.zone}`,
-    `region = ${vm.region}`,
-    `service = ${vm.service}`,
-    `address = ${vm.address}`,
-    `caller_port = ${vm.callerPort}`,
-    `peer_port = ${vm.peerPort}`,
-    "[platform]",
-    `url = ${options.platformUrl}`,
-    "[upstream]",
-    `address = ${vm.address}`,
-    `port = ${vm.upstreamPort}`,
-    "[operators]",
-    `address = ${vm.address}`,
-    `port = ${vm.peerPort + 1}`,
-    "",
-  ].join("\n");
+/** Peers of other VMs, spread evenly over the list and thereby over the zones. */
+function seedsFor(
+  { vm }: FleetVm,
+  vms: readonly FleetVm[],
+): readonly string[] {
+  const others = vms.filter((other) => other.vm.id !== vm.id);
+  const step = Math.max(1, Math.floor(others.length / SEEDS_PER_DAEMON));
+  return others
+    .filter((_, index) => index % step === 0)
+    .slice(0, SEEDS_PER_DAEMON)
+    .map((other) => `${other.vm.address}:${other.vm.peerPort}`);
 }
--- /dev/null
+++ b/packages/emulator/src/load.ts
@@ -0,0 +1,214 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { Agent, request } from "undici";
+import { HEADERS, type Outcome, type Reason } from "@tanagercove/types";
+import type { Execution } from "./execution_log.ts";
+import {
+  type CallRecord,
+  type LoadReport,
+  reportLoad,
+  type ToldOutcome,
+} from "./load_report.ts";
+import { pickOne, type Random, seededRandom } from "./seeded_random.ts";
+import { paddingOf } from "./upstream_stand_in.ts";
+
+/** Options of `runLoad`. */
+export interface RunLoadOptions {
+  /** URLs of caller ports; each request goes to a random one. */
+  readonly targets: readonly string[];
+  readonly customers: readonly string[];
+  readonly services: readonly string[];
+  readonly ratePerSecond: number;
+  readonly durationMs: number;
+  readonly seed: number;
+  /** Share of GET requests; the others are POST. Default 0.8. */
+  readonly idempotentShare?: number;
+  readonly deadlineMs?: number;
+  /** Size of the answers that are asked for; default small ones. */
+  readonly answerBytes?: number;
+  /** Size of the bodies of POST requests; default 64. */
+  readonly requestBytes?: number;
+  /** Due requests beyond this many in flight are counted as not sent. */
+  readonly maxInFlight?: number;
+  /** Ends the run early; requests in flight are waited for. */
+  readonly signal?: AbortSignal;
+  readonly onCall?: (call: CallRecord) => void;
+  /** Called when all requests have ended, for the comparison with what callers were told. */
+  readonly executions?: () => readonly Execution[];
+}
+
+const DEFAULT_IDEMPOTENT_SHARE = 0.8;
+const DEFAULT_DEADLINE_MS = 5_000;
+const DEFAULT_REQUEST_BYTES = 64;
+const DEFAULT_MAX_IN_FLIGHT = 4_000;
+/** The daemon answers by the deadline; a caller that still waits after this gives up. */
+const CALLER_PATIENCE_MS = 2_000;
+/** Calls between two looks at the event loop, so that a late start cannot starve it. */
+const MAX_SENDS_PER_TURN = 50;
+
+interface PlannedCall {
+  readonly id: string;
+  readonly target: string;
+  readonly customer: string;
+  readonly service: string;
+  readonly idempotent: boolean;
+  readonly dueAtMs: number;
+}
+
+/**
+ * Sends requests at random times of the given mean rate, whether or not earlier ones have been
+ * answered. Latencies count from the time at which a request was due, so a slow sender does not hide
+ * waiting time.
+ */
+export async function runLoad(options: RunLoadOptions): Promise<LoadReport> {
+  const random = seededRandom(options.seed);
+  // Runs against the same upstreams must not share ids.
+  const runName = `${options.seed}-${Date.now().toString(36)}`;
+  const agent = new Agent({ pipelining: 1, keepAliveTimeout: 1_000 });
+  const calls: CallRecord[] = [];
+  const inFlight = new Set<Promise<void>>();
+  const maxInFlight = options.maxInFlight ?? DEFAULT_MAX_IN_FLIGHT;
+  const startedAtMs = performance.now();
+  const endAtMs = startedAtMs + options.durationMs;
+  let dueAtMs = startedAtMs;
+  let notSent = 0;
+  let sent = 0;
+
+  for (let turn = 1;; turn += 1) {
+    dueAtMs += intervalMs(options.ratePerSecond, random);
+    if (dueAtMs >= endAtMs) break;
+    const call = planCall(options, {
+      random,
+      id: `${runName}-${sent}`,
+      dueAtMs,
+    });
+    const waitMs = dueAtMs - performance.now();
+    if (waitMs > 0 || turn % MAX_SENDS_PER_TURN === 0) {
+      await sleep(Math.max(0, waitMs), undefined, { signal: options.signal })
+        .catch(() => {});
+    }
+    if (options.signal?.aborted) break;
+    if (inFlight.size >= maxInFlight) {
+      notSent += 1;
+      continue;
+    }
+    sent += 1;
+    const task = sendCall(call, { options, agent }).then((record) => {
+      calls.push(record);
+      options.onCall?.(record);
+      inFlight.delete(task);
+    });
+    inFlight.add(task);
+  }
+  await Promise.all(inFlight);
+  await agent.destroy();
+  return reportLoad({
+    seed: options.seed,
+    ratePerSecond: options.ratePerSecond,
+    durationMs: performance.now() - startedAtMs,
+    calls,
+    notSent,
+    executions: options.executions?.(),
+  });
+}
+
+function intervalMs(ratePerSecond: number, random: Random): number {
+  return -Math.log(1 - random()) * 1_000 / ratePerSecond;
+}
+
+function planCall(
+  options: RunLoadOptions,
+  { random, id, dueAtMs }: {
+    readonly random: Random;
+    readonly id: string;
+    readonly dueAtMs: number;
+  },
+): PlannedCall {
+  const share = options.idempotentShare ?? DEFAULT_IDEMPOTENT_SHARE;
+  return {
+    id,
+    target: pickOne(options.targets, random),
+    customer: pickOne(options.customers, random),
+    service: pickOne(options.services, random),
+    idempotent: random() < share,
+    dueAtMs,
+  };
+}
+
+interface SendCallOptions {
+  readonly options: RunLoadOptions;
+  readonly agent: Agent;
+}
+
+async function sendCall(
+  call: PlannedCall,
+  { options, agent }: SendCallOptions,
+): Promise<CallRecord> {
+  const { id, customer, service, idempotent, dueAtMs } = call;
+  const deadlineMs = options.deadlineMs ?? DEFAULT_DEADLINE_MS;
+  const answerBytes = options.answerBytes ?? 0;
+  const base = { id, customer, service, idempotent };
+  const latencyMs = () => performance.now() - dueAtMs;
+  try {
+    const response = await request(
+      `${call.target}/load?id=${id}&answer_bytes=${answerBytes}`,
+      {
+        method: idempotent ? "GET" : "POST",
+        body: idempotent
+          ? undefined
+          : "x".repeat(options.requestBytes ?? DEFAULT_REQUEST_BYTES),
+        headers: {
+          [HEADERS.customer]: customer,
+          [HEADERS.service]: service,
+          [HEADERS.requestId]: id,
+          [HEADERS.deadlineMs]: String(deadlineMs),
+        },
+        dispatcher: agent,
+        signal: AbortSignal.timeout(deadlineMs + CALLER_PATIENCE_MS),
+      },
+    );
+    const text = await response.body.text();
+    const outcome = toldOutcome(response.headers[HEADERS.outcome]);
+    const reason = response.headers[HEADERS.reason];
+    return {
+      ...base,
+      outcome,
+      reason: typeof reason === "string" ? reason as Reason : undefined,
+      status: response.statusCode,
+      latencyMs: latencyMs(),
+      wrongAnswer: outcome === "answered" && response.statusCode === 200
+        ? faultOf(text, { id, answerBytes })
+        : undefined,
+    };
+  } catch {
+    return {
+      ...base,
+      outcome: "none",
+      reason: undefined,
+      status: undefined,
+      latencyMs: latencyMs(),
+    };
+  }
+}
+
+const OUTCOMES: readonly Outcome[] = ["answered", "not_run", "unknown"];
+
+function toldOutcome(header: string | string[] | undefined): ToldOutcome {
+  return OUTCOMES.find((outcome) => outcome === header) ?? "none";
+}
+
+/** Tells how an answer differs from the one that the upstream stand-in gives to this request. */
+function faultOf(
+  text: string,
+  { id, answerBytes }: { readonly id: string; readonly answerBytes: number },
+): string | undefined {
+  try {
+    const answer = JSON.parse(text) as { id?: string; pad?: string };
+    if (answer.id !== id) return `answer to request "${answer.id}"`;
+    const pad = answer.pad ?? "";
+    if (pad !== paddingOf(id, pad.length)) return "padding of another request";
+    if (Buffer.byteLength(text) < answerBytes) return "answer too short";
+    return undefined;
+  } catch {
+    return "answer is no complete JSON";
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/load_report.ts
@@ -0,0 +1,162 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import type { Outcome, Reason } from "@tanagercove/types";
+import type { Execution } from "./execution_log.ts";
+
+/** What a caller was told; `none` where the connection to the daemon broke or the caller gave up. */
+export type ToldOutcome = Outcome | "none";
+
+/** One request of a load run, as its caller saw it. */
+export interface CallRecord {
+  readonly id: string;
+  readonly customer: string;
+  readonly service: string;
+  readonly idempotent: boolean;
+  readonly outcome: ToldOutcome;
+  readonly reason: Reason | undefined;
+  readonly status: number | undefined;
+  /** From the moment at which the request was due. */
+  readonly latencyMs: number;
+  /** Why a complete answer was not this request's own one. */
+  readonly wrongAnswer?: string;
+}
+
+/** Latencies of a class of requests in milliseconds. */
+export interface LatencySummary {
+  readonly count: number;
+  readonly p50Ms: number;
+  readonly p90Ms: number;
+  readonly p99Ms: number;
+  readonly maxMs: number;
+}
+
+/** Differences between what callers were told and what upstreams executed. */
+export interface ExecutionComparison {
+  /** Non-idempotent requests that ran more than once. */
+  readonly runTwice: readonly string[];
+  /** Told `answered` without an execution. */
+  readonly lost: readonly string[];
+  /** Told `not_run` although they ran. */
+  readonly notRunThatRan: readonly string[];
+  /** Idempotent requests that ran more than once, which is allowed. */
+  readonly repeatedIdempotent: number;
+  /** Told `unknown` or nothing. */
+  readonly unknownThatRan: number;
+  readonly unknownThatDidNotRun: number;
+  readonly executions: number;
+}
+
+/** Result of a load run. */
+export interface LoadReport {
+  readonly seed: number;
+  readonly ratePerSecond: number;
+  readonly durationMs: number;
+  readonly requests: number;
+  /** Due requests that were not sent because too many were in flight. */
+  readonly notSent: number;
+  readonly byOutcome: Readonly<Record<ToldOutcome, number>>;
+  readonly byReason: Readonly<Record<string, number>>;
+  readonly latency: {
+    readonly idempotent: LatencySummary;
+    readonly nonIdempotent: LatencySummary;
+  };
+  readonly wrongAnswers: readonly string[];
+  /** Undefined where no executions were given. */
+  readonly comparison: ExecutionComparison | undefined;
+}
+
+const MICROSECONDS_PER_MS = 1_000;
+const HIGHEST_LATENCY_US = 120 * 1_000_000;
+
+/** Options of `reportLoad`. */
+export interface ReportLoadOptions {
+  readonly seed: number;
+  readonly ratePerSecond: number;
+  readonly durationMs: number;
+  readonly calls: readonly CallRecord[];
+  readonly notSent: number;
+  /** All executions that the upstreams recorded. */
+  readonly executions?: readonly Execution[];
+}
+
+/** Sums up the calls of a load run. */
+export function reportLoad(options: ReportLoadOptions): LoadReport {
+  const { calls, executions, ...settings } = options;
+  const byOutcome: Record<ToldOutcome, number> = {
+    answered: 0,
+    not_run: 0,
+    unknown: 0,
+    none: 0,
+  };
+  const byReason: Record<string, number> = {};
+  for (const { outcome, reason } of calls) {
+    byOutcome[outcome] += 1;
+    if (reason !== undefined) byReason[reason] = (byReason[reason] ?? 0) + 1;
+  }
+  const answered = calls.filter(({ outcome }) => outcome === "answered");
+  return {
+    ...settings,
+    requests: calls.length,
+    byOutcome,
+    byReason,
+    latency: {
+      idempotent: summarize(answered.filter(({ idempotent }) => idempotent)),
+      nonIdempotent: summarize(
+        answered.filter(({ idempotent }) => !idempotent),
+      ),
+    },
+    wrongAnswers: calls.flatMap(({ id, wrongAnswer }) =>
+      wrongAnswer === undefined ? [] : [`${id}: ${wrongAnswer}`]
+    ),
+    comparison: executions && compareExecutions(calls, executions),
+  };
+}
+
+/** Compares what callers were told with what upstreams executed, by the id in the path. */
+export function compareExecutions(
+  calls: readonly CallRecord[],
+  executions: readonly Execution[],
+): ExecutionComparison {
+  const runs = new Map<string, number>();
+  for (const { id } of executions) runs.set(id, (runs.get(id) ?? 0) + 1);
+  const runsOf = ({ id }: CallRecord) => runs.get(id) ?? 0;
+  const ids = (matching: (call: CallRecord) => boolean) =>
+    calls.filter(matching).map(({ id }) => id);
+  const unknown = calls.filter(({ outcome }) =>
+    outcome === "unknown" || outcome === "none"
+  );
+  return {
+    runTwice: ids((call) => !call.idempotent && runsOf(call) > 1),
+    lost: ids((call) => call.outcome === "answered" && runsOf(call) === 0),
+    notRunThatRan: ids((call) =>
+      call.outcome === "not_run" && runsOf(call) > 0
+    ),
+    repeatedIdempotent:
+      calls.filter((call) => call.idempotent && runsOf(call) > 1).length,
+    unknownThatRan: unknown.filter((call) => runsOf(call) > 0).length,
+    unknownThatDidNotRun: unknown.filter((call) => runsOf(call) === 0).length,
+    executions: executions.length,
+  };
+}
+
+function summarize(calls: readonly CallRecord[]): LatencySummary {
+  const histogram = build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: HIGHEST_LATENCY_US,
+    numberOfSignificantValueDigits: 3,
+  });
+  for (const { latencyMs } of calls) {
+    const latencyUs = Math.round(latencyMs * MICROSECONDS_PER_MS);
+    histogram.recordValue(Math.min(HIGHEST_LATENCY_US, latencyUs));
+  }
+  return {
+    count: calls.length,
+    p50Ms: percentileMs(histogram, 50),
+    p90Ms: percentileMs(histogram, 90),
+    p99Ms: percentileMs(histogram, 99),
+    maxMs: histogram.maxValue / MICROSECONDS_PER_MS,
+  };
+}
+
+function percentileMs(histogram: Histogram, percentile: number): number {
+  return histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
+}
--- /dev/null
+++ b/packages/emulator/src/load_test.ts
@@ -0,0 +1,111 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import t from "tap";
+import { HEADERS } from "@tanagercove/types";
+import type { Execution } from "./execution_log.ts";
+import { runLoad } from "./load.ts";
+import { type CallRecord, compareExecutions } from "./load_report.ts";
+
+const SEED = 11;
+
+function call(id: string, fields: Partial<CallRecord>): CallRecord {
+  return {
+    id,
+    customer: "isla",
+    service: "deposits",
+    idempotent: false,
+    outcome: "answered",
+    reason: undefined,
+    status: 200,
+    latencyMs: 1,
+    ...fields,
+  };
+}
+
+function execution(id: string): Execution {
+  return {
+    id,
+    requestId: id,
+    method: "POST",
+    startedAtMs: 0,
+    drainingForMs: undefined,
+    endedAtMs: 1,
+    end: "answered",
+  };
+}
+
+t.test("should find what ran twice, was lost or ran although the caller was told otherwise", (t) => {
+  const calls = [
+    call("good", {}),
+    call("twice", {}),
+    call("lost", {}),
+    call("refused-and-ran", { outcome: "not_run" }),
+    call("read-twice", { idempotent: true }),
+    call("unknown", { outcome: "unknown" }),
+    call("silent", { outcome: "none" }),
+  ];
+  const ran = [
+    "good",
+    "twice",
+    "twice",
+    "refused-and-ran",
+    "read-twice",
+    "read-twice",
+    "silent",
+  ];
+  t.same(compareExecutions(calls, ran.map(execution)), {
+    runTwice: ["twice"],
+    lost: ["lost"],
+    notRunThatRan: ["refused-and-ran"],
+    repeatedIdempotent: 1,
+    unknownThatRan: 1,
+    unknownThatDidNotRun: 1,
+    executions: 7,
+  });
+  t.end();
+});
+
+t.test("should end at the signal without sending the request that is not due yet", async (t) => {
+  const stop = new AbortController();
+  setTimeout(() => stop.abort(), 50);
+  const report = await runLoad({
+    targets: ["http://127.0.0.1:1"],
+    customers: ["isla"],
+    services: ["deposits"],
+    ratePerSecond: 0.001,
+    durationMs: Infinity,
+    seed: SEED,
+    signal: stop.signal,
+  });
+  t.equal(report.requests, 0);
+});
+
+t.test("should keep its rate while answers are slow, and notice an answer to another request", async (t) => {
+  t.comment(`seed ${SEED}`);
+  const methods: Record<string, number> = {};
+  const server = createServer((request, response) => {
+    methods[request.method!] = (methods[request.method!] ?? 0) + 1;
+    request.resume();
+    setTimeout(() => {
+      response.writeHead(200, { [HEADERS.outcome]: "answered" });
+      response.end(JSON.stringify({ id: "other" }));
+    }, 300);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  const report = await runLoad({
+    targets: [`http://127.0.0.1:${(server.address() as AddressInfo).port}`],
+    customers: ["isla"],
+    services: ["deposits"],
+    ratePerSecond: 200,
+    durationMs: 1_000,
+    seed: SEED,
+    idempotentShare: 0.5,
+  });
+  // A closed loop would send no more than a few requests per 300 ms.
+  t.ok(report.requests > 140 && report.requests < 260, `${report.requests}`);
+  t.equal(report.byOutcome.answered, report.requests);
+  t.equal(report.wrongAnswers.length, report.requests);
+  t.ok(report.latency.idempotent.p50Ms >= 295);
+  t.ok(methods.GET! > 50 && methods.POST! > 50);
+});
--- /dev/null
+++ b/packages/emulator/src/mesh.ts
@@ -0,0 +1,222 @@
+import { formatVms } from "@tanagercove/lists";
+import type { Vm, VmState } from "@tanagercove/types";
+import { type AddressBlock, claimAddressBlock } from "./address_block.ts";
+import type { Execution } from "./execution_log.ts";
+import type { FleetVm } from "./daemon_process.ts";
+import { type Fleet, startFleet } from "./fleet.ts";
+import {
+  type PlatformStandIn,
+  startPlatformStandIn,
+  type StartPlatformStandInOptions,
+} from "./platform_stand_in.ts";
+import { Relay } from "./relay.ts";
+import type { IniSections } from "./settings_file.ts";
+import { startUpstreamProcess, UpstreamProcess } from "./upstream_process.ts";
+import {
+  startUpstreamStandIn,
+  type StartUpstreamStandInOptions,
+  type UpstreamStandIn,
+} from "./upstream_stand_in.ts";
+
+/** Where the upstreams of a mesh run: in this process, as processes of their own, or not at all. */
+export type UpstreamPlace = "inside" | "processes" | "none";
+
+/** Options of `startMesh`. */
+export interface StartMeshOptions {
+  readonly zones: readonly string[];
+  readonly services: readonly string[];
+  /** VMs of each service in each zone; default 1. */
+  readonly instances?: number;
+  /** Puts a relay between all processes; default true. */
+  readonly relay?: boolean;
+  /** Default `inside`. */
+  readonly upstreams?: UpstreamPlace;
+  /** Settings of upstreams beyond their names and addresses. */
+  readonly upstreamOptions?: (
+    vm: Vm,
+  ) => Partial<Omit<StartUpstreamStandInOptions, "name" | "host" | "port">>;
+  readonly platform?: StartPlatformStandInOptions;
+  /** Initial lists. */
+  readonly plans: string;
+  readonly allowances: string;
+  readonly settings?: IniSections | ((fleetVm: FleetVm) => IniSections);
+  readonly ownProcessGroup?: boolean;
+}
+
+/** A platform, upstreams and daemons with a network between them. */
+export interface Mesh {
+  readonly platform: PlatformStandIn;
+  /** Undefined where the mesh was started without a relay. */
+  readonly relay: Relay | undefined;
+  readonly fleet: Fleet;
+  readonly vms: readonly Vm[];
+  /** Upstreams by VM. */
+  readonly upstreams: ReadonlyMap<string, UpstreamStandIn | UpstreamProcess>;
+  /** URL of a VM's caller port. */
+  callerUrl(id: string): string;
+  /** Publishes the VM list with other states for some VMs; null leaves a VM out. */
+  publishVms(states?: Readonly<Record<string, VmState | null>>): number;
+  close(): Promise<void>;
+}
+
+const CALLER_PORT = 8_080;
+const PEER_PORT = 8_081;
+const UPSTREAM_PORT = 8_082;
+const REGION = "region-1";
+
+/** Starts a mesh; whatever was started is closed again where a part fails. */
+export async function startMesh(options: StartMeshOptions): Promise<Mesh> {
+  const opened: (() => Promise<void>)[] = [];
+  const close = async () => {
+    for (const closeOne of opened.splice(0).reverse()) await closeOne();
+  };
+  try {
+    const block = await claimAddressBlock();
+    opened.push(() => block.close());
+    const fleetVms = layOut(options, block);
+    const vms = fleetVms.map(({ vm }) => vm);
+
+    const platform = await startPlatformStandIn({
+      ...options.platform,
+      values: {
+        plans: options.plans,
+        allowances: options.allowances,
+        vms: formatVms(vms),
+      },
+    });
+    opened.push(() => platform.close());
+
+    const relay = options.relay === false ? undefined : new Relay();
+    if (relay !== undefined) {
+      opened.push(() => relay.close());
+      await addTargets(relay, { block, fleetVms, platform });
+    }
+    const upstreams = await startUpstreams(options, { fleetVms, opened });
+    const fleet = await startFleet({
+      platformUrl: relay === undefined
+        ? platform.url
+        : `http://${block.platform}:${platform.port}`,
+      vms: fleetVms,
+      published: () => platform.versions,
+      settings: options.settings,
+      relay,
+      ownProcessGroup: options.ownProcessGroup,
+    });
+    opened.push(() => fleet.close());
+
+    return {
+      platform,
+      relay,
+      fleet,
+      vms,
+      upstreams,
+      callerUrl: (id) => `http://${fleet.daemon(id).address}:${CALLER_PORT}`,
+      publishVms: (states = {}) => {
+        const listed = vms
+          .filter(({ id }) => states[id] !== null)
+          .map((vm) => ({ ...vm, state: states[vm.id] ?? vm.state }));
+        return platform.publish("vms", formatVms(listed));
+      },
+      close,
+    };
+  } catch (error) {
+    await close();
+    throw error;
+  }
+}
+
+/** Executions that all upstreams of a mesh have recorded. */
+export function executionsOf(mesh: Mesh): readonly Execution[] {
+  return [...mesh.upstreams.values()].flatMap((upstream) =>
+    upstream instanceof UpstreamProcess
+      ? upstream.logs.flatMap((log) => log.all)
+      : upstream.log.all
+  );
+}
+
+/** Names VMs `SERVICE-ZONENUMBER-INSTANCE`, all numbers from 1. */
+function layOut(
+  { zones, services, instances = 1, relay = true }: StartMeshOptions,
+  block: AddressBlock,
+): readonly FleetVm[] {
+  return zones.flatMap((zone, zoneIndex) =>
+    services.flatMap((service, serviceIndex) =>
+      Array.from({ length: instances }, (_, instance): FleetVm => {
+        const place = {
+          zone: zoneIndex,
+          vm: serviceIndex * instances + instance + 1,
+        };
+        const vm: Vm = {
+          id: `${service}-${zoneIndex + 1}-${instance + 1}`,
+          service,
+          zone,
+          region: REGION,
+          address: relay ? block.published(place) : block.own(place),
+          callerPort: CALLER_PORT,
+          peerPort: PEER_PORT,
+          upstreamPort: UPSTREAM_PORT,
+          state: "live",
+        };
+        return { vm, address: block.own(place) };
+      })
+    )
+  );
+}
+
+interface AddTargetsOptions {
+  readonly block: AddressBlock;
+  readonly fleetVms: readonly FleetVm[];
+  readonly platform: PlatformStandIn;
+}
+
+async function addTargets(
+  relay: Relay,
+  { block, fleetVms, platform }: AddTargetsOptions,
+): Promise<void> {
+  await relay.addTarget({
+    endpoint: { kind: "platform", id: "platform" },
+    publishedAddress: block.platform,
+    address: platform.host,
+    ports: [platform.port],
+  });
+  for (const { vm, address } of fleetVms) {
+    await relay.addTarget({
+      endpoint: { kind: "vm", id: vm.id, zone: vm.zone },
+      publishedAddress: vm.address,
+      address: address!,
+      ports: [vm.callerPort, vm.peerPort, vm.upstreamPort],
+    });
+  }
+}
+
+interface StartUpstreamsOptions {
+  readonly fleetVms: readonly FleetVm[];
+  readonly opened: (() => Promise<void>)[];
+}
+
+async function startUpstreams(
+  options: StartMeshOptions,
+  { fleetVms, opened }: StartUpstreamsOptions,
+): Promise<ReadonlyMap<string, UpstreamStandIn | UpstreamProcess>> {
+  const place = options.upstreams ?? "inside";
+  const upstreams = new Map<string, UpstreamStandIn | UpstreamProcess>();
+  if (place === "none") return upstreams;
+  await Promise.all(fleetVms.map(async ({ vm, address }, index) => {
+    const startOptions = {
+      seed: index + 1,
+      ...options.upstreamOptions?.(vm),
+      name: vm.id,
+      host: address ?? vm.address,
+      port: vm.upstreamPort,
+    };
+    const upstream = place === "inside"
+      ? await startUpstreamStandIn(startOptions)
+      : await startUpstreamProcess({
+        ...startOptions,
+        ownProcessGroup: options.ownProcessGroup,
+      });
+    upstreams.set(vm.id, upstream);
+    opened.push(() => upstream.close());
+  }));
+  return upstreams;
+}
--- a/packages/emulator/src/platform_stand_in.ts
+++ b/packages/emulator/src/platform_stand_in.ts
@@ -1,11 +1,16 @@
 import {
   createServer,
   type IncomingMessage,
-  type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { PlatformKey } from "@tanagercove/types";
+import { listen } from "./listen.ts";
+import {
+  PlatformStore,
+  type PublishedVersion,
+  type StoreState,
+} from "./platform_store.ts";
 
 /** Options of `startPlatformStandIn`. */
 export interface StartPlatformStandInOptions {
@@ -13,175 +18,242 @@
   readonly port?: number;
   /** Calls a second that are answered; above it, 429. */
   readonly callsPerSecond?: number;
+  /** Added to every answer. */
+  readonly latencyMs?: number;
   readonly values?: Partial<Record<PlatformKey, string>>;
 }
 
-/** How the stand-in answers: as it should, not at all (503), or with an older state. */
-export type PlatformMode = "normal" | "outage" | "stale";
+/** How the stand-in answers: as it should, with 503, not at all, or with an older state. */
+export type PlatformMode = "normal" | "outage" | "silent" | "stale";
+
+/** Kinds of calls: an index that waits, an index that does not, a value, anything else. */
+export type PlatformCallKind = "watch" | "index" | "value" | "other";
+
+/** Counts of calls since the start. Refused calls count too. */
+export interface PlatformCallCounts
+  extends Readonly<Record<PlatformCallKind, number>> {
+  readonly total: number;
+  readonly rateLimited: number;
+  /** Answered 503. */
+  readonly unavailable: number;
+}
 
 /** A running stand-in for the platform. */
 export interface PlatformStandIn {
+  readonly host: string;
+  readonly port: number;
   readonly url: string;
   readonly revision: number;
-  /** Publishes one value, as an operator does, and returns the store's new revision. */
-  publish(key: PlatformKey, value: string): number;
-  /** In `stale`, answers come from the state at the time of the call. */
-  setMode(mode: PlatformMode): void;
+  readonly calls: PlatformCallCounts;
   /** Calls answered or refused so far. */
   readonly callCount: number;
   readonly rateLimitedCount: number;
+  /** Every version of the two lists that was published. */
+  readonly versions: readonly PublishedVersion[];
+  /** Publishes one value, as an operator does, and returns the store's new revision. */
+  publish(key: PlatformKey, value: string): number;
+  /** Replaces a value without a new revision, as a faulty platform does. */
+  replaceWithoutRevision(key: PlatformKey, value: string): void;
+  /** In `stale`, answers come from the state at `staleRevision`, or at the time of the call. */
+  setMode(
+    mode: PlatformMode,
+    options?: { readonly staleRevision?: number },
+  ): void;
+  setCallsPerSecond(callsPerSecond: number): void;
+  setLatencyMs(latencyMs: number): void;
+  /** Runs `edit` once, after an index was answered and before the next value is read. */
+  crossNextRead(edit: () => void): void;
+  /** Never answers the watches that wait now; returns how many. Their connections stay open. */
+  silenceWatches(): number;
   close(): Promise<void>;
 }
 
-interface StoreState {
-  readonly revision: number;
-  readonly revisions: Readonly<Record<PlatformKey, number>>;
-  readonly values: Readonly<Record<PlatformKey, string>>;
-}
-
 const DEFAULT_CALLS_PER_SECOND = 2_000;
 
 /** Starts a platform stand-in over HTTP with the calls of docs/design.md. */
 export async function startPlatformStandIn(
   options: StartPlatformStandInOptions = {},
 ): Promise<PlatformStandIn> {
-  const callsPerSecond = options.callsPerSecond ?? DEFAULT_CALLS_PER_SECOND;
-  let state: StoreState = {
-    revision: 1,
-    revisions: { plans: 1, allowances: 1, vms: 1 },
-    values: { plans: "", allowances: "", vms: "", ...options.values },
+  const store = new PlatformStore(options.values);
+  const calls = {
+    watch: 0,
+    index: 0,
+    value: 0,
+    other: 0,
+    total: 0,
+    rateLimited: 0,
+    unavailable: 0,
   };
-  let staleState = state;
+  let callsPerSecond = options.callsPerSecond ?? DEFAULT_CALLS_PER_SECOND;
+  let latencyMs = options.latencyMs ?? 0;
   let mode: PlatformMode = "normal";
-  let callCount = 0;
-  let rateLimitedCount = 0;
+  let staleRevision = store.state.revision;
   let tokens = callsPerSecond;
   let refilledAtMs = performance.now();
+  let crossingEdit: (() => void) | undefined;
   const waiting = new Set<() => void>();
 
   function takeToken(): boolean {
     const nowMs = performance.now();
-    tokens = Math.min(
-      callsPerSecond,
-      tokens + (nowMs - refilledAtMs) * callsPerSecond / 1000,
-    );
+    const earned = (nowMs - refilledAtMs) * callsPerSecond / 1000;
+    tokens = Math.min(callsPerSecond, tokens + earned);
     refilledAtMs = nowMs;
     if (tokens < 1) return false;
     tokens -= 1;
     return true;
   }
 
-  const visible = () => mode === "stale" ? staleState : state;
+  function visible(): StoreState {
+    return mode === "stale" ? store.stateAt(staleRevision) : store.state;
+  }
+
+  async function answer(
+    response: ServerResponse,
+    body: () => Answer,
+  ): Promise<void> {
+    if (latencyMs > 0) await sleep(latencyMs);
+    if (mode === "silent") return;
+    const { status, json } = mode === "outage" ? UNAVAILABLE : body();
+    if (status === UNAVAILABLE.status) calls.unavailable += 1;
+    sendJson(response, status, json);
+  }
 
   function answerIndex(url: URL, response: ServerResponse): void {
     const afterRevision = Number(url.searchParams.get("after_revision") ?? 0);
     const waitMs = Number(url.searchParams.get("wait_ms") ?? 0);
-    const answer = () => {
+    const finish = () => {
       clearTimeout(timer);
       waiting.delete(onChange);
-      if (mode === "outage") {
-        return sendJson(response, 503, { error: "unavailable" });
-      }
-      const { revision, revisions } = visible();
-      sendJson(response, 200, { revision, keys: revisions });
+      void answer(response, () => {
+        const { revision, revisions } = visible();
+        return { status: 200, json: { revision, keys: revisions } };
+      });
     };
     const onChange = () => {
-      if (mode === "outage" || visible().revision > afterRevision) answer();
+      if (mode === "outage" || visible().revision > afterRevision) finish();
     };
-    const timer = setTimeout(answer, waitMs);
+    const timer = setTimeout(finish, waitMs);
+    timers.set(onChange, timer);
     waiting.add(onChange);
     response.once("close", () => {
       clearTimeout(timer);
+      timers.delete(onChange);
       waiting.delete(onChange);
     });
     onChange();
   }
 
   function answerValue(key: string, response: ServerResponse): void {
-    const { revisions, values } = visible();
-    if (!(key in values)) {
-      return sendJson(response, 404, { error: "no such key" });
-    }
-    const known = key as PlatformKey;
-    sendJson(response, 200, {
-      key,
-      revision: revisions[known],
-      value: values[known],
+    const edit = crossingEdit;
+    crossingEdit = undefined;
+    edit?.();
+    void answer(response, () => {
+      const { revisions, values } = visible();
+      if (!(key in values)) return NO_SUCH_PATH;
+      const known = key as PlatformKey;
+      const json = { key, revision: revisions[known], value: values[known] };
+      return { status: 200, json };
     });
   }
 
   function handle(request: IncomingMessage, response: ServerResponse): void {
-    callCount += 1;
+    const url = new URL(request.url ?? "/", "http://platform");
+    const key = /^\/v1\/values\/([a-z]+)$/.exec(url.pathname)?.[1];
+    calls.total += 1;
+    calls[kindOf(url, key)] += 1;
     if (!takeToken()) {
-      rateLimitedCount += 1;
+      calls.rateLimited += 1;
       return sendJson(response, 429, { error: "rate limit" });
     }
-    if (mode === "outage") {
-      return sendJson(response, 503, { error: "unavailable" });
+    if (mode === "silent" || mode === "outage") {
+      return void answer(response, () => UNAVAILABLE);
     }
-    const url = new URL(request.url ?? "/", "http://platform");
-    if (url.pathname === "/v1/index") return answerIndex(url, response);
-    const key = /^\/v1\/values\/([a-z]+)$/.exec(url.pathname)?.[1];
+    if (url.pathname === INDEX_PATH) return answerIndex(url, response);
     if (key !== undefined) return answerValue(key, response);
-    sendJson(response, 404, { error: "no such path" });
+    void answer(response, () => NO_SUCH_PATH);
   }
 
+  const timers = new Map<() => void, NodeJS.Timeout>();
   const server = createServer(handle);
   const host = options.host ?? "127.0.0.1";
   const port = await listen(server, { host, port: options.port ?? 0 });
 
+  function notifyWaiting(): void {
+    for (const notify of [...waiting]) notify();
+  }
+
   return {
+    host,
+    port,
     url: `http://${host}:${port}`,
     get revision() {
-      return state.revision;
+      return store.state.revision;
+    },
+    get calls() {
+      return { ...calls };
     },
     get callCount() {
-      return callCount;
+      return calls.total;
     },
     get rateLimitedCount() {
-      return rateLimitedCount;
+      return calls.rateLimited;
+    },
+    get versions() {
+      return store.versions;
     },
     publish(key, value) {
-      const revision = state.revision + 1;
-      state = {
-        revision,
-        revisions: { ...state.revisions, [key]: revision },
-        values: { ...state.values, [key]: value },
-      };
-      for (const notify of [...waiting]) notify();
+      const revision = store.publish(key, value);
+      notifyWaiting();
       return revision;
     },
-    setMode(next) {
-      if (next === "stale" && mode !== "stale") staleState = state;
+    replaceWithoutRevision(key, value) {
+      store.replace(key, value);
+    },
+    setMode(next, modeOptions = {}) {
+      if (next === "stale") {
+        staleRevision = modeOptions.staleRevision ?? visible().revision;
+      }
       mode = next;
-      for (const notify of [...waiting]) notify();
+      notifyWaiting();
+    },
+    setCallsPerSecond(next) {
+      callsPerSecond = next;
+    },
+    setLatencyMs(next) {
+      latencyMs = next;
+    },
+    crossNextRead(edit) {
+      crossingEdit = edit;
+    },
+    silenceWatches() {
+      const count = waiting.size;
+      for (const watch of waiting) clearTimeout(timers.get(watch));
+      waiting.clear();
+      return count;
     },
     close() {
+      const closed = new Promise<void>((resolve) =>
+        server.close(() => resolve())
+      );
       server.closeAllConnections();
-      return new Promise((resolve) => server.close(() => resolve()));
+      return closed;
     },
   };
 }
 
-/** Options of `listen`. */
-export interface ListenOptions {
-  readonly host: string;
-  readonly port: number;
+interface Answer {
+  readonly status: number;
+  readonly json: unknown;
 }
 
-/** Starts a server and returns its port. */
-export function listen(
-  server: Server,
-  { host, port }: ListenOptions,
-): Promise<number> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(
-      port,
-      host,
-      () => resolve((server.address() as AddressInfo).port),
-    );
-  });
+const INDEX_PATH = "/v1/index";
+const UNAVAILABLE: Answer = { status: 503, json: { error: "unavailable" } };
+const NO_SUCH_PATH: Answer = { status: 404, json: { error: "no such path" } };
+
+function kindOf(url: URL, key: string | undefined): PlatformCallKind {
+  if (key !== undefined) return "value";
+  if (url.pathname !== INDEX_PATH) return "other";
+  return Number(url.searchParams.get("wait_ms") ?? 0) > 0 ? "watch" : "index";
 }
 
 function sendJson(
@@ -189,7 +261,7 @@
   status: number,
   body: unknown,
 ): void {
-  if (response.writableEnded) return;
+  if (response.writableEnded || response.destroyed) return;
   const text = JSON.stringify(body);
   response.writeHead(status, {
     "content-type": "application/json",
--- /dev/null
+++ b/packages/emulator/src/relay_rules.ts
@@ -0,0 +1,86 @@
+/** One end of a link: a VM, the platform, or anything without a known address. */
+export interface Endpoint {
+  readonly kind: "vm" | "platform" | "outside";
+  readonly id: string;
+  readonly zone?: string;
+}
+
+/** Selects endpoints; a field left out matches any. */
+export interface EndpointSelector {
+  readonly kind?: Endpoint["kind"];
+  readonly id?: string;
+  readonly zone?: string;
+}
+
+/** What happens to the connections of a link. */
+export type LinkAction = "pass" | "cut" | "silent";
+
+/** A rule over the connections that `from` opens to `to`. */
+export interface RelayRule {
+  readonly from: EndpointSelector;
+  readonly to: EndpointSelector;
+  /** Also applies to connections that `to` opens to `from`. */
+  readonly bothWays?: boolean;
+  /** Default `pass`. */
+  readonly action?: LinkAction;
+  /**
+   * Of `silent`: with `silent` (the default) data is held until the rule is removed; with `pass` the
+   * connections open at that moment are lost for good and new ones work.
+   */
+  readonly newConnections?: "silent" | "pass";
+  /** Added to each direction. */
+  readonly delayMs?: number;
+}
+
+/** What all rules together say about a link. */
+export interface LinkVerdict {
+  readonly action: LinkAction;
+  readonly delayMs: number;
+}
+
+const STRENGTH: Readonly<Record<LinkAction, number>> = {
+  pass: 0,
+  silent: 1,
+  cut: 2,
+};
+
+/** A connection as rules see it. */
+export interface Link {
+  readonly from: Endpoint;
+  readonly to: Endpoint;
+}
+
+/** Tells whether a rule applies to a link. */
+export function ruleMatches(rule: RelayRule, { from, to }: Link): boolean {
+  const direct = selects(rule.from, from) && selects(rule.to, to);
+  const reverse = rule.bothWays === true && selects(rule.from, to) &&
+    selects(rule.to, from);
+  return direct || reverse;
+}
+
+/** Combines the rules on a link as of now: the strongest action, the sum of the delays. */
+export function judgeLink(rules: Iterable<RelayRule>, link: Link): LinkVerdict {
+  let action: LinkAction = "pass";
+  let delayMs = 0;
+  for (const rule of rules) {
+    if (!ruleMatches(rule, link)) continue;
+    delayMs += rule.delayMs ?? 0;
+    const wanted = lasting(rule);
+    if (STRENGTH[wanted] > STRENGTH[action]) action = wanted;
+  }
+  return { action, delayMs };
+}
+
+/** A rule whose new connections pass acts once, when it is added. */
+function lasting(rule: RelayRule): LinkAction {
+  if (rule.action === "silent" && rule.newConnections === "pass") return "pass";
+  return rule.action ?? "pass";
+}
+
+function selects(selector: EndpointSelector, endpoint: Endpoint): boolean {
+  if (selector.kind !== undefined && selector.kind !== endpoint.kind) {
+    return false;
+  }
+  if (selector.id !== undefined && selector.id !== endpoint.id) return false;
+  return selector.zone === undefined || selector.zone === endpoint.zone;
+}
--- /dev/null
+++ b/packages/emulator/src/text_table.ts
@@ -0,0 +1,14 @@
+/** Formats rows as a table with aligned columns; the first row is the head. */
+export function formatTable(rows: readonly (readonly string[])[]): string {
+  const columns = Math.max(...rows.map((row) => row.length));
+  const widths = Array.from(
+    { length: columns },
+    (_, column) => Math.max(...rows.map((row) => row[column]?.length ?? 0)),
+  );
+  const format = (row: readonly string[]) =>
+    widths.map((width, column) => (row[column] ?? "").padEnd(width))
+      .join("  ").trimEnd();
+  const rule = widths.map((width) => "-".repeat(width)).join("  ");
+  const [head = [], ...body] = rows;
+  return [format(head), rule, ...body.map(format)].join("\n");
+}
--- /dev/null
+++ b/packages/emulator/src/upstream_control.ts
@@ -0,0 +1,44 @@
+import type { DurationDistribution } from "./seeded_random.ts";
+
+/** State that an upstream reports on `/health`. */
+export type UpstreamState = "starting" | "ready" | "draining";
+
+/** Steps of an exchange at which an upstream can die. */
+export type ExchangeStep =
+  | "accepted"
+  | "request_read"
+  | "answer_head"
+  | "answer_body";
+
+/** What dies: the connection, or the whole process as by `kill -9`. */
+export type DeathScope = "connection" | "process";
+
+/** How `/health` answers. */
+export type HealthMode = "normal" | "error" | "silent";
+
+/** Orders that change the behaviour of a running upstream stand-in. */
+export type UpstreamControl =
+  | { readonly action: "set_state"; readonly state: UpstreamState }
+  /** Reports this state or load instead of the true one; without both, the truth again. */
+  | {
+    readonly action: "lie";
+    readonly state?: UpstreamState;
+    readonly load?: number;
+  }
+  | { readonly action: "set_health"; readonly mode: HealthMode }
+  /** Accepts connections and requests and answers none, `/health` included. */
+  | { readonly action: "freeze" }
+  | { readonly action: "thaw" }
+  | {
+    readonly action: "fail_at";
+    readonly step: ExchangeStep;
+    /** Exchanges that fail; default 1. */
+    readonly times?: number;
+    /** Default `connection`. */
+    readonly scope?: DeathScope;
+  }
+  | {
+    readonly action: "set_service_time";
+    readonly serviceTime: DurationDistribution;
+  }
+  | { readonly action: "set_slots"; readonly slots: number };
--- /dev/null
+++ b/packages/emulator/src/upstream_stand_in_test.ts
@@ -0,0 +1,130 @@
+import { request } from "undici";
+import t from "tap";
+import { waitFor } from "@tanagercove/test_helpers";
+import { HEADERS } from "@tanagercove/types";
+import { claimAddressBlock } from "./address_block.ts";
+import type { ExchangeStep } from "./upstream_control.ts";
+import { startUpstreamProcess } from "./upstream_process.ts";
+import {
+  startUpstreamStandIn,
+  type StartUpstreamStandInOptions,
+} from "./upstream_stand_in.ts";
+
+async function start(
+  t: { teardown(close: () => Promise<void>): void },
+  options: Partial<StartUpstreamStandInOptions> = {},
+) {
+  const upstream = await startUpstreamStandIn({ name: "swatches", ...options });
+  t.teardown(() => upstream.close());
+  return { upstream, url: `http://127.0.0.1:${upstream.port}` };
+}
+
+async function outcomeOf(url: string, id: string): Promise<string> {
+  try {
+    const response = await request(`${url}/x?id=${id}&answer_bytes=5000`, {
+      headers: { [HEADERS.requestId]: `r-${id}` },
+    });
+    const text = await response.body.text();
+    return `${response.statusCode} ${text.length}`;
+  } catch {
+    return "broken";
+  }
+}
+
+const EXECUTIONS_BY_STEP: Readonly<Record<ExchangeStep, number>> = {
+  accepted: 0,
+  request_read: 0,
+  answer_head: 1,
+  answer_body: 1,
+};
+
+for (const step of Object.keys(EXECUTIONS_BY_STEP) as ExchangeStep[]) {
+  t.test(`should break exactly one exchange at the step "${step}"`, async (t) => {
+    const { upstream, url } = await start(t);
+    upstream.control({ action: "fail_at", step });
+    t.equal(await outcomeOf(url, "1"), "broken");
+    t.equal(upstream.log.all.length, EXECUTIONS_BY_STEP[step]);
+    t.equal(await outcomeOf(url, "2"), "200 5000");
+  });
+}
+
+t.test("should shed beyond its slots and while it starts, and say that nothing ran", async (t) => {
+  const { upstream, url } = await start(t, { slots: 1, serviceTimeMs: 100 });
+  const first = outcomeOf(url, "1");
+  await waitFor(() => upstream.running === 1);
+  const response = await request(`${url}/x?id=2`);
+  t.equal(response.headers[HEADERS.notStarted], "true");
+  t.equal(await first, "200 5000");
+  upstream.setState("starting");
+  t.match(await outcomeOf(url, "3"), "503");
+  t.same(upstream.log.all.map(({ id, end }) => [id, end]), [["1", "answered"]]);
+  t.equal(upstream.log.shedCount, 2);
+});
+
+t.test("should record a cancelled request as such and free its slot", async (t) => {
+  const { upstream, url } = await start(t, { serviceTimeMs: 5_000 });
+  const abort = new AbortController();
+  const call = request(`${url}/x?id=1`, { signal: abort.signal });
+  await waitFor(() => upstream.running === 1);
+  abort.abort();
+  await t.rejects(call);
+  await waitFor(() => upstream.running === 0);
+  t.equal(upstream.log.all[0]?.end, "cancelled");
+});
+
+t.test("should count connections beyond the limit and work that arrives while it drains", async (t) => {
+  const { upstream, url } = await start(t, {
+    connectionLimit: 1,
+    serviceTimeMs: 200,
+  });
+  upstream.setState("draining");
+  const first = outcomeOf(url, "1");
+  await waitFor(() => upstream.running === 1);
+  t.equal(await outcomeOf(url, "2"), "broken");
+  t.equal(await first, "200 5000");
+  t.equal(upstream.log.connectionLimitViolations, 1);
+  t.type(upstream.log.all[0]?.drainingForMs, "number");
+});
+
+t.test("should lie about health, freeze with all that it received and go on after it", async (t) => {
+  const { upstream, url } = await start(t);
+  upstream.control({ action: "lie", state: "draining", load: 0.9 });
+  const health = await request(`${url}/health`);
+  t.same(await health.body.json(), { state: "draining", load: 0.9 });
+  upstream.control({ action: "freeze" });
+  const held = outcomeOf(url, "1");
+  const heldHealth = request(`${url}/health`);
+  const early = await Promise.race([
+    held,
+    heldHealth,
+    new Promise((resolve) => setTimeout(() => resolve("held"), 100)),
+  ]);
+  t.equal(early, "held");
+  upstream.control({ action: "thaw" });
+  t.equal(await held, "200 5000");
+  t.equal((await heldHealth).statusCode, 200);
+});
+
+t.test("should keep the record of a process that dies in the middle of an answer", async (t) => {
+  const block = await claimAddressBlock();
+  t.teardown(() => block.close());
+  const host = block.own({ zone: 0, vm: 1 });
+  const upstream = await startUpstreamProcess({
+    name: "deposits",
+    host,
+    port: 8_082,
+  });
+  t.teardown(() => upstream.close());
+  const url = `http://${host}:${upstream.port}`;
+  await upstream.control({
+    action: "fail_at",
+    step: "answer_body",
+    scope: "process",
+  });
+  t.equal(await outcomeOf(url, "1"), "broken");
+  await waitFor(() => !upstream.isRunning);
+  t.match(upstream.logs[0]?.all, [{ id: "1", requestId: "r-1" }]);
+  await upstream.start();
+  t.equal(await outcomeOf(url, "2"), "200 5000");
+  t.equal(upstream.logs[1]?.all.length, 1);
+});
