Derive settings from one table of keys

Cause: only a dozen keys existed, and the ini library silently drops or merges several kinds of line (duplicates, __proto__, sections with dots, cut comments). Secrets are never shown.

--- /dev/null
+++ b/packages/settings/src/key_kinds.ts
@@ -0,0 +1,206 @@
+import { isIP, isIPv4 } from "node:net";
+
+/** Definition of one key of the settings file. Parsing, checks and reference are derived from it. */
+export interface KeyDefinition<T> {
+  /** Gives the value, or undefined when the text is outside the accepted range. */
+  readonly parse: (text: string) => T | undefined;
+  /** Accepted range in words, shown in errors and in the reference. */
+  readonly accepted: string;
+  /** Meaning, one or two sentences. */
+  readonly doc: string;
+  readonly presence: KeyPresence;
+  /** Value used in the example file when there is no default. */
+  readonly example?: string;
+  /** Errors and dumps never show the value of a secret key. */
+  readonly secret?: boolean;
+}
+
+/** What happens when a key is absent; default values are INI text. */
+export type KeyPresence =
+  | { readonly when: "required" }
+  | { readonly when: "optional"; readonly meaning: string }
+  | { readonly when: "default"; readonly text: string }
+  | {
+    readonly when: "derived";
+    readonly meaning: string;
+    readonly from: string;
+    readonly derive: (text: string) => string;
+  };
+
+/** The part of a definition that every kind shares. */
+export type KeyOptions = Omit<KeyDefinition<unknown>, "parse" | "accepted">;
+
+/** Smallest and largest accepted number or length. */
+export interface Bounds {
+  readonly min: number;
+  readonly max: number;
+}
+
+/** Key whose absence is an error. */
+export const REQUIRED: KeyPresence = { when: "required" };
+
+/** Turns a definition into that of a key that may be absent; `meaning` says what then happens. */
+export function mayBeUnset<T>(
+  definition: KeyDefinition<T>,
+  meaning: string,
+): KeyDefinition<T | undefined> {
+  return { ...definition, presence: { when: "optional", meaning } };
+}
+
+/** Key with a default, given as INI text. */
+export function defaultTo(text: string): KeyPresence {
+  return { when: "default", text };
+}
+
+const IDENTIFIER = /^[a-z0-9][a-z0-9_.-]{0,62}$/;
+const WHOLE_NUMBER = /^\d{1,15}$/;
+const MAX_PORT = 65_535;
+const IPV4_BITS = 32;
+const IPV6_BITS = 128;
+
+/** Name of a VM, zone, region or service. */
+export function identifier(options: KeyOptions): KeyDefinition<string> {
+  return {
+    ...options,
+    accepted: "[a-z0-9][a-z0-9_.-]{0,62}",
+    parse: (text) => IDENTIFIER.test(text) ? text : undefined,
+  };
+}
+
+/** IP address without a port. */
+export function ipAddress(options: KeyOptions): KeyDefinition<string> {
+  return {
+    ...options,
+    accepted: "an IP address",
+    parse: (text) => isIP(text) === 0 ? undefined : text,
+  };
+}
+
+/** Whole number within a range; the unit is part of the key's name. */
+export function wholeNumber(
+  bounds: Bounds,
+  options: KeyOptions,
+): KeyDefinition<number> {
+  return {
+    ...options,
+    accepted: `a whole number from ${bounds.min} to ${bounds.max}`,
+    parse: (text) => numberWithin(text, bounds),
+  };
+}
+
+/** TCP port. */
+export function port(options: KeyOptions): KeyDefinition<number> {
+  return wholeNumber({ min: 1, max: MAX_PORT }, options);
+}
+
+/** One of a fixed set of words. */
+export function choice<const W extends string>(
+  words: readonly W[],
+  options: KeyOptions,
+): KeyDefinition<W> {
+  return {
+    ...options,
+    accepted: words.join(" | "),
+    parse: (text) => words.find((word) => word === text),
+  };
+}
+
+/** Absolute `http:` URL without path, query or credentials. */
+export function httpUrl(options: KeyOptions): KeyDefinition<string> {
+  return {
+    ...options,
+    accepted: "http://HOST:PORT without path",
+    parse: (text) => {
+      const url = URL.canParse(text) ? new URL(text) : undefined;
+      const plain = url?.protocol === "http:" && url.pathname === "/" &&
+        url.search === "" && url.hash === "" && url.username === "" &&
+        url.password === "";
+      return plain ? url.origin : undefined;
+    },
+  };
+}
+
+/** Text that only the daemon and the holders of the secret know. */
+export function secretText(
+  length: Bounds,
+  options: KeyOptions,
+): KeyDefinition<string> {
+  return {
+    ...options,
+    secret: true,
+    accepted: `${length.min} to ${length.max} characters`,
+    parse: (text) => isWithin(text.length, length) ? text : undefined,
+  };
+}
+
+/** Address of a daemon's peer port. */
+export interface PeerAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Addresses of daemons; may be empty. */
+export function peerAddresses(
+  options: KeyOptions,
+): KeyDefinition<readonly PeerAddress[]> {
+  return {
+    ...options,
+    accepted: "IP:PORT, IP:PORT, ... or nothing; [IP]:PORT for IPv6",
+    parse: (text) => listOf(text, parsePeerAddress),
+  };
+}
+
+/** A block of IP addresses whose first `prefixBits` bits equal those of `address`. */
+export interface AddressRange {
+  readonly address: string;
+  readonly prefixBits: number;
+}
+
+/** Blocks of IP addresses; may be empty. */
+export function addressRanges(
+  options: KeyOptions,
+): KeyDefinition<readonly AddressRange[]> {
+  return {
+    ...options,
+    accepted: "IP/BITS, IP/BITS, ... or nothing",
+    parse: (text) => listOf(text, parseAddressRange),
+  };
+}
+
+/** Parses `IP:PORT` or `[IPV6]:PORT`. */
+export function parsePeerAddress(text: string): PeerAddress | undefined {
+  const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d+)$/.exec(text);
+  const address = match?.[1] ?? match?.[2] ?? "";
+  const port = numberWithin(match?.[3] ?? "", { min: 1, max: MAX_PORT });
+  const valid = match?.[1] === undefined ? isIPv4(address) : isIP(address) > 0;
+  return valid && port !== undefined ? { address, port } : undefined;
+}
+
+function parseAddressRange(text: string): AddressRange | undefined {
+  const [address = "", bits = "", ...rest] = text.split("/");
+  const max = isIPv4(address) ? IPV4_BITS : IPV6_BITS;
+  const prefixBits = numberWithin(bits, { min: 0, max });
+  const valid = isIP(address) > 0 && rest.length === 0;
+  return valid && prefixBits !== undefined
+    ? { address, prefixBits }
+    : undefined;
+}
+
+function listOf<T>(
+  text: string,
+  parse: (item: string) => T | undefined,
+): readonly T[] | undefined {
+  if (text === "") return [];
+  const items = text.split(",").map((item) => parse(item.trim()));
+  return items.every((item) => item !== undefined) ? items : undefined;
+}
+
+function numberWithin(text: string, bounds: Bounds): number | undefined {
+  if (!WHOLE_NUMBER.test(text)) return undefined;
+  const value = Number(text);
+  return isWithin(value, bounds) ? value : undefined;
+}
+
+function isWithin(value: number, { min, max }: Bounds): boolean {
+  return value >= min && value <= max;
+}
--- /dev/null
+++ b/packages/settings/src/key_table.ts
@@ -0,0 +1,323 @@
+import {
+  addressRanges,
+  choice,
+  defaultTo,
+  httpUrl,
+  identifier,
+  ipAddress,
+  type KeyDefinition,
+  mayBeUnset,
+  peerAddresses,
+  port,
+  REQUIRED,
+  secretText,
+  wholeNumber,
+} from "./key_kinds.ts";
+
+const MAX_MS = 3_600_000;
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
+/** Connections to daemons and upstreams that idle longer may be dead without any sign. */
+const MAX_IDLE_CONNECTION_MS = 1_000;
+/** A shorter HMAC key can be guessed. */
+const SECRET_LENGTH = { min: 16, max: 256 };
+const BY_WEIGHT = "set by `weight`";
+const QUEUE_LENGTH_PER_SLOT = 4;
+/** `slots` times the factor stays within the range of `queue_length`. */
+const MAX_SLOTS = 10_000;
+
+/** All sections and keys of a settings file, in the order of the reference. */
+export const KEY_TABLE = {
+  daemon: {
+    vm_id: identifier({
+      presence: REQUIRED,
+      example: "swatches-1",
+      doc: "Name of this VM in the platform's VM list.",
+    }),
+    zone: identifier({
+      presence: REQUIRED,
+      example: "zone-a",
+      doc: "Availability zone of this VM.",
+    }),
+    region: identifier({
+      presence: REQUIRED,
+      example: "region-1",
+      doc: "Region of this VM.",
+    }),
+    service: identifier({
+      presence: REQUIRED,
+      example: "swatches",
+      doc: "Service of the upstream on this VM.",
+    }),
+    address: ipAddress({
+      presence: REQUIRED,
+      example: "127.0.0.1",
+      doc: "Address on which other daemons reach this one.",
+    }),
+    caller_port: port({
+      presence: REQUIRED,
+      example: "8080",
+      doc: "TCP port for callers.",
+    }),
+    peer_port: port({
+      presence: REQUIRED,
+      example: "8081",
+      doc: "TCP port for other daemons.",
+    }),
+    caller_address: ipAddress({
+      presence: {
+        when: "derived",
+        from: "address",
+        meaning: "the value of `address`",
+        derive: (address) => address,
+      },
+      doc: "Address on which callers reach this daemon.",
+    }),
+    drain_timeout_ms: wholeNumber({ min: 0, max: MAX_MS }, {
+      presence: defaultTo("30000"),
+      doc:
+        "Time that requests in flight have to finish after SIGTERM or SIGINT.",
+    }),
+  },
+  platform: {
+    url: httpUrl({
+      presence: REQUIRED,
+      example: "http://127.0.0.1:9000",
+      doc: "Base URL of the platform.",
+    }),
+    reads_per_second: wholeNumber({ min: 1, max: 1_000_000 }, {
+      presence: defaultTo("2000"),
+      doc:
+        "Rate that the platform allows all daemons together; own readings use at most half of it.",
+    }),
+    timeout_ms: wholeNumber({ min: 10, max: 60_000 }, {
+      presence: defaultTo("500"),
+      doc:
+        "Deadline of a call to the platform; a watch has `watch_wait_ms` in addition.",
+    }),
+    watch_wait_ms: wholeNumber({ min: 0, max: 60_000 }, {
+      presence: defaultTo("1500"),
+      doc: "Time that the platform holds a watch open when nothing changes.",
+    }),
+  },
+  peers: {
+    seeds: peerAddresses({
+      presence: defaultTo(""),
+      doc:
+        "Daemons that a starting daemon asks while it has no VM list. Empty only for the first VM.",
+    }),
+    join_timeout_ms: wholeNumber({ min: 0, max: 60_000 }, {
+      presence: defaultTo("3000"),
+      doc:
+        "Time after which joining goes by the responses received so far instead of three.",
+    }),
+    rpc_timeout_ms: wholeNumber({ min: 10, max: 60_000 }, {
+      presence: defaultTo("1000"),
+      doc: "Deadline of a call to another daemon.",
+    }),
+    fetch_timeout_ms: wholeNumber({ min: 10, max: 60_000 }, {
+      presence: defaultTo("3000"),
+      doc: "Deadline of fetching a version from another daemon.",
+    }),
+  },
+  distribution: {
+    weight: choice(["convergence", "balanced", "bytes"], {
+      presence: defaultTo("balanced"),
+      doc:
+        "Whether convergence time or control bytes matter more; sets `fan_out`, `zone_links` and `digest_interval_ms`.",
+    }),
+    readers_per_zone: wholeNumber({ min: 1, max: 100 }, {
+      presence: defaultTo("2"),
+      doc: "Daemons in each zone that watch the platform.",
+    }),
+    fan_out: mayBeUnset(
+      wholeNumber({ min: 0, max: 100 }, {
+        presence: REQUIRED,
+        example: "3",
+        doc:
+          "Daemons in the own zone to which a new version is pushed. 0 turns push within the zone off.",
+      }),
+      BY_WEIGHT,
+    ),
+    zone_links: mayBeUnset(
+      wholeNumber({ min: 0, max: 100 }, {
+        presence: REQUIRED,
+        example: "2",
+        doc:
+          "Other zones into each of which a reader pushes a new version. 0 turns push between zones off.",
+      }),
+      BY_WEIGHT,
+    ),
+    digest_interval_ms: mayBeUnset(
+      wholeNumber({ min: 0, max: MAX_MS }, {
+        presence: REQUIRED,
+        example: "1000",
+        doc: "Mean time between two digest exchanges. 0 turns them off.",
+      }),
+      BY_WEIGHT,
+    ),
+    remote_digest_every: wholeNumber({ min: 1, max: 1_000 }, {
+      presence: defaultTo("4"),
+      doc: "Each so-many-th digest exchange is with a daemon in another zone.",
+    }),
+    stale_after_ms: wholeNumber({ min: 100, max: MAX_MS }, {
+      presence: defaultTo("3000"),
+      doc:
+        "Age of the youngest confirmation by the platform at which the next daemon in rank starts to watch.",
+    }),
+    read_stagger_ms: wholeNumber({ min: 0, max: 10_000 }, {
+      presence: defaultTo("100"),
+      doc:
+        "A reader of rank k waits k times this long for a peer's push before it reads from the platform.",
+    }),
+    pause_threshold_ms: wholeNumber({ min: 10, max: MAX_MS }, {
+      presence: defaultTo("1000"),
+      doc:
+        "Lateness of a timer from which on the process counts as having been paused.",
+    }),
+    pause_gate_ms: wholeNumber({ min: 0, max: 60_000 }, {
+      presence: defaultTo("500"),
+      doc:
+        "Longest time that new requests wait for a digest exchange after a pause.",
+    }),
+  },
+  requests: {
+    identity: choice(["trusted", "signed"], {
+      presence: defaultTo("trusted"),
+      doc:
+        "How a caller proves which customer it acts for: by its address or by a signature.",
+    }),
+    trusted_callers: addressRanges({
+      presence: defaultTo("127.0.0.0/8"),
+      doc:
+        "Addresses whose `tanagercove-customer` header is accepted with `identity = trusted`.",
+    }),
+    customer_key: mayBeUnset(
+      secretText(SECRET_LENGTH, {
+        presence: REQUIRED,
+        example: "replace-this-by-a-secret-of-your-own",
+        doc:
+          "Secret key of the HMAC-SHA-256 signatures with `identity = signed`.",
+      }),
+      "no signatures are accepted",
+    ),
+    division: choice(["owner", "direct"], {
+      presence: defaultTo("owner"),
+      doc:
+        "Whether requests go through the daemon on the upstream's VM or to the upstream itself.",
+    }),
+    default_deadline_ms: wholeNumber({ min: 1, max: MAX_MS }, {
+      presence: defaultTo("5000"),
+      doc: "Time left for a request without `tanagercove-deadline-ms`.",
+    }),
+    max_body_bytes: wholeNumber({ min: 0, max: MAX_BODY_BYTES }, {
+      presence: defaultTo("1048576"),
+      doc: "Longest accepted request body.",
+    }),
+    buffer_bytes: wholeNumber({ min: 0, max: MAX_BODY_BYTES }, {
+      presence: defaultTo("262144"),
+      doc:
+        "Responses up to this length are complete before their first byte goes to the caller.",
+    }),
+    request_timeout_ms: wholeNumber({ min: 10, max: MAX_MS }, {
+      presence: defaultTo("10000"),
+      doc: "Time within which a caller's request must have arrived completely.",
+    }),
+    max_depth: wholeNumber({ min: 1, max: 1_000 }, {
+      presence: defaultTo("15"),
+      doc: "Longest accepted chain of calls.",
+    }),
+  },
+  upstream: {
+    address: ipAddress({
+      presence: REQUIRED,
+      example: "127.0.0.1",
+      doc: "Address of the upstream on this VM.",
+    }),
+    port: port({
+      presence: REQUIRED,
+      example: "8000",
+      doc: "TCP port of the upstream on this VM.",
+    }),
+    slots: wholeNumber({ min: 1, max: MAX_SLOTS }, {
+      presence: defaultTo("10"),
+      doc: "Requests that the upstream runs at once.",
+    }),
+    connections: wholeNumber({ min: 1, max: 100_000 }, {
+      presence: defaultTo("110"),
+      doc: "Connections that the daemon opens to the upstream at most.",
+    }),
+    queue_length: wholeNumber({ min: 0, max: 100_000 }, {
+      presence: {
+        when: "derived",
+        from: "slots",
+        meaning: `${QUEUE_LENGTH_PER_SLOT} times \`slots\``,
+        derive: (slots) => String(Number(slots) * QUEUE_LENGTH_PER_SLOT),
+      },
+      doc: "Requests that may wait for a slot.",
+    }),
+    queue_timeout_ms: wholeNumber({ min: 0, max: MAX_MS }, {
+      presence: defaultTo("1000"),
+      doc: "Longest wait for a slot.",
+    }),
+    queue_order: choice(["newest_first", "oldest_first"], {
+      presence: defaultTo("newest_first"),
+      doc: "Which waiting request of a priority class gets the next slot.",
+    }),
+    health_interval_ms: wholeNumber({ min: 10, max: MAX_MS }, {
+      presence: defaultTo("1000"),
+      doc: "Time between two health checks of the upstream.",
+    }),
+    health_timeout_ms: wholeNumber({ min: 1, max: MAX_MS }, {
+      presence: defaultTo("500"),
+      doc: "Deadline of a health check.",
+    }),
+    idle_connection_ms: wholeNumber({ min: 0, max: MAX_IDLE_CONNECTION_MS }, {
+      presence: defaultTo("1000"),
+      doc: "Time after which an idle connection is closed.",
+    }),
+    slow_start_ms: wholeNumber({ min: 0, max: MAX_MS }, {
+      presence: defaultTo("10000"),
+      doc:
+        "Time over which a started upstream gets up to its full share of requests.",
+    }),
+  },
+  operators: {
+    address: ipAddress({
+      presence: defaultTo("127.0.0.1"),
+      doc: "Address of the operators' port.",
+    }),
+    port: port({
+      presence: defaultTo("8082"),
+      doc: "TCP port for `status`, `dump` and metrics.",
+    }),
+  },
+  logs: {
+    level: choice(["debug", "info", "warn", "error"], {
+      presence: defaultTo("info"),
+      doc: "Least level of the events that are logged.",
+    }),
+  },
+};
+
+/** Name of a section of the settings file. */
+export type SectionName = keyof typeof KEY_TABLE;
+
+/** Sections with their definitions, without the type of each value. */
+export const SECTIONS: Readonly<
+  Record<SectionName, Readonly<Record<string, KeyDefinition<unknown>>>>
+> = KEY_TABLE;
+
+type CamelCase<S extends string> = S extends `${infer Head}_${infer Tail}`
+  ? `${Head}${Capitalize<CamelCase<Tail>>}`
+  : S;
+
+type ValueOf<D> = D extends KeyDefinition<infer T> ? T : never;
+
+/** Validated settings of one daemon: the key table's sections with keys in camel case. */
+export type Settings = {
+  readonly [S in SectionName]: {
+    readonly [
+      K in keyof typeof KEY_TABLE[S] & string as CamelCase<K>
+    ]: ValueOf<typeof KEY_TABLE[S][K]>;
+  };
+};
