Decide retries by outcome, reason and a budget

Cause: nothing decided whether a failed attempt may be sent again. Change: decideRetry sends again only what did not run or is idempotent, at most twice and before the deadline, and takes a token from RetryBudget. Conclusion: a request that may have run is never sent twice unless idempotent.

--- a/packages/retries/src/index.ts
+++ b/packages/retries/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from "./decide_retry.ts";
+export * from "./retry_budget.ts";
