Admit requests to slots through a bounded queue with priorities

Cause: nothing bounded the requests that run or wait at an upstream. Change: AdmissionQueue gives slots to non-idempotent requests first, refuses early when the predicted wait exceeds the time left, and serves waiting requests for one second after the VM starts to leave. Conclusion: the defaults of order and share are preliminary until measured.

--- /dev/null
+++ b/packages/admission/src/admission_queue.ts
@@ -0,0 +1,249 @@
+import { Result } from "true-myth";
+import { type Clock, systemClock, type Timer } from "./clock.ts";
+import {
+  type AdmissionRefusal,
+  decideAdmission,
+  decideDisplaced,
+  decideNextClass,
+  predictWaitMs,
+  type RequestClass,
+  type WaitingCounts,
+} from "./decisions.ts";
+import {
+  QUEUE_ORDERS,
+  type QueueOrder,
+  type QueueOrderHandler,
+} from "./queue_order.ts";
+
+/** Options of `AdmissionQueue`. */
+export interface AdmissionQueueOptions {
+  /** Requests that run at once. */
+  readonly slots: number;
+  /** Requests that wait at most; 4 × `slots` by default. */
+  readonly queueLength?: number;
+  readonly queueTimeoutMs?: number;
+  readonly queueOrder?: QueueOrder;
+  /** Every n-th slot goes to a waiting idempotent request; 0 for strict priority. */
+  readonly idempotentGrantEvery?: number;
+  /** Time for which waiting requests may still start after `setLeaving`. */
+  readonly leavingGraceMs?: number;
+  readonly clock?: Clock;
+}
+
+/** A request that asks for a slot. */
+export interface AdmissionRequest {
+  readonly idempotent: boolean;
+  /** Time left until the request's deadline, as in `tanagercove-deadline-ms`. */
+  readonly deadlineMs: number;
+  /** Aborted when the caller is gone; a waiting request then ends with `deadline`. */
+  readonly signal?: AbortSignal;
+}
+
+/** A slot that a request holds. */
+export interface Admission {
+  /** Gives the slot back. Calls after the first have no effect. */
+  release(): void;
+}
+
+type Verdict = Result<Admission, AdmissionRefusal>;
+
+interface Waiter {
+  settle(verdict: Verdict): void;
+}
+
+const DEFAULT_QUEUE_PER_SLOT = 4;
+const DEFAULT_QUEUE_TIMEOUT_MS = 1_000;
+const DEFAULT_QUEUE_ORDER: QueueOrder = "newest_first";
+const DEFAULT_IDEMPOTENT_GRANT_EVERY = 8;
+
+/**
+ * Requests that wait when the VM starts to leave came before its notice. A
+ * queue of 4 × slots is served within a few service times, and a refusal would
+ * cost each caller a retry token. One second stays well under the 3 s after
+ * which no new work may start.
+ */
+const DEFAULT_LEAVING_GRACE_MS = 1_000;
+
+/** Weight of a new sample in the average of service times, about the last twenty. */
+const SERVICE_TIME_SAMPLE_WEIGHT = 0.1;
+
+/** Admits requests to the slots of one upstream, with a bounded queue. */
+export class AdmissionQueue {
+  readonly #slots: number;
+  readonly #queueLength: number;
+  readonly #queueTimeoutMs: number;
+  readonly #order: QueueOrderHandler;
+  readonly #idempotentGrantEvery: number;
+  readonly #leavingGraceMs: number;
+  readonly #clock: Clock;
+  readonly #waiting: Record<RequestClass, Waiter[]> = {
+    idempotent: [],
+    non_idempotent: [],
+  };
+  #runningCount = 0;
+  #passedOver = 0;
+  #serviceTimeMs = 0;
+  #isLeaving = false;
+  #leavingTimer: Timer | undefined;
+  #onIdle: (() => void)[] = [];
+
+  constructor(options: AdmissionQueueOptions) {
+    this.#slots = options.slots;
+    this.#queueLength = options.queueLength ??
+      DEFAULT_QUEUE_PER_SLOT * options.slots;
+    this.#queueTimeoutMs = options.queueTimeoutMs ?? DEFAULT_QUEUE_TIMEOUT_MS;
+    this.#order = QUEUE_ORDERS[options.queueOrder ?? DEFAULT_QUEUE_ORDER];
+    this.#idempotentGrantEvery = options.idempotentGrantEvery ??
+      DEFAULT_IDEMPOTENT_GRANT_EVERY;
+    this.#leavingGraceMs = options.leavingGraceMs ?? DEFAULT_LEAVING_GRACE_MS;
+    this.#clock = options.clock ?? systemClock;
+  }
+
+  /** Requests that hold a slot. */
+  get runningCount(): number {
+    return this.#runningCount;
+  }
+
+  /** Waiting requests by class. */
+  get waitingCounts(): WaitingCounts {
+    return {
+      idempotent: this.#waiting.idempotent.length,
+      non_idempotent: this.#waiting.non_idempotent.length,
+    };
+  }
+
+  /** Waits for a slot. A refused request has not run. */
+  admit(request: AdmissionRequest): Promise<Verdict> {
+    const requestClass = request.idempotent ? "idempotent" : "non_idempotent";
+    const verdict = decideAdmission({
+      isLeaving: this.#isLeaving,
+      freeSlots: this.#slots - this.#runningCount,
+      waitMs: this.#predictWaitMs(requestClass),
+      deadlineMs: request.signal?.aborted ? 0 : request.deadlineMs,
+      queueTimeoutMs: this.#queueTimeoutMs,
+    });
+    if (verdict === "run") return Promise.resolve(this.#grant());
+    if (verdict !== "wait") return Promise.resolve(Result.err(verdict));
+    return new Promise((resolve) =>
+      this.#enqueue(requestClass, request, resolve)
+    );
+  }
+
+  /** Refuses new requests; waiting ones may still start for a short time. */
+  setLeaving(): void {
+    if (this.#isLeaving) return;
+    this.#isLeaving = true;
+    this.#leavingTimer = this.#clock.setTimer(
+      () => this.#refuseWaiting(),
+      this.#leavingGraceMs,
+    );
+  }
+
+  /** Refuses new and waiting requests and returns when no request holds a slot. */
+  async close(): Promise<void> {
+    this.#isLeaving = true;
+    this.#leavingTimer?.cancel();
+    this.#refuseWaiting();
+    if (this.#runningCount === 0) return;
+    await new Promise<void>((resolve) => this.#onIdle.push(resolve));
+  }
+
+  #predictWaitMs(requestClass: RequestClass): number {
+    const waiting = this.waitingCounts;
+    return predictWaitMs({
+      requestClass,
+      waiting,
+      aheadInClass: this.#order.aheadOfNew(waiting[requestClass]),
+      idempotentGrantEvery: this.#idempotentGrantEvery,
+      slots: this.#slots,
+      serviceTimeMs: this.#serviceTimeMs,
+    });
+  }
+
+  #enqueue(
+    requestClass: RequestClass,
+    { deadlineMs, signal }: AdmissionRequest,
+    resolve: (verdict: Verdict) => void,
+  ): void {
+    const waiting = this.#waiting[requestClass];
+    const leave = (refusal: AdmissionRefusal) => {
+      waiting.splice(waiting.indexOf(waiter), 1);
+      waiter.settle(Result.err(refusal));
+    };
+    const onAbort = () => leave("deadline");
+    const timer = this.#clock.setTimer(
+      () =>
+        leave(deadlineMs < this.#queueTimeoutMs ? "deadline" : "queue_timeout"),
+      Math.min(deadlineMs, this.#queueTimeoutMs),
+    );
+    const waiter: Waiter = {
+      settle(verdict) {
+        timer.cancel();
+        signal?.removeEventListener("abort", onAbort);
+        resolve(verdict);
+      },
+    };
+    signal?.addEventListener("abort", onAbort);
+    waiting.push(waiter);
+    this.#displace();
+  }
+
+  #displace(): void {
+    const displaced = decideDisplaced({
+      waiting: this.waitingCounts,
+      queueLength: this.#queueLength,
+      idempotentGrantEvery: this.#idempotentGrantEvery,
+    });
+    if (displaced === undefined) return;
+    this.#order.takeLast(this.#waiting[displaced])
+      ?.settle(Result.err("queue_full"));
+  }
+
+  #grant(): Verdict {
+    this.#runningCount += 1;
+    const startedMs = this.#clock.nowMs();
+    let isReleased = false;
+    return Result.ok({
+      release: () => {
+        if (isReleased) return;
+        isReleased = true;
+        this.#release(this.#clock.nowMs() - startedMs);
+      },
+    });
+  }
+
+  #release(serviceTimeMs: number): void {
+    this.#runningCount -= 1;
+    this.#recordServiceTime(serviceTimeMs);
+    this.#startNext();
+    if (this.#runningCount > 0) return;
+    for (const resolve of this.#onIdle.splice(0)) resolve();
+  }
+
+  #recordServiceTime(sampleMs: number): void {
+    const before = this.#serviceTimeMs === 0 ? sampleMs : this.#serviceTimeMs;
+    this.#serviceTimeMs = before +
+      (sampleMs - before) * SERVICE_TIME_SAMPLE_WEIGHT;
+  }
+
+  #startNext(): void {
+    const waiting = this.waitingCounts;
+    const next = decideNextClass({
+      waiting,
+      passedOver: this.#passedOver,
+      idempotentGrantEvery: this.#idempotentGrantEvery,
+    });
+    if (next === undefined) return;
+    const isPassedOver = next === "non_idempotent" && waiting.idempotent > 0;
+    this.#passedOver = isPassedOver ? this.#passedOver + 1 : 0;
+    this.#order.takeNext(this.#waiting[next])?.settle(this.#grant());
+  }
+
+  #refuseWaiting(): void {
+    for (const waiting of Object.values(this.#waiting)) {
+      for (const waiter of waiting.splice(0)) {
+        waiter.settle(Result.err("leaving"));
+      }
+    }
+  }
+}
--- a/packages/test_helpers/src/index.ts
+++ b/packages/test_helpers/src/index.ts
@@ -1,1 +1,2 @@
+export * from "./virtual_clock.ts";
 export * from "./wait_for.ts";
