Add the table of log events, metrics and error messages

Cause: events were free-form objects and nothing counted or measured anything. Change: one table fixes each event's name, level and fields and gives the operators' reference; refused requests are logged as one summary per interval; counters, gauges and HDR histograms render as text or JSON, percentiles always beside the mean; each error union gets a one-line message. Conclusion: the other packages can log and count through these.

--- /dev/null
+++ b/packages/errors/src/format_error.ts
@@ -0,0 +1,42 @@
+import type { PlatformError } from "./platform_error.ts";
+import type { RpcError } from "./rpc_error.ts";
+
+type Handlers<E extends { readonly kind: string }> = {
+  readonly [K in E["kind"]]: (error: Extract<E, { kind: K }>) => string;
+};
+
+/** The longest text from another process that is shown; the rest says nothing new. */
+const MAX_SHOWN_LENGTH = 200;
+
+const PLATFORM_MESSAGES: Handlers<PlatformError> = {
+  timeout: ({ timeoutMs }) => `No response within ${timeoutMs} ms`,
+  unreachable: ({ message }) => `Unreachable: ${shorten(message)}`,
+  rate_limited: () => "Rate limit exceeded (429)",
+  unavailable: ({ status }) => `Unavailable (${status})`,
+  malformed: ({ message }) => `Malformed response: ${shorten(message)}`,
+};
+
+const RPC_MESSAGES: Handlers<RpcError> = {
+  timeout: ({ timeoutMs }) => `No response within ${timeoutMs} ms`,
+  unreachable: ({ message }) => `Unreachable: ${shorten(message)}`,
+  refused: ({ code, message }) => `Refused (${code}): ${shorten(message)}`,
+  malformed: ({ message }) => `Malformed response: ${shorten(message)}`,
+};
+
+/** Says in one line why a call to the platform failed. */
+export function formatPlatformError(error: PlatformError): string {
+  return (PLATFORM_MESSAGES[error.kind] as (error: PlatformError) => string)(
+    error,
+  );
+}
+
+/** Says in one line why a call to another daemon failed. */
+export function formatRpcError(error: RpcError): string {
+  return (RPC_MESSAGES[error.kind] as (error: RpcError) => string)(error);
+}
+
+function shorten(text: string): string {
+  return text.length <= MAX_SHOWN_LENGTH
+    ? text
+    : `${text.slice(0, MAX_SHOWN_LENGTH)}...`;
+}
--- /dev/null
+++ b/packages/logs/src/events.ts
@@ -0,0 +1,244 @@
+/** Levels of log events, from the least to the most severe. */
+export type LogLevel = "debug" | "info" | "warn" | "error";
+
+/** Kinds of value that a field of an event can have. */
+interface FieldTypes {
+  readonly text: string;
+  readonly number: number;
+  readonly optional_text: string | undefined;
+  readonly optional_number: number | undefined;
+  readonly counts: Readonly<Record<string, number>>;
+}
+
+/** Definition of one log event. */
+interface EventDefinition {
+  readonly level: LogLevel;
+  readonly fields: Readonly<Record<string, keyof FieldTypes>>;
+  /** What happened. */
+  readonly meaning: string;
+  /** What an operator does about it. */
+  readonly action: string;
+}
+
+const NOTHING = "nothing";
+
+/**
+ * All log events. Names and fields are stable: tools outside this project select by them.
+ * Field names end in their unit.
+ */
+export const LOG_EVENTS = {
+  daemon_started: {
+    level: "info",
+    fields: {
+      version: "text",
+      address: "text",
+      caller_port: "number",
+      peer_port: "number",
+      operators_port: "number",
+    },
+    meaning: "All ports are open",
+    action: NOTHING,
+  },
+  daemon_start_failed: {
+    level: "error",
+    fields: { reason: "text" },
+    meaning: "A port could not be opened; the process ends with exit code 2",
+    action: "free the port or change it in the settings",
+  },
+  drain_started: {
+    level: "info",
+    fields: { signal: "text", drain_timeout_ms: "number" },
+    meaning: "A signal arrived; no new work is taken",
+    action: NOTHING,
+  },
+  drain_timed_out: {
+    level: "warn",
+    fields: { drain_timeout_ms: "number" },
+    meaning:
+      "Requests were still in flight when `drain_timeout_ms` had passed; they are cut",
+    action: "find the slow requests, or raise `drain_timeout_ms`",
+  },
+  daemon_stopped: {
+    level: "info",
+    fields: { uptime_ms: "number" },
+    meaning: "Everything is released; the process ends with exit code 0",
+    action: NOTHING,
+  },
+  invariant_broken: {
+    level: "error",
+    fields: { message: "text", stack: "optional_text" },
+    meaning: "A fault in this program; the process ends with exit code 70",
+    action: "restart the daemon and report the stack",
+  },
+  joined: {
+    level: "info",
+    fields: { revision: "number", responses: "number", elapsed_ms: "number" },
+    meaning: "The version held by the other daemons is known and held here",
+    action: NOTHING,
+  },
+  floor_unconfirmed: {
+    level: "warn",
+    fields: { elapsed_ms: "number" },
+    meaning:
+      "No other daemon that holds a version responded; the platform's version is used as it is",
+    action:
+      "check that the seeds are reachable, and that the platform serves its newest version",
+  },
+  version_taken: {
+    level: "info",
+    fields: {
+      kind: "text",
+      revision: "number",
+      hash: "text",
+      source: "optional_text",
+    },
+    meaning: "A newer version is in force on this daemon",
+    action: NOTHING,
+  },
+  version_refused: {
+    level: "warn",
+    fields: {
+      kind: "text",
+      revision: "number",
+      hash: "text",
+      reason: "text",
+    },
+    meaning: "An invalid version; the one held before stays in force",
+    action: "correct the line that `reason` names",
+  },
+  version_stale: {
+    level: "warn",
+    fields: { kind: "text", revision: "number", held_revision: "number" },
+    meaning: "The platform or a peer offered an older version; it is ignored",
+    action: "if it repeats, check the replicas of the platform",
+  },
+  version_conflict: {
+    level: "error",
+    fields: {
+      kind: "text",
+      revision: "number",
+      held_hash: "text",
+      offered_hash: "text",
+    },
+    meaning:
+      "The same revision came with other content; the content held first stays",
+    action: "publish any edit, which gives all daemons one newer revision",
+  },
+  plans_without_allowance: {
+    level: "warn",
+    fields: { revision: "number", plans: "text" },
+    meaning: "Customers on these plans are refused",
+    action: "add the plans to `allowances`",
+  },
+  reading_started: {
+    level: "info",
+    fields: { rank: "number" },
+    meaning: "This daemon watches the platform",
+    action: NOTHING,
+  },
+  reading_stopped: {
+    level: "info",
+    fields: { rank: "number" },
+    meaning: "Another daemon watches the platform instead",
+    action: NOTHING,
+  },
+  platform_lost: {
+    level: "warn",
+    fields: { reason: "text" },
+    meaning: "Calls to the platform fail; the version held stays in force",
+    action: "if many daemons report it, look after the platform",
+  },
+  platform_back: {
+    level: "info",
+    fields: { outage_ms: "number" },
+    meaning: "Calls to the platform succeed again",
+    action: NOTHING,
+  },
+  pause_detected: {
+    level: "warn",
+    fields: { pause_ms: "number" },
+    meaning:
+      "The process was paused; new requests wait for one digest exchange",
+    action: "if it repeats, look for a lack of CPU or memory on the VM",
+  },
+  peer_suspected: {
+    level: "info",
+    fields: { peer_vm_id: "text", reason: "text" },
+    meaning: "A daemon does not answer",
+    action: "if it lasts, check that VM",
+  },
+  peer_back: {
+    level: "info",
+    fields: { peer_vm_id: "text" },
+    meaning: "A suspected daemon answers again",
+    action: NOTHING,
+  },
+  vm_leaving: {
+    level: "info",
+    fields: { leaving_vm_id: "text", source: "text" },
+    meaning: "A VM gets no new work",
+    action: NOTHING,
+  },
+  upstream_ejected: {
+    level: "warn",
+    fields: {
+      upstream_vm_id: "text",
+      failures: "number",
+      ejection_ms: "number",
+    },
+    meaning: "An upstream failed repeatedly and gets no requests for a while",
+    action: "check that upstream",
+  },
+  upstream_returned: {
+    level: "info",
+    fields: { upstream_vm_id: "text" },
+    meaning: "The ejection of an upstream has ended",
+    action: NOTHING,
+  },
+  upstream_state_changed: {
+    level: "info",
+    fields: { state: "text", former_state: "text" },
+    meaning: "The health of this VM's upstream changed",
+    action: "check the upstream if it stays unreachable",
+  },
+  requests_refused: {
+    level: "warn",
+    fields: {
+      refused: "number",
+      by_reason: "counts",
+      interval_ms: "number",
+    },
+    meaning: "Requests that were not run, summed up over the interval",
+    action: "see the reasons below",
+  },
+} as const satisfies Record<string, EventDefinition>;
+
+/** Stable name of a log event. */
+export type LogEvent = keyof typeof LOG_EVENTS;
+
+type FieldsOf<E extends LogEvent> = {
+  readonly [F in keyof typeof LOG_EVENTS[E]["fields"]]: FieldTypes[
+    typeof LOG_EVENTS[E]["fields"][F] & keyof FieldTypes
+  ];
+};
+
+/** An event with its fields as they appear in the log. */
+export type LogRecord = {
+  readonly [E in LogEvent]: { readonly event: E } & FieldsOf<E>;
+}[LogEvent];
+
+/** Writes the events as a Markdown table for operators. */
+export function eventsReference(): string {
+  return Object.entries(LOG_EVENTS).map(([event, definition]) => {
+    const fields = Object.keys(definition.fields).map((name) => `\`${name}\``);
+    return [
+      `### ${event}`,
+      "",
+      `- Level: ${definition.level}`,
+      `- Fields: ${fields.join(", ")}`,
+      `- Meaning: ${definition.meaning}.`,
+      `- What to do: ${definition.action}.`,
+      "",
+    ].join("\n");
+  }).join("\n");
+}
--- a/packages/logs/src/index.ts
+++ b/packages/logs/src/index.ts
@@ -1,1 +1,17 @@
-export * from "./logger.ts";
+export {
+  eventsReference,
+  LOG_EVENTS,
+  type LogEvent,
+  type LogLevel,
+  type LogRecord,
+} from "./events.ts";
+export {
+  createLogger,
+  type CreateLoggerOptions,
+  logEvent,
+  type Logger,
+} from "./logger.ts";
+export {
+  RefusalSummary,
+  type RefusalSummaryOptions,
+} from "./refusal_summary.ts";
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+export {
+  type Counter,
+  type Histogram,
+  type HistogramReading,
+  type HistogramSummary,
+  type MetricLabels,
+  Metrics,
+  type MetricsReading,
+  type NumberReading,
+} from "./metrics.ts";
+export { renderMetricsText } from "./render.ts";
--- /dev/null
+++ b/packages/metrics/src/metrics_test.ts
@@ -0,0 +1,52 @@
+import t from "tap";
+import { Metrics, renderMetricsText } from "./index.ts";
+
+t.test("should count each set of labels on its own, whatever their order", (t) => {
+  const metrics = new Metrics();
+  metrics.counter("requests", { outcome: "answered", zone: "a" }).add();
+  metrics.counter("requests", { zone: "a", outcome: "answered" }).add(2);
+  metrics.counter("requests", { outcome: "unknown", zone: "a" }).add();
+  t.same(metrics.read().counters.map(({ value }) => value), [3, 1]);
+  t.end();
+});
+
+t.test("should show percentiles beside a mean, so that a slow tail is not hidden", (t) => {
+  const metrics = new Metrics();
+  const histogram = metrics.histogram("latency_us");
+  for (let i = 0; i < 985; i++) histogram.record(100);
+  for (let i = 0; i < 15; i++) histogram.record(50_000);
+  const { summary } = metrics.read().histograms[0]!;
+  t.equal(summary.count, 1_000);
+  t.equal(summary.min, 100);
+  t.equal(summary.p50, 100);
+  t.ok(Math.abs(summary.p99 - 50_000) < 100, "three significant digits");
+  t.ok(Math.abs(summary.mean - 848.5) < 5);
+  t.end();
+});
+
+t.test("should take any number without throwing, since a clock can step back", (t) => {
+  const metrics = new Metrics();
+  const histogram = metrics.histogram("latency_us");
+  t.equal(metrics.read().histograms[0]!.summary.mean, 0, "empty");
+  for (const value of [-5, NaN, Infinity, 0.4]) histogram.record(value);
+  const { summary } = metrics.read().histograms[0]!;
+  t.equal(summary.count, 3);
+  t.equal(summary.min, 0);
+  t.end();
+});
+
+t.test("should render text that a Prometheus reader accepts, with labels escaped", (t) => {
+  const metrics = new Metrics();
+  metrics.counter("requests", { reason: 'a"\\\n' }).add();
+  metrics.gauge("queue_length", () => 7);
+  metrics.histogram("latency_us").record(10);
+  const text = renderMetricsText(metrics.read());
+  t.match(text, 'tanagercove_requests_total{reason="a\\"\\\\\\n"} 1\n');
+  t.match(text, "# TYPE tanagercove_queue_length gauge\n");
+  t.match(text, 'tanagercove_latency_us{quantile="0.99"} 10\n');
+  t.match(text, "tanagercove_latency_us_mean 10\n");
+  for (const line of text.trimEnd().split("\n")) {
+    t.match(line, /^(# TYPE \w+ \w+|\w+(\{.*\})? [\d.e+]+)$/);
+  }
+  t.end();
+});
