Add check, status and dump, the operators' port and the daemon's lifecycle

Cause: only run existed, a port in use was a stack trace, a second signal did nothing. Change: check reports every problem of settings and lists with file and line; status and dump ask the operators' port, which only reads, bounds its input and takes its state from functions; one signal drains within drain_timeout_ms, a second ends at once, an uncaught error ends with 70, wrong usage with 2. Asking other daemons waits for rpc. Conclusion: the program around the daemon is in place.

--- /dev/null
+++ b/packages/cli/src/check/check_files.ts
@@ -0,0 +1,71 @@
+import { plansWithoutAllowance, validateLists } from "@tanagercove/lists";
+import type { ListProblem, Lists } from "@tanagercove/types";
+
+/** A list to check, with the name under which problems show it. */
+export interface CheckedList {
+  readonly path: string;
+  readonly text: string;
+}
+
+/** The lists to check; one may be absent. */
+export interface CheckedLists {
+  readonly plans?: CheckedList;
+  readonly allowances?: CheckedList;
+}
+
+/** Problems and warnings as lines `PATH:LINE: MESSAGE`. */
+export interface ListsReport {
+  readonly problems: readonly string[];
+  readonly warnings: readonly string[];
+}
+
+/** Checks one or both lists as a daemon would. */
+export function checkLists({ plans, allowances }: CheckedLists): ListsReport {
+  const verdict = validateLists({
+    plans: plans?.text ?? "",
+    allowances: allowances?.text ?? "",
+  });
+  if (verdict.isErr) {
+    const paths = { plans: plans?.path, allowances: allowances?.path };
+    return {
+      problems: inOrder(verdict.error).map(({ place, message }) =>
+        `${paths[place.list as keyof typeof paths]}:${place.line}: ${message}`
+      ),
+      warnings: [],
+    };
+  }
+  const bothGiven = plans !== undefined && allowances !== undefined;
+  return {
+    problems: [],
+    warnings: bothGiven ? warnAboutPlans(verdict.value, plans) : [],
+  };
+}
+
+function warnAboutPlans(
+  lists: Lists,
+  { path, text }: CheckedList,
+): readonly string[] {
+  return plansWithoutAllowance(lists).map((plan) => {
+    const customers = [...lists.planByCustomer]
+      .filter(([, held]) => held === plan)
+      .map(([customer]) => customer);
+    const line = lineOf(text, customers[0]!);
+    return `${path}:${line}: warning: Plan "${plan}" is not in allowances; ` +
+      `requests of ${customers.length} customer(s) on it are refused`;
+  });
+}
+
+/** Line of a customer's entry, counting from 1. */
+function lineOf(text: string, customer: string): number {
+  return 1 +
+    text.split("\n").findIndex((line) =>
+      line.split("=")[0]!.trim() === customer
+    );
+}
+
+function inOrder(problems: readonly ListProblem[]): readonly ListProblem[] {
+  const rank = ({ place }: ListProblem) => place.list === "plans" ? 0 : 1;
+  return [...problems].sort((a, b) =>
+    rank(a) - rank(b) || a.place.line - b.place.line
+  );
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,2 @@
-export { runCommand } from "./run/run_command.ts";
+export { type CommandEnd, EXIT_CODES } from "./exit_codes.ts";
+export { runProgram } from "./program.ts";
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,12 +1,22 @@
-import { run, subcommands } from "cmd-ts";
-import { runCommand } from "./run/run_command.ts";
+import { runProgram } from "./program.ts";
 
-declare const TANAGERCOVE_VERSION: string;
+void main();
 
-const program = subcommands({
-  name: "tanagercove",
-  version: TANAGERCOVE_VERSION,
-  cmds: { run: runCommand },
-});
+async function main(): Promise<void> {
+  const end = await runProgram(process.argv.slice(2));
+  await writeLines(process.stdout, end.output);
+  await writeLines(process.stderr, end.errors);
+  process.exit(end.exitCode);
+}
 
-void run(program, process.argv.slice(2));
+/** Waits until all is written, because `process.exit` drops what is still buffered for a pipe. */
+async function writeLines(
+  stream: NodeJS.WriteStream,
+  lines: readonly string[] = [],
+): Promise<void> {
+  if (lines.length === 0) return;
+  stream.on("error", () => {});
+  await new Promise<void>((resolve) =>
+    stream.write(`${lines.join("\n")}\n`, () => resolve())
+  );
+}
--- /dev/null
+++ b/packages/cli/src/operators_client.ts
@@ -0,0 +1,67 @@
+import { Result } from "true-myth";
+import { Client } from "undici";
+import { parsePeerAddress, type PeerAddress } from "@tanagercove/settings";
+import { readSettingsFile } from "./settings_file.ts";
+
+/** Where the operators' port is, as given on the command line. */
+export interface OperatorArgs {
+  readonly operator?: string;
+  readonly settings?: string;
+}
+
+/** A fleet of 3,000 daemons answers `status` with about 1 MB. */
+const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+/** Longer than a daemon takes to ask all others. */
+const TIMEOUT_MS = 10_000;
+const CONNECT_TIMEOUT_MS = 2_000;
+
+/** Finds the operators' port from `--operator` or `--settings`; the errors are lines for the user. */
+export async function findOperator(
+  args: OperatorArgs,
+): Promise<Result<PeerAddress, readonly string[]>> {
+  const { operator, settings } = args;
+  if ((operator === undefined) === (settings === undefined)) {
+    return Result.err(["Expected either --operator or --settings"]);
+  }
+  if (operator !== undefined) {
+    const address = parsePeerAddress(operator);
+    return address === undefined
+      ? Result.err([`--operator is "${operator}", expected IP:PORT`])
+      : Result.ok(address);
+  }
+  const found = await readSettingsFile(settings!);
+  return found.map(({ operators }) => operators);
+}
+
+/** Reads one path of the operators' port as JSON; the error is one line for the user. */
+export async function readOperators(
+  { address, port }: PeerAddress,
+  path: string,
+): Promise<Result<unknown, string>> {
+  const host = address.includes(":") ? `[${address}]` : address;
+  const place = `${host}:${port}`;
+  const refuse = (reason: string) =>
+    Result.err<unknown, string>(`No answer from ${place}: ${reason}`);
+  const client = new Client(`http://${place}`, {
+    maxResponseSize: MAX_RESPONSE_BYTES,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+  });
+  const deadline = AbortSignal.timeout(TIMEOUT_MS);
+  try {
+    const response = await client.request({
+      method: "GET",
+      path,
+      signal: deadline,
+    });
+    const body = await response.body.text();
+    return response.statusCode === 200
+      ? Result.ok(JSON.parse(body))
+      : refuse(`status ${response.statusCode}, expected 200`);
+  } catch (error) {
+    if (deadline.aborted) return refuse(`none within ${TIMEOUT_MS} ms`);
+    if (error instanceof SyntaxError) return refuse("it is not JSON");
+    return refuse((error as Error).message);
+  } finally {
+    await client.destroy();
+  }
+}
--- a/packages/cli/src/run/run_command.ts
+++ b/packages/cli/src/run/run_command.ts
@@ -1,38 +1,38 @@
-import { readFile } from "node:fs/promises";
 import { command, option, string } from "cmd-ts";
-import { startDaemon } from "@tanagercove/daemon";
+import { runDaemon } from "@tanagercove/daemon";
 import { createLogger } from "@tanagercove/logs";
-import { parseSettings } from "@tanagercove/settings";
+import { type CommandEnd, EXIT_CODES, usageError } from "../exit_codes.ts";
+import { PROGRAM_VERSION } from "../program_version.ts";
+import { readSettingsFile } from "../settings_file.ts";
 
 /** `tanagercove run`: runs one daemon until SIGTERM or SIGINT. */
 export const runCommand = command({
   name: "run",
-  description: "Run the daemon of one VM",
+  description:
+    "Run the daemon of one VM until SIGTERM or SIGINT; a second signal ends it at once",
+  examples: [{
+    description: "Run with the settings of this VM",
+    command: "tanagercove run --settings /etc/tanagercove.ini",
+  }],
   args: {
     settings: option({
       type: string,
       long: "settings",
-      description: "INI file",
+      description: "INI file; see docs/settings.md",
     }),
   },
-  handler: async (args) => {
-    const settings = parseSettings(await readFile(args.settings, "utf8"));
-    if (settings.isErr) {
-      for (const problem of settings.error) {
-        console.error(
-          `[${problem.section}] ${problem.key}: ${problem.message}`,
-        );
-      }
-      process.exitCode = 2;
-      return;
-    }
-    const { vmId, zone } = settings.value.daemon;
-    const daemon = await startDaemon({
+  handler: async (args): Promise<CommandEnd> => {
+    const settings = await readSettingsFile(args.settings);
+    if (settings.isErr) return usageError(...settings.error);
+    const { daemon: { vmId, zone }, logs: { level } } = settings.value;
+    const end = await runDaemon({
       settings: settings.value,
-      log: createLogger({ vmId, zone }),
+      log: createLogger({ vmId, zone, level }),
+      programVersion: PROGRAM_VERSION,
     });
-    const stop = () => void daemon.close().then(() => process.exit(0));
-    process.once("SIGTERM", stop);
-    process.once("SIGINT", stop);
+    if (end.kind === "start_failed") return usageError(end.message);
+    return {
+      exitCode: end.kind === "stopped" ? EXIT_CODES.good : EXIT_CODES.notGood,
+    };
   },
 });
--- /dev/null
+++ b/packages/cli/src/status/render_status.ts
@@ -0,0 +1,68 @@
+import type { StatusReport } from "./judge_status.ts";
+
+const HASH_LENGTH = 8;
+/** A long list hides the rest of the status; `--json` has all entries. */
+const MAX_ENTRIES = 20;
+
+/** Writes the report as lines for a terminal. */
+export function renderStatus(report: StatusReport): readonly string[] {
+  const { newest_revision: newest, daemons_known: known } = report;
+  const versions = report.versions.map(({ revision, hash, zone, daemons }) => [
+    String(revision ?? "none"),
+    (hash ?? "").slice(0, HASH_LENGTH),
+    zone,
+    String(daemons),
+  ]);
+  return [
+    newest === undefined
+      ? `No version in force; ${known} daemons known to ${report.asked_by}`
+      : `Revision ${newest} in force on ${report.newest_in_force_on} of ${known} daemons known to ${report.asked_by}`,
+    "",
+    ...formatTable([["REVISION", "HASH", "ZONE", "DAEMONS"], ...versions]),
+    ...section("Daemons that lag or are not serving", {
+      entries: report.findings.map(({ zone, vm_id, reason }) =>
+        `${zone} ${vm_id}: ${reason}`
+      ),
+    }),
+    ...section("Refused versions", {
+      entries: report.refused.map(({ revision, daemons, reason }) =>
+        `revision ${revision} on ${daemons} daemons: ${reason}`
+      ),
+    }),
+    ...section("Daemons missing from this answer", {
+      entries: report.missing.map((daemon) =>
+        `${daemon.zone} ${daemon.vm_id} ${daemon.address}:${daemon.peer_port}: ${daemon.reason}`
+      ),
+    }),
+  ].map(withoutControlCharacters);
+}
+
+function section(
+  title: string,
+  { entries }: { readonly entries: readonly string[] },
+): readonly string[] {
+  if (entries.length === 0) return [];
+  const hidden = entries.length - MAX_ENTRIES;
+  return [
+    "",
+    `${title} (${entries.length}):`,
+    ...entries.slice(0, MAX_ENTRIES).map((entry) => `  ${entry}`),
+    ...(hidden > 0 ? [`  and ${hidden} more; see --json`] : []),
+  ];
+}
+
+function formatTable(
+  rows: readonly (readonly string[])[],
+): readonly string[] {
+  const widths = rows[0]!.map((_, column) =>
+    Math.max(...rows.map((row) => row[column]!.length))
+  );
+  return rows.map((row) =>
+    row.map((cell, column) => cell.padEnd(widths[column]!)).join("  ").trimEnd()
+  );
+}
+
+/** Texts from other daemons must not be able to steer the terminal. */
+function withoutControlCharacters(line: string): string {
+  return line.replace(/\p{Cc}/gu, "?");
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,30 +1,50 @@
-import { createServer } from "node:http";
+import { Result } from "true-myth";
 import { PlatformReader } from "@tanagercove/distribution";
-import { parseVms, validateLists } from "@tanagercove/lists";
-import type { Logger } from "@tanagercove/logs";
+import { type ListenError, listenErrorOf } from "@tanagercove/errors";
+import {
+  parseVms,
+  plansWithoutAllowance,
+  validateLists,
+} from "@tanagercove/lists";
+import { logEvent, type Logger } from "@tanagercove/logs";
+import { Metrics } from "@tanagercove/metrics";
 import { createHttpPlatform } from "@tanagercove/platform";
 import { startProxyServer } from "@tanagercove/proxy";
 import { computeRoutingTable, type RoutingTable } from "@tanagercove/routing";
 import type { Settings } from "@tanagercove/settings";
 import type { ListProblem, Lists, Vm } from "@tanagercove/types";
 import { SnapshotStore } from "@tanagercove/versions";
+import type { DaemonState, DaemonSummary } from "./daemon_summary.ts";
+import { gatherFleetStatus } from "./fleet_status.ts";
+import { startOperatorsServer } from "./operators_server.ts";
 
 /** Options of `startDaemon`. */
 export interface StartDaemonOptions {
   readonly settings: Settings;
   readonly log: Logger;
+  /** Version of the program, shown in status and log. */
+  readonly programVersion: string;
 }
 
 /** A running daemon. */
 export interface Daemon {
+  summary(): DaemonSummary;
   /** Stops taking requests, lets those in flight end and releases everything. */
   close(): Promise<void>;
 }
 
-/** Starts one daemon. */
+interface Closable {
+  close(): Promise<void>;
+}
+
+/** Starts one daemon: first the operators' port, then the configuration, then the request path. */
 export async function startDaemon(
-  { settings, log }: StartDaemonOptions,
-): Promise<Daemon> {
+  options: StartDaemonOptions,
+): Promise<Result<Daemon, ListenError>> {
+  const { settings, log } = options;
+  const startedAtMs = performance.now();
+  const metrics = new Metrics();
+  let draining = false;
   let table: RoutingTable | undefined;
   let lists: Lists | undefined;
   let vms: readonly Vm[] = [];
@@ -40,13 +60,10 @@
     onChange: ({ held }) => {
       lists = validateLists(held.texts).unwrapOr(undefined as never);
       recompute();
-      log.info({
-        event: "version_taken",
-        revision: held.revision,
-        hash: held.hash,
-      });
+      logVersionTaken(log, { ...held, lists });
     },
-    onRefused: (refused) => log.warn({ event: "version_refused", ...refused }),
+    onRefused: (refused) =>
+      logEvent(log, { event: "version_refused", kind: "lists", ...refused }),
   });
   const vmsStore = new SnapshotStore<"vms">({
     kind: "vms",
@@ -54,44 +71,142 @@
     onChange: ({ held }) => {
       vms = parseVms(held.texts.vms).unwrapOr([]);
       recompute();
+      logVersionTaken(log, held);
     },
+    onRefused: (refused) =>
+      logEvent(log, { event: "version_refused", kind: "vms", ...refused }),
   });
-  const platform = createHttpPlatform({ url: settings.platform.url });
+
+  function state(): DaemonState {
+    if (draining) return "draining";
+    return table === undefined ? "starting" : "serving";
+  }
+
+  function summary(): DaemonSummary {
+    const { vmId, zone, region, service } = settings.daemon;
+    return {
+      vm_id: vmId,
+      zone,
+      region,
+      service,
+      state: state(),
+      program_version: options.programVersion,
+      uptime_ms: Math.round(performance.now() - startedAtMs),
+      revision: listsStore.held?.revision,
+      hash: listsStore.held?.hash,
+      vms_revision: vmsStore.held?.revision,
+      floor_unconfirmed: false,
+      refused: listsStore.refused,
+    };
+  }
+
+  // Opened in this order, closed in the reverse one.
+  const components: Closable[] = [];
+  const operators = await startOperatorsServer({
+    ...settings.operators,
+    state: {
+      summary,
+      // TODO: ask the other daemons once `rpc` has `status.summary`.
+      fleetStatus: () =>
+        gatherFleetStatus({
+          own: summary(),
+          vms,
+          ask: () =>
+            Promise.resolve(
+              Result.err({ kind: "unreachable", message: "Not supported yet" }),
+            ),
+        }),
+      dump: () => ({
+        summary: summary(),
+        lists: listsStore.held?.texts,
+        vms: vmsStore.held?.texts.vms,
+      }),
+      metrics: () => metrics.read(),
+    },
+  });
+  if (operators.isErr) return Result.err(operators.error);
+  components.push(operators.value);
+
+  const platform = createHttpPlatform({
+    url: settings.platform.url,
+    localAddress: settings.daemon.address,
+    timeoutMs: settings.platform.timeoutMs,
+  });
+  components.push(platform);
   const reader = new PlatformReader({
     platform,
     lists: listsStore,
     vms: vmsStore,
+    waitMs: settings.platform.watchWaitMs,
   });
-  const proxy = await startProxyServer({
+  components.push(reader);
+
+  const proxy = await listening(() =>
+    startProxyServer({
+      address: settings.daemon.callerAddress,
+      callerPort: settings.daemon.callerPort,
+      routingTable: () => table,
+    })
+  );
+  if (proxy.isErr) {
+    await closeAll(components);
+    return Result.err(proxy.error);
+  }
+  components.push(proxy.value);
+  reader.start();
+  logEvent(log, {
+    event: "daemon_started",
+    version: options.programVersion,
     address: settings.daemon.address,
-    callerPort: settings.daemon.callerPort,
-    routingTable: () => table,
+    caller_port: settings.daemon.callerPort,
+    peer_port: settings.daemon.peerPort,
+    operators_port: operators.value.port,
   });
-  const operators = createServer((_request, response) => {
-    const held = listsStore.held;
-    response.setHeader("content-type", "application/json");
-    response.end(JSON.stringify({
-      vm_id: settings.daemon.vmId,
-      zone: settings.daemon.zone,
-      revision: held?.revision,
-      hash: held?.hash,
-      refused: listsStore.refused,
-    }));
-  });
-  operators.listen(settings.operators.port, settings.operators.address);
-  reader.start();
-  log.info({ event: "daemon_started" });
 
-  return {
+  return Result.ok({
+    summary,
     async close() {
-      await proxy.close();
-      await reader.close();
-      await platform.close();
-      operators.close();
-      operators.closeAllConnections();
-      log.info({ event: "daemon_stopped" });
+      draining = true;
+      await closeAll(components);
     },
-  };
+  });
+}
+
+async function closeAll(components: readonly Closable[]): Promise<void> {
+  for (const component of components.toReversed()) await component.close();
+}
+
+/** Gives the error of a port that could not be opened as a value. */
+async function listening<T>(
+  open: () => Promise<T>,
+): Promise<Result<T, ListenError>> {
+  try {
+    return Result.ok(await open());
+  } catch (error) {
+    const listenError = listenErrorOf(error);
+    if (listenError === undefined) throw error;
+    return Result.err(listenError);
+  }
+}
+
+function logVersionTaken(
+  log: Logger,
+  version: {
+    readonly kind: "lists" | "vms";
+    readonly revision: number;
+    readonly hash: string;
+    readonly lists?: Lists;
+  },
+): void {
+  const { kind, revision, hash, lists } = version;
+  logEvent(log, { event: "version_taken", kind, revision, hash });
+  const plans = lists === undefined ? [] : plansWithoutAllowance(lists);
+  if (plans.length === 0) return;
+  logEvent(log, {
+    event: "plans_without_allowance",
+    revision,
+    plans: plans.join(", "),
+  });
 }
 
 function reasonOf(
--- /dev/null
+++ b/packages/daemon/src/fleet_status.ts
@@ -0,0 +1,130 @@
+import type { Result } from "true-myth";
+import { formatRpcError, type RpcError } from "@tanagercove/errors";
+import type { Vm } from "@tanagercove/types";
+import {
+  asRecord,
+  type DaemonSummary,
+  numberOf,
+  parseSummary,
+  textOf,
+} from "./daemon_summary.ts";
+
+/** A daemon whose summary is not in a partial answer. */
+export interface MissingDaemon {
+  readonly vm_id: string;
+  readonly zone: string;
+  readonly address: string;
+  readonly peer_port: number;
+  readonly reason: string;
+}
+
+/** Summaries of all daemons that answered, and the others by name. */
+export interface FleetStatus {
+  /** The daemon that asked the others. */
+  readonly asked_by: string;
+  readonly daemons: readonly DaemonSummary[];
+  readonly missing: readonly MissingDaemon[];
+}
+
+/** Asks one daemon for its summary. */
+export type AskSummary = (vm: Vm) => Promise<Result<unknown, RpcError>>;
+
+/** Options of `gatherFleetStatus`. */
+export interface GatherFleetStatusOptions {
+  readonly own: DaemonSummary;
+  /** VMs in the VM list; the own one is passed over. */
+  readonly vms: readonly Vm[];
+  readonly ask: AskSummary;
+  /** Calls that run at once. */
+  readonly parallel?: number;
+  /** Time after which no further daemon is asked. */
+  readonly timeoutMs?: number;
+}
+
+/** Bounds the connections that one question by an operator opens. */
+const DEFAULT_PARALLEL = 32;
+const DEFAULT_TIMEOUT_MS = 5_000;
+
+/** Asks every daemon in the VM list for its summary, a few at a time. */
+export async function gatherFleetStatus(
+  options: GatherFleetStatusOptions,
+): Promise<FleetStatus> {
+  const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  const endsAtMs = performance.now() + timeoutMs;
+  const daemons: DaemonSummary[] = [options.own];
+  const missing: MissingDaemon[] = [];
+  const queue = options.vms.filter(({ id }) => id !== options.own.vm_id);
+
+  async function askInTurn(): Promise<void> {
+    for (let vm = queue.shift(); vm !== undefined; vm = queue.shift()) {
+      if (performance.now() >= endsAtMs) {
+        missing.push(missingDaemon(vm, `Not asked within ${timeoutMs} ms`));
+        continue;
+      }
+      const answer = await options.ask(vm);
+      const summary = answer.isOk ? parseSummary(answer.value) : undefined;
+      if (summary?.vm_id === vm.id) daemons.push(summary);
+      else missing.push(missingDaemon(vm, reasonOf(answer, summary)));
+    }
+  }
+
+  const parallel = options.parallel ?? DEFAULT_PARALLEL;
+  await Promise.all(Array.from({ length: parallel }, askInTurn));
+  return {
+    asked_by: options.own.vm_id,
+    daemons: daemons.sort((a, b) =>
+      compare(`${a.zone} ${a.vm_id}`, `${b.zone} ${b.vm_id}`)
+    ),
+    missing: missing.sort((a, b) =>
+      compare(`${a.zone} ${a.vm_id}`, `${b.zone} ${b.vm_id}`)
+    ),
+  };
+}
+
+/** Reads the answer of an operators' port; undefined when it is not such an answer. */
+export function parseFleetStatus(value: unknown): FleetStatus | undefined {
+  const fields = asRecord(value);
+  const askedBy = textOf(fields?.asked_by);
+  if (
+    fields === undefined || askedBy === undefined ||
+    !Array.isArray(fields.daemons) || !Array.isArray(fields.missing)
+  ) return undefined;
+  return {
+    asked_by: askedBy,
+    daemons: fields.daemons.flatMap((item) => parseSummary(item) ?? []),
+    missing: fields.missing.map((item) => {
+      const daemon = asRecord(item);
+      return {
+        vm_id: textOf(daemon?.vm_id) ?? "",
+        zone: textOf(daemon?.zone) ?? "",
+        address: textOf(daemon?.address) ?? "",
+        peer_port: numberOf(daemon?.peer_port) ?? 0,
+        reason: textOf(daemon?.reason) ?? "",
+      };
+    }),
+  };
+}
+
+function reasonOf(
+  answer: Result<unknown, RpcError>,
+  summary: DaemonSummary | undefined,
+): string {
+  if (answer.isErr) return formatRpcError(answer.error);
+  return summary === undefined
+    ? "Malformed summary"
+    : `Another VM answered: "${summary.vm_id}"`;
+}
+
+function missingDaemon(vm: Vm, reason: string): MissingDaemon {
+  return {
+    vm_id: vm.id,
+    zone: vm.zone,
+    address: vm.address,
+    peer_port: vm.peerPort,
+    reason,
+  };
+}
+
+function compare(a: string, b: string): number {
+  return a < b ? -1 : a > b ? 1 : 0;
+}
--- /dev/null
+++ b/packages/daemon/src/run_daemon_test.ts
@@ -0,0 +1,186 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { writeFileSync } from "node:fs";
+import { createServer, type RequestListener } from "node:http";
+import type { AddressInfo } from "node:net";
+import { join } from "node:path";
+import t, { type Test } from "tap";
+import { request } from "undici";
+import { formatVms } from "@tanagercove/lists";
+import { waitFor } from "@tanagercove/test_helpers";
+import { HEADERS } from "@tanagercove/types";
+
+const PROGRAM = "dist/tanagercove.cjs";
+const CALLER_PORT = 8080;
+let lastAddress = 0;
+
+/** Runs the built program with a platform and an upstream of its own. */
+async function start(t: Test, options: {
+  readonly drainTimeoutMs?: number;
+  readonly upstream?: RequestListener;
+  readonly nodeArgs?: readonly string[];
+  readonly address?: string;
+} = {}) {
+  const address = options.address ?? `127.24.3.${++lastAddress}`;
+  const upstream = await listen(t, options.upstream ?? ((_, res) => res.end()));
+  const values = {
+    plans: "perth = basic\n",
+    allowances: "basic = swatches\n",
+    vms: formatVms([{
+      id: "swatches-1",
+      service: "swatches",
+      zone: "zone-a",
+      region: "region-1",
+      address: "127.0.0.1",
+      callerPort: CALLER_PORT,
+      peerPort: 8081,
+      upstreamPort: upstream,
+      state: "live",
+    }]),
+  };
+  const platform = await listen(t, (req, res) => {
+    const key = /^\/v1\/values\/(\w+)/.exec(req.url ?? "")?.[1];
+    if (key !== undefined) {
+      const value = values[key as keyof typeof values];
+      res.end(JSON.stringify({ key, revision: 1, value }));
+      return;
+    }
+    const keys = { plans: 1, allowances: 1, vms: 1 };
+    setTimeout(() => res.end(JSON.stringify({ revision: 1, keys })), 50);
+  });
+  const file = join(t.testdir({}), "daemon.ini");
+  writeFileSync(
+    file,
+    `[daemon]\nvm_id = swatches-1\nzone = zone-a\nregion = region-1\n` +
+      `service = swatches\naddress = ${address}\ncaller_port = ${CALLER_PORT}\n` +
+      `peer_port = 8081\ndrain_timeout_ms = ${
+        options.drainTimeoutMs ?? 10_000
+      }\n` +
+      `[platform]\nurl = http://127.0.0.1:${platform}\n` +
+      `[upstream]\naddress = 127.0.0.1\nport = ${upstream}\n` +
+      `[operators]\naddress = ${address}\n`,
+  );
+  const child = spawn(
+    process.execPath,
+    [...options.nodeArgs ?? [], PROGRAM, "run", "--settings", file],
+    { stdio: ["ignore", "pipe", "pipe"] },
+  );
+  t.teardown(() => child.kill("SIGKILL"));
+  return { address, ...observe(child) };
+}
+
+function observe(child: ChildProcess) {
+  const text = { out: "", err: "" };
+  child.stdout!.on("data", (data) => text.out += data);
+  child.stderr!.on("data", (data) => text.err += data);
+  const ended = once(child, "close").then(([code]) => code as number);
+  const events = () =>
+    text.out.split("\n").filter(Boolean).map((line) => JSON.parse(line));
+  const until = (event: string) =>
+    waitFor(() => events().some((line) => line.event === event), {
+      what: event,
+    });
+  return { child, text, ended, events, until };
+}
+
+async function listen(t: Test, handler: RequestListener): Promise<number> {
+  const server = createServer(handler).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.teardown(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  return (server.address() as AddressInfo).port;
+}
+
+async function call(address: string) {
+  return await request(`http://${address}:${CALLER_PORT}/`, {
+    headers: { [HEADERS.customer]: "perth", [HEADERS.service]: "swatches" },
+  });
+}
+
+async function untilServing(address: string): Promise<void> {
+  await waitFor(async () => {
+    const answer = await request(`http://${address}:8082/healthz`)
+      .catch(() => undefined);
+    await answer?.body.dump();
+    return answer?.statusCode === 200;
+  }, { what: "healthy daemon" });
+}
+
+/** An upstream that answers only when `finish` is called. */
+function slowUpstream() {
+  const state = { started: false, finish: () => {} };
+  const handler: RequestListener = (_, response) => {
+    state.started = true;
+    state.finish = () => response.end("whole answer");
+  };
+  return { state, handler };
+}
+
+t.test("should let a request in flight finish after SIGTERM", async (t) => {
+  const { state, handler } = slowUpstream();
+  const { address, child, ended, events, until } = await start(t, {
+    upstream: handler,
+  });
+  await untilServing(address);
+  const answer = call(address);
+  await waitFor(() => state.started, { what: "request at the upstream" });
+  child.kill("SIGTERM");
+  await until("drain_started");
+  state.finish();
+  t.equal(await (await answer).body.text(), "whole answer");
+  t.equal(await ended, 0);
+  t.match(events().at(-1), { event: "daemon_stopped", outcome: "stopped" });
+});
+
+t.test("should end with 1 when a request outlasts the drain timeout", async (t) => {
+  const { state, handler } = slowUpstream();
+  const { address, child, ended, events } = await start(t, {
+    drainTimeoutMs: 100,
+    upstream: handler,
+  });
+  await untilServing(address);
+  call(address).catch(() => {});
+  await waitFor(() => state.started, { what: "request at the upstream" });
+  child.kill("SIGTERM");
+  t.equal(await ended, 1);
+  t.match(events().at(-2), { event: "drain_timed_out" });
+});
+
+t.test("should end at once on a second signal, whatever is in flight", async (t) => {
+  const { state, handler } = slowUpstream();
+  const { address, child, ended, events, until } = await start(t, {
+    drainTimeoutMs: 600_000,
+    upstream: handler,
+  });
+  await untilServing(address);
+  call(address).catch(() => {});
+  await waitFor(() => state.started, { what: "request at the upstream" });
+  child.kill("SIGTERM");
+  await until("drain_started");
+  child.kill("SIGINT");
+  t.equal(await ended, 1);
+  t.match(events().at(-1), { outcome: "interrupted" });
+});
+
+t.test("should end with 2 and name the port when it is in use", async (t) => {
+  const first = await start(t);
+  await untilServing(first.address);
+  const second = await start(t, { address: first.address });
+  t.equal(await second.ended, 2);
+  t.equal(
+    second.text.err,
+    `Cannot listen on ${first.address} port 8082: another process uses this port\n`,
+  );
+  t.match(second.events().at(-1), { event: "daemon_start_failed" });
+});
+
+t.test("should log a broken invariant and end with 70, since the state may be wrong", async (t) => {
+  const script = "setTimeout(() => { throw new Error('broken') }, 500)";
+  const { ended, events } = await start(t, {
+    nodeArgs: ["--import", `data:text/javascript,${script}`],
+  });
+  t.equal(await ended, 70);
+  t.match(events().at(-1), { event: "invariant_broken", message: "broken" });
+});
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -60,8 +60,9 @@
   },
   daemon_stopped: {
     level: "info",
-    fields: { uptime_ms: "number" },
-    meaning: "Everything is released; the process ends with exit code 0",
+    fields: { outcome: "text", uptime_ms: "number" },
+    meaning:
+      "The process ends; `outcome` is `stopped` (exit code 0), `drain_timed_out` or `interrupted` (1)",
     action: NOTHING,
   },
   invariant_broken: {
@@ -216,11 +217,23 @@
 /** Stable name of a log event. */
 export type LogEvent = keyof typeof LOG_EVENTS;
 
-type FieldsOf<E extends LogEvent> = {
-  readonly [F in keyof typeof LOG_EVENTS[E]["fields"]]: FieldTypes[
-    typeof LOG_EVENTS[E]["fields"][F] & keyof FieldTypes
-  ];
-};
+type FieldType<E extends LogEvent, F> =
+  & typeof LOG_EVENTS[E]["fields"][F & keyof typeof LOG_EVENTS[E]["fields"]]
+  & keyof FieldTypes;
+
+type FieldsOf<E extends LogEvent> =
+  & {
+    readonly [
+      F in keyof typeof LOG_EVENTS[E]["fields"] as FieldType<E, F> extends
+        `optional_${string}` ? never : F
+    ]: FieldTypes[FieldType<E, F>];
+  }
+  & {
+    readonly [
+      F in keyof typeof LOG_EVENTS[E]["fields"] as FieldType<E, F> extends
+        `optional_${string}` ? F : never
+    ]?: FieldTypes[FieldType<E, F>];
+  };
 
 /** An event with its fields as they appear in the log. */
 export type LogRecord = {
