Forward requests through the owner daemon with a closed set of outcomes

The thin proxy called upstreams itself and knew one outcome for every failure. The new request path has a caller server, forwarded requests on the peer port, the reason table, both divisions of work, identity checks, deadlines, cancellation, health polls and a bounded drain.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,11 +3,11 @@
 import { parseVms, validateLists } from "@tanagercove/lists";
 import type { Logger } from "@tanagercove/logs";
 import { createHttpPlatform } from "@tanagercove/platform";
-import { startProxyServer } from "@tanagercove/proxy";
 import { computeRoutingTable, type RoutingTable } from "@tanagercove/routing";
 import type { Settings } from "@tanagercove/settings";
 import type { ListProblem, Lists, Vm } from "@tanagercove/types";
 import { SnapshotStore } from "@tanagercove/versions";
+import { startRequestPath } from "./request_path.ts";
 
 /** Options of `startDaemon`. */
 export interface StartDaemonOptions {
@@ -62,9 +62,8 @@
     lists: listsStore,
     vms: vmsStore,
   });
-  const proxy = await startProxyServer({
-    address: settings.daemon.address,
-    callerPort: settings.daemon.callerPort,
+  const requestPath = await startRequestPath({
+    settings,
     routingTable: () => table,
   });
   const operators = createServer((_request, response) => {
@@ -76,6 +75,7 @@
       revision: held?.revision,
       hash: held?.hash,
       refused: listsStore.refused,
+      requests: requestPath.proxy.state(),
     }));
   });
   operators.listen(settings.operators.port, settings.operators.address);
@@ -84,7 +84,7 @@
 
   return {
     async close() {
-      await proxy.close();
+      await requestPath.close();
       await reader.close();
       await platform.close();
       operators.close();
--- /dev/null
+++ b/packages/daemon/src/request_path.ts
@@ -0,0 +1,70 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import {
+  PEER_SERVER_OPTIONS,
+  type Proxy,
+  startProxy,
+} from "@tanagercove/proxy";
+import type { RoutingTable } from "@tanagercove/routing";
+import type { Settings } from "@tanagercove/settings";
+
+/** Options of `startRequestPath`. */
+export interface StartRequestPathOptions {
+  readonly settings: Settings;
+  readonly routingTable: () => RoutingTable | undefined;
+  /** Supplied by the distribution; resolves when the version held is fresh after a pause. */
+  readonly whenFresh?: () => Promise<void> | undefined;
+  /** Supplied by the membership. */
+  readonly leavingVms?: () => ReadonlySet<string>;
+  readonly onUpstreamDraining?: (draining: boolean) => void;
+  /** Handles requests on the peer port that are not forwarded ones, such as `/rpc`. */
+  readonly handleRpc?: (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ) => void;
+}
+
+/** The request path of a daemon with the server of its peer port. */
+export interface RequestPath {
+  readonly proxy: Proxy;
+  close(options?: { readonly drainTimeoutMs?: number }): Promise<void>;
+}
+
+/** Starts the proxy and the server of the peer port as the settings say. */
+export async function startRequestPath(
+  { settings, handleRpc, ...ports }: StartRequestPathOptions,
+): Promise<RequestPath> {
+  const { daemon, upstream } = settings;
+  const proxy = await startProxy({
+    ...ports,
+    address: daemon.address,
+    callerPort: daemon.callerPort,
+    zone: daemon.zone,
+    service: daemon.service,
+    upstream,
+  });
+  const server = createServer(PEER_SERVER_OPTIONS, (request, response) => {
+    if (proxy.handleForwarded(request, response)) return;
+    if (handleRpc !== undefined) return handleRpc(request, response);
+    response.writeHead(404).end();
+  });
+  proxy.attachPeerServer(server);
+  await listen(server, settings);
+  return {
+    proxy,
+    async close(options) {
+      await proxy.close(options);
+      await new Promise<void>((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      });
+    },
+  };
+}
+
+function listen(server: Server, { daemon }: Settings): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(daemon.peerPort, daemon.address, resolve);
+  });
+}
--- /dev/null
+++ b/packages/proxy/src/connection_tracker.ts
@@ -0,0 +1,137 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Reason } from "@tanagercove/types";
+import { refusalMessage, refuse } from "./write_response.ts";
+
+/** A request on a connection that has no complete response yet. */
+export interface ActiveRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Whether the sender went away before its response was complete. */
+  cancelled: boolean;
+  /** Called when the sender goes away. */
+  onCancel?: () => void;
+  /** Ends the reading of the body; absent while no body is read. */
+  failBody?: (reason: Reason) => void;
+}
+
+/** Requests in flight by connection, and the responses to broken framing. */
+export interface ConnectionTracker {
+  /** Registers a request until its response closes. */
+  track(request: IncomingMessage, response: ServerResponse): ActiveRequest;
+  /** Closes connections on which no request was received. */
+  closeUnused(): void;
+  /** Resolves to true when no request is active, or to false after the timeout. */
+  whenIdle(timeoutMs: number): Promise<boolean>;
+  /** Closes the connections of all active requests. */
+  cutActive(): void;
+}
+
+const REASON_BY_CODE: Readonly<Record<string, Reason>> = {
+  HPE_HEADER_OVERFLOW: "headers_too_large",
+  HPE_INVALID_METHOD: "method_unknown",
+  ERR_HTTP_REQUEST_TIMEOUT: "request_timeout",
+};
+
+/** Time in which a refused sender may read the response before its connection closes. */
+const LINGER_MS = 500;
+
+/** Tracks a server's connections and answers framing errors with a 4xx response. */
+export function trackConnections(server: Server): ConnectionTracker {
+  const activeBySocket = new Map<Socket, Set<ActiveRequest>>();
+  const failed = new WeakSet<Socket>();
+  let activeCount = 0;
+  let onIdle: (() => void) | undefined;
+
+  function activeOn(socket: Socket): Set<ActiveRequest> {
+    const known = activeBySocket.get(socket);
+    if (known !== undefined) return known;
+    const active = new Set<ActiveRequest>();
+    activeBySocket.set(socket, active);
+    socket.once("close", () => {
+      activeBySocket.delete(socket);
+      for (const entry of active) end(entry, active);
+    });
+    return active;
+  }
+
+  function end(entry: ActiveRequest, active: Set<ActiveRequest>): void {
+    if (!active.delete(entry)) return;
+    activeCount -= 1;
+    if (!entry.response.writableFinished) {
+      entry.cancelled = true;
+      entry.onCancel?.();
+    }
+    if (activeCount === 0) onIdle?.();
+  }
+
+  server.on("connection", activeOn);
+  server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+    if (failed.has(socket)) return;
+    failed.add(socket);
+    if (!socket.writable || error.code === "ECONNRESET") {
+      socket.destroy();
+      return;
+    }
+    const reason = REASON_BY_CODE[error.code ?? ""] ?? "bad_request";
+    const active = [...activeOn(socket)];
+    const broken = active.find(({ request }) => !request.complete);
+    if (broken !== undefined) {
+      if (broken.failBody !== undefined) broken.failBody(reason);
+      return;
+    }
+    // Earlier requests on the connection keep their own responses: a refusal
+    // in their place would declare a request as not run that may have run.
+    const last = active.at(-1);
+    if (last === undefined) return writeRaw(socket, reason);
+    last.response.once("finish", () => writeRaw(socket, reason));
+  });
+  server.on("connect", (_request, socket: Socket) => {
+    writeRaw(socket, "method_unknown");
+  });
+  server.on("checkExpectation", (request, response) => {
+    refuse({ request, response, outcome: "not_run", reason: "bad_request" });
+  });
+
+  return {
+    track(request, response) {
+      const entry: ActiveRequest = { request, response, cancelled: false };
+      const active = activeOn(request.socket);
+      active.add(entry);
+      activeCount += 1;
+      response.once("close", () => end(entry, active));
+      return entry;
+    },
+    closeUnused() {
+      for (const socket of activeBySocket.keys()) {
+        if (socket.bytesRead === 0) socket.destroy();
+      }
+    },
+    whenIdle(timeoutMs) {
+      if (activeCount === 0) return Promise.resolve(true);
+      return new Promise((resolve) => {
+        const timer = setTimeout(() => resolve(false), timeoutMs);
+        onIdle = () => {
+          clearTimeout(timer);
+          resolve(true);
+        };
+      });
+    },
+    cutActive() {
+      for (const [socket, active] of activeBySocket) {
+        if (active.size > 0) socket.destroy();
+      }
+    },
+  };
+}
+
+function writeRaw(socket: Socket, reason: Reason): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  socket.end(refusalMessage(reason));
+  const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+  socket.once("close", () => clearTimeout(timer));
+  socket.resume();
+}
--- /dev/null
+++ b/packages/proxy/src/connections.ts
@@ -0,0 +1,95 @@
+import { type Client, type Dispatcher, Pool } from "undici";
+
+/** Idle time after which a connection may be dead without any sign. */
+const MAX_IDLE_MS = 1_000;
+
+/** Subtracted from a server's Keep-Alive hint, so that this side closes first. */
+const KEEP_ALIVE_MARGIN_MS = 500;
+
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Headers of 16 KB from a caller or upstream plus the system's own. */
+export const PEER_MAX_HEADER_BYTES = 24 * 1024;
+
+/** Pools unused for this time are closed, since VMs come and go. */
+const POOL_UNUSED_MS = 60_000;
+
+/** Options of `ConnectionPools`. */
+export interface ConnectionPoolsOptions {
+  /** Own address, from which connections are opened. */
+  readonly localAddress: string;
+  /** Connections to one destination; unlimited by default. */
+  readonly connections?: number;
+}
+
+interface PoolEntry {
+  readonly pool: Pool;
+  usedAtMs: number;
+}
+
+/** Options of undici for connections between daemons and to upstreams. */
+export function connectionOptionsFor(
+  localAddress: string,
+): Client.Options {
+  return {
+    localAddress,
+    keepAliveTimeout: MAX_IDLE_MS,
+    keepAliveMaxTimeout: MAX_IDLE_MS,
+    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+    connectTimeout: CONNECT_TIMEOUT_MS,
+    maxHeaderSize: PEER_MAX_HEADER_BYTES,
+    // Exchanges have their own deadline.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  };
+}
+
+/** Keeps one pool of connections for each destination. */
+export class ConnectionPools {
+  readonly #options: ConnectionPoolsOptions;
+  readonly #entries = new Map<string, PoolEntry>();
+  readonly #pruneTimer: NodeJS.Timeout;
+
+  constructor(options: ConnectionPoolsOptions) {
+    this.#options = options;
+    this.#pruneTimer = setInterval(() => this.#prune(), POOL_UNUSED_MS);
+    this.#pruneTimer.unref();
+  }
+
+  /** Pool for an `IP:PORT`. */
+  to(destination: string): Dispatcher {
+    const entry = this.#entries.get(destination) ?? this.#open(destination);
+    entry.usedAtMs = performance.now();
+    return entry.pool;
+  }
+
+  /** Closes all connections at once; exchanges on them fail. */
+  async close(): Promise<void> {
+    clearInterval(this.#pruneTimer);
+    const pools = [...this.#entries.values()].map(({ pool }) => pool);
+    this.#entries.clear();
+    await Promise.all(pools.map((pool) => pool.destroy()));
+  }
+
+  #open(destination: string): PoolEntry {
+    const entry = {
+      pool: new Pool(`http://${destination}`, {
+        ...connectionOptionsFor(this.#options.localAddress),
+        connections: this.#options.connections ?? null,
+      }),
+      usedAtMs: 0,
+    };
+    this.#entries.set(destination, entry);
+    return entry;
+  }
+
+  #prune(): void {
+    const beforeMs = performance.now() - POOL_UNUSED_MS;
+    for (const [destination, { pool, usedAtMs }] of this.#entries) {
+      if (usedAtMs > beforeMs) continue;
+      this.#entries.delete(destination);
+      // Waits for exchanges that are still in flight.
+      void pool.close();
+    }
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/exchange.ts
@@ -0,0 +1,158 @@
+import type { ServerResponse } from "node:http";
+import { performance } from "node:perf_hooks";
+import type { Dispatcher } from "undici";
+import { type AnswerHead, readAnswerHead } from "./answer_head.ts";
+import type { ExchangeFailure } from "./classify_exchange.ts";
+
+/** Answers up to this size are complete before their first byte is passed on. */
+export const BUFFERED_ANSWER_BYTES = 256 * 1024;
+
+/** Bytes held for a slow receiver where the connection cannot be paused. */
+const MAX_UNPAUSED_BYTES = 16 * 1024 * 1024;
+
+/** One request to the next hop. */
+export interface ExchangeOptions {
+  readonly dispatcher: Dispatcher;
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: string[];
+  readonly body: Buffer | undefined;
+  readonly timeoutMs: number;
+}
+
+/** How an exchange ended, or that its long answer has begun. */
+export interface ExchangeEnd {
+  readonly requestBegan: boolean;
+  readonly failure: ExchangeFailure | undefined;
+  readonly head: AnswerHead | undefined;
+  readonly chunks: readonly Buffer[];
+  /** Whether the answer exceeds the buffer and continues; see `pipeTo`. */
+  readonly continues: boolean;
+  readonly durationMs: number;
+}
+
+type Abort = (error?: Error) => void;
+
+/** Carries out one request on a connection of a dispatcher, with a deadline. */
+export class Exchange implements Dispatcher.DispatchHandler {
+  /** Resolves once, as soon as the whole answer, its long beginning or a failure is known. */
+  readonly ended: Promise<ExchangeEnd>;
+  readonly #method: string;
+  readonly #startedMs = performance.now();
+  readonly #timer: NodeJS.Timeout;
+  #resolveEnded!: (end: ExchangeEnd) => void;
+  #settled = false;
+  #complete = false;
+  #failure: ExchangeFailure | undefined;
+  #requestBegan = false;
+  #abort: Abort | undefined;
+  #head: AnswerHead | undefined;
+  #chunks: Buffer[] = [];
+  #bufferedBytes = 0;
+  #resume: (() => void) | undefined;
+  #sink: ServerResponse | undefined;
+  #resolvePiped: ((whole: boolean) => void) | undefined;
+
+  constructor(options: ExchangeOptions) {
+    this.#method = options.method;
+    this.ended = new Promise((resolve) => this.#resolveEnded = resolve);
+    this.#timer = setTimeout(
+      () => this.abort("deadline"),
+      Math.max(0, options.timeoutMs),
+    );
+    options.dispatcher.dispatch({
+      path: options.path,
+      method: options.method as Dispatcher.HttpMethod,
+      headers: options.headers,
+      body: options.body ?? null,
+    }, this);
+  }
+
+  /** Ends the exchange and closes its connection; a request that has not begun is never sent. */
+  abort(failure: "deadline" | "cancelled"): void {
+    this.#fail(failure);
+    this.#abort?.();
+  }
+
+  /** Passes a long answer on; true when it is whole, false when it broke off. */
+  pipeTo(sink: ServerResponse): Promise<boolean> {
+    return new Promise((resolve) => {
+      this.#resolvePiped = resolve;
+      this.#sink = sink;
+      for (const chunk of this.#chunks) sink.write(chunk);
+      this.#chunks = [];
+      sink.on("drain", () => this.#resume?.());
+      if (this.#failure !== undefined) resolve(false);
+      else if (this.#complete) resolve(true);
+    });
+  }
+
+  onConnect(abort: Abort): void {
+    if (this.#failure !== undefined) return abort();
+    this.#abort = abort;
+    this.#requestBegan = true;
+  }
+
+  onHeaders(status: number, rawHeaders: Buffer[], resume: () => void): boolean {
+    if (status < 200) return true;
+    this.#resume = resume;
+    this.#head = readAnswerHead({ method: this.#method, status, rawHeaders });
+    return true;
+  }
+
+  onData(chunk: Buffer): boolean {
+    if (this.#sink !== undefined) return this.#passOn(chunk);
+    this.#chunks.push(chunk);
+    this.#bufferedBytes += chunk.length;
+    if (this.#bufferedBytes > BUFFERED_ANSWER_BYTES) this.#settle();
+    return true;
+  }
+
+  onComplete(): void {
+    this.#complete = true;
+    clearTimeout(this.#timer);
+    this.#settle();
+    this.#resolvePiped?.(this.#failure === undefined);
+  }
+
+  onError(error: Error): void {
+    const invalid = !this.#requestBegan &&
+      /^UND_ERR_(INVALID_ARG|NOT_SUPPORTED)$/.test(
+        (error as { code?: string }).code ?? "",
+      );
+    this.#fail(invalid ? "invalid_request" : "connection");
+  }
+
+  #passOn(chunk: Buffer): boolean {
+    if (this.#sink!.write(chunk)) return true;
+    // undici 7.30 fails an assertion, which would end the process, if a
+    // connection without keep-alive ends while it is paused.
+    if (!this.#head!.closes) return false;
+    if (this.#sink!.writableLength > MAX_UNPAUSED_BYTES) {
+      this.abort("cancelled");
+    }
+    return true;
+  }
+
+  #fail(failure: ExchangeFailure): void {
+    if (this.#complete || this.#failure !== undefined) return;
+    this.#failure = failure;
+    clearTimeout(this.#timer);
+    this.#settle();
+    this.#resolvePiped?.(false);
+  }
+
+  #settle(): void {
+    if (this.#settled) return;
+    this.#settled = true;
+    this.#resolveEnded({
+      requestBegan: this.#requestBegan,
+      failure: this.#failure,
+      head: this.#head,
+      chunks: this.#chunks,
+      continues: !this.#complete && this.#failure === undefined,
+      durationMs: performance.now() - this.#startedMs,
+    });
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/hop_by_hop.ts
@@ -0,0 +1,31 @@
+const HOP_BY_HOP: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+]);
+
+const NO_OPTIONS: ReadonlySet<string> = new Set();
+
+/** Whether a field, named in lower case, concerns one connection only. */
+export function isHopByHop(name: string): boolean {
+  return HOP_BY_HOP.has(name);
+}
+
+/** Options of a Connection header, in lower case; Host cannot be nominated. */
+export function connectionOptions(value: string): ReadonlySet<string> {
+  if (value === "" || value === ",keep-alive") return NO_OPTIONS;
+  const options = new Set(
+    value.split(",").map((option) => option.trim().toLowerCase()),
+  );
+  options.delete("");
+  options.delete("keep-alive");
+  options.delete("host");
+  return options;
+}
--- /dev/null
+++ b/packages/proxy/src/identity.ts
@@ -0,0 +1,58 @@
+import { createHmac, timingSafeEqual } from "node:crypto";
+import { BlockList } from "node:net";
+import type { RequestHead } from "./request_head.ts";
+
+/** How a customer's identity is proved. */
+export type IdentityKind = "trusted" | "signed";
+
+/** Options of `createIdentityCheck`. */
+export interface IdentityOptions {
+  readonly kind: IdentityKind;
+  /** IPv4 networks, such as `127.0.0.0/8`, whose callers `trusted` believes. */
+  readonly trustedCallers?: readonly string[];
+  /** HMAC key; needed for `signed`. */
+  readonly customerKey?: string;
+  /** Wall clock in Unix seconds. */
+  readonly nowUnixSeconds?: () => number;
+}
+
+/** Checks the identity that a request claims. */
+export interface IdentityCheck {
+  /** Whether callers at the address are trusted; the result holds for a whole connection. */
+  isTrustedAddress(address: string): boolean;
+  accepts(head: RequestHead, fromTrustedAddress: boolean): boolean;
+}
+
+const DEFAULT_TRUSTED_CALLERS = ["127.0.0.0/8"];
+const SIGNATURE = /^[0-9a-f]{64}$/i;
+const EXPIRES = /^\d{1,12}$/;
+
+/** Creates the check for the kind of identity that is set. */
+export function createIdentityCheck(options: IdentityOptions): IdentityCheck {
+  const trusted = new BlockList();
+  for (const network of options.trustedCallers ?? DEFAULT_TRUSTED_CALLERS) {
+    const [address, prefix] = network.split("/");
+    trusted.addSubnet(address!, Number(prefix ?? 32), "ipv4");
+  }
+  const now = options.nowUnixSeconds ?? (() => Date.now() / 1000);
+  const key = options.customerKey ?? "";
+  if (options.kind === "signed" && key === "") {
+    throw new Error("Expected a customer key for signed identities");
+  }
+  const accepts: Record<IdentityKind, IdentityCheck["accepts"]> = {
+    trusted: (_head, fromTrustedAddress) => fromTrustedAddress,
+    signed: ({ customer, expires, signature }) => {
+      if (expires === undefined || !EXPIRES.test(expires)) return false;
+      if (signature === undefined || !SIGNATURE.test(signature)) return false;
+      if (Number(expires) <= now()) return false;
+      const expected = createHmac("sha256", key)
+        .update(`${customer}\n${expires}`)
+        .digest();
+      return timingSafeEqual(expected, Buffer.from(signature, "hex"));
+    },
+  };
+  return {
+    isTrustedAddress: (address) => trusted.check(address, "ipv4"),
+    accepts: accepts[options.kind],
+  };
+}
--- /dev/null
+++ b/packages/proxy/src/ports.ts
@@ -0,0 +1,70 @@
+import type { Result } from "true-myth";
+import type { Outcome, Reason, Vm } from "@tanagercove/types";
+
+/** Result of one attempt as the choice of upstream sees it. */
+export type AttemptResult = "ok" | "failed" | "not_run";
+
+/** Observations of upstreams that the choice depends on. */
+export interface ObservationsPort {
+  begin(vmId: string): void;
+  end(
+    vmId: string,
+    attempt: { readonly result: AttemptResult; readonly latencyMs: number },
+  ): void;
+  reportLoad(vmId: string, load: number): void;
+}
+
+/** Options of a choice of upstream. */
+export interface ChooseUpstreamInput {
+  readonly candidates: readonly Vm[];
+  readonly ownZone: string;
+  readonly exclude: ReadonlySet<string>;
+  readonly nowMs: number;
+  readonly random: () => number;
+}
+
+/** Chooses an upstream and learns from the attempts. */
+export interface BalancingPort {
+  readonly observations: ObservationsPort;
+  choose(input: ChooseUpstreamInput): Vm | undefined;
+}
+
+/** Why admission refused a request. */
+export type AdmissionRefusal =
+  | "queue_full"
+  | "queue_timeout"
+  | "leaving"
+  | "deadline";
+
+/** Options of one admission. */
+export interface AdmitInput {
+  readonly idempotent: boolean;
+  /** Time left, in milliseconds. */
+  readonly deadlineMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Slots of the one upstream of this VM. */
+export interface AdmissionPort {
+  admit(
+    input: AdmitInput,
+  ): Promise<Result<{ release(): void }, AdmissionRefusal>>;
+  setLeaving(): void;
+  close(): Promise<void>;
+}
+
+/** What a retry decision depends on. */
+export interface RetryInput {
+  readonly outcome: Exclude<Outcome, "answered">;
+  readonly reason: Reason;
+  readonly idempotent: boolean;
+  /** Number of the attempt that ended, from 1. */
+  readonly attempt: number;
+  readonly timeLeftMs: number;
+}
+
+/** Decides on retries within a budget. */
+export interface RetriesPort {
+  recordFirstAttempt(): void;
+  decide(input: RetryInput): "retry" | "give_up";
+}
--- /dev/null
+++ b/packages/proxy/src/proxy.ts
@@ -0,0 +1,271 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerOptions,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
+import type { RoutingTable } from "@tanagercove/routing";
+import { createCallerHandler } from "./caller_handler.ts";
+import {
+  type ConnectionTracker,
+  trackConnections,
+} from "./connection_tracker.ts";
+import { ConnectionPools, PEER_MAX_HEADER_BYTES } from "./connections.ts";
+import { type Division, FORWARD_PREFIX } from "./divisions.ts";
+import { createForwardedHandler } from "./forwarded_handler.ts";
+import { createIdentityCheck, type IdentityOptions } from "./identity.ts";
+import {
+  createPlainAdmission,
+  createPlainBalancing,
+  createPlainRetries,
+} from "./plain_ports.ts";
+import type { AdmissionPort, BalancingPort, RetriesPort } from "./ports.ts";
+import {
+  type Percentiles,
+  RequestCounters,
+  type RequestCounts,
+} from "./request_counters.ts";
+import { createRequestIds } from "./request_ids.ts";
+import { type UpstreamHealth, watchUpstreamHealth } from "./upstream_health.ts";
+
+/** Options of `startProxy`. */
+export interface StartProxyOptions {
+  /** IP of this VM; also the source of the proxy's connections. */
+  readonly address: string;
+  /** Port for callers; 0 chooses one. */
+  readonly callerPort: number;
+  readonly zone: string;
+  /** Service of this VM's upstream. */
+  readonly service: string;
+  readonly upstream: { readonly address: string; readonly port: number };
+  /** The routing table in force, or undefined before the first version. */
+  readonly routingTable: () => RoutingTable | undefined;
+  /** Awaited before a request is routed; undefined or resolved unless the process was paused. */
+  readonly whenFresh?: () => Promise<void> | undefined;
+  /** Ids of VMs known to leave or suspected dead; they get no new work. */
+  readonly leavingVms?: () => ReadonlySet<string>;
+  /** Called when the upstream starts or stops reporting `draining`. */
+  readonly onUpstreamDraining?: (draining: boolean) => void;
+  readonly balancing?: BalancingPort;
+  readonly admission?: AdmissionPort;
+  readonly retries?: RetriesPort;
+  readonly division?: Division;
+  readonly identity?: IdentityOptions;
+  readonly defaultDeadlineMs?: number;
+  readonly maxBodyBytes?: number;
+  /** Time in which a request must be complete. */
+  readonly requestTimeoutMs?: number;
+  /** Hops of a call chain after which a request is refused. */
+  readonly maxDepth?: number;
+  /** Requests that run on the upstream at once, if `admission` is absent. */
+  readonly slots?: number;
+  /** Connections to an upstream, health polls included. */
+  readonly connections?: number;
+  readonly healthIntervalMs?: number;
+  readonly healthTimeoutMs?: number;
+}
+
+/** Figures of a proxy, as plain JSON. */
+export interface ProxyState {
+  readonly division: Division;
+  readonly leaving: boolean;
+  readonly upstream: UpstreamHealth | undefined;
+  readonly upstreamHealthFailures: number;
+  /** Requests received from callers. */
+  readonly callers: RequestCounts;
+  /** Requests received from other daemons. */
+  readonly forwarded: RequestCounts;
+  /** Time that the daemons add to callers' requests, besides the upstream's own. */
+  readonly addedTime: Percentiles;
+  /** Time that this daemon adds to forwarded requests, the wait for a slot included. */
+  readonly forwardedAddedTime: Percentiles;
+}
+
+/** Options of `Proxy.close`. */
+export interface CloseProxyOptions {
+  /** Time in which requests in flight may end; 30,000 by default. */
+  readonly drainTimeoutMs?: number;
+}
+
+/** A running request path. */
+export interface Proxy {
+  readonly callerPort: number;
+  /** Takes over connections and framing errors of the peer port's server; call it once. */
+  attachPeerServer(server: Server): void;
+  /** Handles a request on the peer port if it is a forwarded one; false if it is not. */
+  handleForwarded(request: IncomingMessage, response: ServerResponse): boolean;
+  /** Refuses new forwarded work from now on; callers are still served. */
+  setLeaving(): void;
+  state(): ProxyState;
+  /** Refuses new requests, lets those in flight end within the bound and releases everything. */
+  close(options?: CloseProxyOptions): Promise<void>;
+}
+
+const MAX_HEADER_BYTES = 16 * 1024;
+
+/** Above the idle time of the daemons' connections, so that the client closes first. */
+const PEER_KEEP_ALIVE_MS = 5_000;
+
+/** Share of the request timeout after which overdue requests are looked for. */
+const CHECKS_PER_TIMEOUT = 20;
+
+const NO_VMS: ReadonlySet<string> = new Set();
+
+/** Options of `node:http` for the server of the peer port. */
+export const PEER_SERVER_OPTIONS: ServerOptions = {
+  maxHeaderSize: PEER_MAX_HEADER_BYTES,
+  keepAliveTimeout: PEER_KEEP_ALIVE_MS,
+};
+
+/** Starts the request path of one daemon. */
+export async function startProxy(options: StartProxyOptions): Promise<Proxy> {
+  const division = options.division ?? "owner";
+  const connections = options.connections ?? 110;
+  const upstream = `${options.upstream.address}:${options.upstream.port}`;
+  const admission = options.admission ??
+    createPlainAdmission(options.slots ?? 10);
+  const callers = new RequestCounters();
+  const forwarded = new RequestCounters();
+  const peerPools = new ConnectionPools({ localAddress: options.address });
+  const upstreamPools = new ConnectionPools({
+    localAddress: options.address,
+    // One connection is left for health polls.
+    connections: Math.max(1, connections - 1),
+  });
+  let leaving = false;
+  let closing = false;
+  let health: UpstreamHealth | undefined;
+  let peerTracker: ConnectionTracker | undefined;
+
+  const identity = createIdentityCheck(options.identity ?? { kind: "trusted" });
+  const shared = {
+    defaultDeadlineMs: options.defaultDeadlineMs ?? 5_000,
+    maxBodyBytes: options.maxBodyBytes ?? 1_048_576,
+    routingTable: options.routingTable,
+    whenFresh: options.whenFresh ?? (() => undefined),
+    isClosing: () => closing,
+  };
+  const handleCaller = createCallerHandler({
+    ...shared,
+    division,
+    zone: options.zone,
+    maxDepth: options.maxDepth ?? 15,
+    identity,
+    leavingVms: options.leavingVms ?? (() => NO_VMS),
+    nextRequestId: createRequestIds(),
+    pools: division === "owner" ? peerPools : upstreamPools,
+    balancing: options.balancing ?? createPlainBalancing(),
+    retries: options.retries ?? createPlainRetries(),
+    counters: callers,
+  });
+  const handleForwarded = createForwardedHandler({
+    ...shared,
+    service: options.service,
+    upstream,
+    isLeaving: () => leaving || health?.state === "draining",
+    load: () => health?.load,
+    pools: upstreamPools,
+    admission,
+    counters: forwarded,
+  });
+  const trustBySocket = new WeakMap<Socket, boolean>();
+
+  function isTrusted(socket: Socket): boolean {
+    const known = trustBySocket.get(socket);
+    if (known !== undefined) return known;
+    const trusted = identity.isTrustedAddress(socket.remoteAddress ?? "");
+    trustBySocket.set(socket, trusted);
+    return trusted;
+  }
+
+  const requestTimeoutMs = options.requestTimeoutMs ?? 10_000;
+  const server = createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    requestTimeout: requestTimeoutMs,
+    headersTimeout: requestTimeoutMs,
+    connectionsCheckingInterval: Math.ceil(
+      requestTimeoutMs / CHECKS_PER_TIMEOUT,
+    ),
+    // The request handler refuses requests without Host with the usual body.
+    requireHostHeader: false,
+  }, (request, response) => {
+    const active = tracker.track(request, response);
+    void handleCaller(active, isTrusted(request.socket));
+  });
+  const tracker = trackConnections(server);
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(options.callerPort, options.address, resolve);
+  });
+  const watch = watchUpstreamHealth({
+    ...options.upstream,
+    localAddress: options.address,
+    intervalMs: options.healthIntervalMs ?? 500,
+    timeoutMs: options.healthTimeoutMs ?? 500,
+    onHealth(next) {
+      const drained = health?.state === "draining";
+      health = next;
+      const drains = next.state === "draining";
+      if (drains !== drained) options.onUpstreamDraining?.(drains);
+    },
+  });
+
+  return {
+    callerPort: (server.address() as AddressInfo).port,
+    attachPeerServer(peerServer) {
+      peerTracker = trackConnections(peerServer);
+    },
+    handleForwarded(request, response) {
+      if (!request.url!.startsWith(`${FORWARD_PREFIX}/`)) return false;
+      if (peerTracker === undefined) {
+        throw new Error("Expected attachPeerServer before forwarded requests");
+      }
+      void handleForwarded(peerTracker.track(request, response));
+      return true;
+    },
+    setLeaving() {
+      leaving = true;
+      admission.setLeaving();
+    },
+    state() {
+      return {
+        division,
+        leaving: leaving || health?.state === "draining",
+        upstream: health,
+        upstreamHealthFailures: watch.failures,
+        callers: callers.counts(),
+        forwarded: forwarded.counts(),
+        addedTime: callers.addedTime(),
+        forwardedAddedTime: forwarded.addedTime(),
+      };
+    },
+    async close({ drainTimeoutMs = 30_000 } = {}) {
+      leaving = true;
+      closing = true;
+      admission.setLeaving();
+      // Requests that have arrived already are read before idle connections close.
+      await nextTurn();
+      await nextTurn();
+      const closed = new Promise<void>((resolve) =>
+        server.close(() => resolve())
+      );
+      tracker.closeUnused();
+      await Promise.all([
+        tracker.whenIdle(drainTimeoutMs),
+        peerTracker?.whenIdle(drainTimeoutMs),
+      ]);
+      server.closeAllConnections();
+      peerTracker?.cutActive();
+      await closed;
+      await Promise.all([
+        watch.close(),
+        peerPools.close(),
+        upstreamPools.close(),
+        admission.close(),
+      ]);
+    },
+  };
+}
--- /dev/null
+++ b/packages/proxy/src/upstream_health.ts
@@ -0,0 +1,88 @@
+import { Client } from "undici";
+import { connectionOptionsFor } from "./connections.ts";
+import { Exchange } from "./exchange.ts";
+
+/** State that an upstream reports. */
+export type UpstreamState = "starting" | "ready" | "draining";
+
+/** Last answer of an upstream's health endpoint. */
+export interface UpstreamHealth {
+  readonly state: UpstreamState;
+  /** Share of the upstream's capacity in use. */
+  readonly load: number;
+}
+
+/** Options of `watchUpstreamHealth`. */
+export interface WatchUpstreamHealthOptions {
+  readonly address: string;
+  readonly port: number;
+  readonly localAddress: string;
+  readonly intervalMs: number;
+  readonly timeoutMs: number;
+  readonly onHealth: (health: UpstreamHealth) => void;
+}
+
+/** A running poll. */
+export interface UpstreamHealthWatch {
+  /** Polls without a valid answer. */
+  readonly failures: number;
+  close(): Promise<void>;
+}
+
+const STATES: ReadonlySet<string> = new Set(["starting", "ready", "draining"]);
+
+/**
+ * Polls an upstream's health. A failed poll changes nothing: health endpoints
+ * lag and mislead, and requests themselves show whether the upstream serves.
+ */
+export function watchUpstreamHealth(
+  options: WatchUpstreamHealthOptions,
+): UpstreamHealthWatch {
+  const client = new Client(
+    `http://${options.address}:${options.port}`,
+    connectionOptionsFor(options.localAddress),
+  );
+  let failures = 0;
+  let closed = false;
+  let timer: NodeJS.Timeout;
+
+  async function poll(): Promise<void> {
+    const { head, failure, chunks } = await new Exchange({
+      dispatcher: client,
+      method: "GET",
+      path: "/health",
+      headers: [],
+      body: undefined,
+      timeoutMs: options.timeoutMs,
+    }).ended;
+    if (closed) return;
+    const health = failure === undefined && head?.status === 200
+      ? parseHealth(Buffer.concat(chunks).toString())
+      : undefined;
+    if (health === undefined) failures += 1;
+    else options.onHealth(health);
+    timer = setTimeout(() => void poll(), options.intervalMs);
+  }
+  void poll();
+
+  return {
+    get failures() {
+      return failures;
+    },
+    async close() {
+      closed = true;
+      clearTimeout(timer);
+      await client.destroy();
+    },
+  };
+}
+
+function parseHealth(text: string): UpstreamHealth | undefined {
+  try {
+    const { state, load } = JSON.parse(text) as Partial<UpstreamHealth>;
+    if (state === undefined || !STATES.has(state)) return undefined;
+    return { state, load: Number.isFinite(load) ? load! : 0 };
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/routing/src/routing_table.ts
+++ b/packages/routing/src/routing_table.ts
@@ -6,7 +6,7 @@
   /** Revision of the lists. */
   readonly revision: number;
   readonly lists: Lists;
-  /** VMs by service; a service without a known VM is not in it. */
+  /** Live VMs by service; a service without a known VM is not in it, one whose VMs all leave has none. */
   readonly vmsByService: ReadonlyMap<string, readonly Vm[]>;
   /** Services that any plan names. */
   readonly services: ReadonlySet<string>;
@@ -40,9 +40,9 @@
   const vmsByService = new Map<string, Vm[]>();
   for (const vm of options.vms) {
     if (!services.has(vm.service)) continue;
-    const known = vmsByService.get(vm.service);
-    if (known === undefined) vmsByService.set(vm.service, [vm]);
-    else known.push(vm);
+    const known = vmsByService.get(vm.service) ?? [];
+    if (vm.state === "live") known.push(vm);
+    vmsByService.set(vm.service, known);
   }
   return {
     revision: options.revision,
@@ -58,17 +58,31 @@
   readonly service: string;
 }
 
-/** Finds the VMs that may serve a customer's request, or the reason why none may. */
-export function resolveRoute(
+/** Refusals that the lists alone lead to. */
+export type AllowanceRefusal = Exclude<RouteRefusal, "service_not_known">;
+
+/** Checks whether the lists allow a customer's request; undefined if they do. */
+export function checkAllowance(
   table: RoutingTable,
   { customer, service }: ResolveRouteOptions,
-): Result<readonly Vm[], RouteRefusal> {
+): AllowanceRefusal | undefined {
   const plan = table.lists.planByCustomer.get(customer);
-  if (plan === undefined) return Result.err("customer_unknown");
+  if (plan === undefined) return "customer_unknown";
   const allowed = table.lists.servicesByPlan.get(plan);
-  if (allowed === undefined) return Result.err("plan_without_allowance");
-  if (!table.services.has(service)) return Result.err("service_unknown");
-  if (!allowed.has(service)) return Result.err("service_not_allowed");
-  const vms = table.vmsByService.get(service);
+  if (allowed === undefined) return "plan_without_allowance";
+  if (allowed.has(service)) return undefined;
+  return table.services.has(service)
+    ? "service_not_allowed"
+    : "service_unknown";
+}
+
+/** Finds the VMs that may serve a customer's request, or the reason why none may. */
+export function resolveRoute(
+  table: RoutingTable,
+  request: ResolveRouteOptions,
+): Result<readonly Vm[], RouteRefusal> {
+  const refusal = checkAllowance(table, request);
+  if (refusal !== undefined) return Result.err(refusal);
+  const vms = table.vmsByService.get(request.service);
   return vms === undefined ? Result.err("service_not_known") : Result.ok(vms);
 }
