Test the request path with real sockets

Outcomes were checked by hand only. Scripted servers die at each step of an exchange as upstream, as owner daemon and as upstream called directly, and their record of what ran is compared with the outcome told. Bad input, checks, retries, cancellation and drain have tests too; an unknown method and garbage now get different reasons.

--- a/packages/proxy/src/connection_tracker.ts
+++ b/packages/proxy/src/connection_tracker.ts
@@ -27,10 +27,20 @@
   cutActive(): void;
 }
 
-const REASON_BY_CODE: Readonly<Record<string, Reason>> = {
-  HPE_HEADER_OVERFLOW: "headers_too_large",
-  HPE_INVALID_METHOD: "method_unknown",
-  ERR_HTTP_REQUEST_TIMEOUT: "request_timeout",
+/** Error of Node's parser. */
+interface FramingError extends NodeJS.ErrnoException {
+  readonly rawPacket?: Buffer;
+  /** Bytes of the packet before the error. */
+  readonly bytesParsed?: number;
+}
+
+const REASON_BY_CODE: Readonly<
+  Record<string, (error: FramingError) => Reason>
+> = {
+  HPE_HEADER_OVERFLOW: () => "headers_too_large",
+  HPE_INVALID_METHOD: (error) =>
+    isRequestLine(error) ? "method_unknown" : "bad_request",
+  ERR_HTTP_REQUEST_TIMEOUT: () => "request_timeout",
 };
 
 /** Time in which a refused sender may read the response before its connection closes. */
@@ -66,14 +76,14 @@
   }
 
   server.on("connection", activeOn);
-  server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+  server.on("clientError", (error: FramingError, socket: Socket) => {
     if (failed.has(socket)) return;
     failed.add(socket);
     if (!socket.writable || error.code === "ECONNRESET") {
       socket.destroy();
       return;
     }
-    const reason = REASON_BY_CODE[error.code ?? ""] ?? "bad_request";
+    const reason = REASON_BY_CODE[error.code ?? ""]?.(error) ?? "bad_request";
     const active = [...activeOn(socket)];
     const broken = active.find(({ request }) => !request.complete);
     if (broken !== undefined) {
@@ -125,6 +135,13 @@
   };
 }
 
+/** Whether the line in which the parser failed is a request line with another method. */
+function isRequestLine({ rawPacket, bytesParsed }: FramingError): boolean {
+  const text = rawPacket?.toString("latin1") ?? "";
+  const start = text.lastIndexOf("\n", bytesParsed) + 1;
+  return /^[A-Z-]+ \S+ HTTP\/1\.\d\r?\n/i.test(text.slice(start));
+}
+
 function writeRaw(socket: Socket, reason: Reason): void {
   if (!socket.writable) {
     socket.destroy();
--- /dev/null
+++ b/packages/proxy/src/drain_test.ts
@@ -0,0 +1,114 @@
+import { connect } from "node:net";
+import t from "tap";
+import { waitFor } from "@tanagercove/test_helpers";
+import {
+  ANSWER,
+  CALL,
+  send,
+  sendRaw,
+  startMesh,
+  startScriptedServer,
+} from "./mesh_fixture.ts";
+
+const GET = `GET / HTTP/1.1\r\n${CALL}\r\n`;
+
+// Guards against a shutdown that cuts requests in flight or waits for idle connections.
+t.test("should end idle connections at once and let requests in flight end", async (t) => {
+  let answer = () => {};
+  const upstream = await startScriptedServer("127.22.4.1", (socket, head) => {
+    if (!head.startsWith("GET /health ")) answer = () => socket.write(ANSWER);
+  });
+  const mesh = await startMesh({ net: "22.4", upstreamPorts: [upstream.port] });
+  const unused = connect(mesh.port, mesh.host);
+  const inFlight = sendRaw(mesh, GET);
+  await waitFor(() => upstream.ran.length === 1);
+  const unusedClosed = new Promise((resolve) => unused.once("close", resolve));
+  let closed = false;
+  const closing = Promise.all([
+    mesh.caller.close({ drainTimeoutMs: 10_000 }),
+    mesh.owners[0]!.close({ drainTimeoutMs: 10_000 }),
+  ]).then(() => closed = true);
+  await unusedClosed;
+  t.equal(closed, false);
+  answer();
+  const { status, text, body } = await inFlight;
+  t.equal(status, 200);
+  t.equal(body, "ok");
+  t.match(text, /connection: close/i);
+  await closing;
+  await upstream.close();
+  await mesh.close();
+});
+
+t.test("should cut what is still in flight after the bound", async (t) => {
+  const upstream = await startScriptedServer("127.22.4.1", () => {});
+  const mesh = await startMesh({ net: "22.4", upstreamPorts: [upstream.port] });
+  const inFlight = sendRaw(mesh, GET);
+  await waitFor(() => upstream.ran.length === 1);
+  await mesh.caller.close({ drainTimeoutMs: 50 });
+  t.equal((await inFlight).text, "");
+  await mesh.close();
+  await upstream.close();
+});
+
+// Guards against use of connections that may be dead, and against more connections than allowed.
+t.test("should keep connections idle for 1,000 ms at most and open no more than allowed", async (t) => {
+  const upstream = await startScriptedServer("127.22.4.1", (socket, head) => {
+    if (head.startsWith("GET /health ")) return;
+    setTimeout(() => socket.write(ANSWER), 20);
+  });
+  const mesh = await startMesh({
+    net: "22.4",
+    upstreamPorts: [upstream.port],
+    proxy: { connections: 4, slots: 20 },
+  });
+  let mostSockets = 0;
+  const watch = setInterval(
+    () => mostSockets = Math.max(mostSockets, upstream.sockets.size),
+    1,
+  );
+  const results = await Promise.all(
+    Array.from({ length: 20 }, () => send(mesh)),
+  );
+  clearInterval(watch);
+  t.ok(results.every(({ status }) => status === 200));
+  t.ok(mostSockets <= 4, `${mostSockets} connections`);
+  const endedAtMs = performance.now();
+  for (const socket of upstream.sockets) {
+    t.equal(socket.remoteAddress, mesh.vms[0]!.address);
+  }
+  await waitFor(() => upstream.sockets.size <= 1);
+  t.ok(performance.now() - endedAtMs < 1_500);
+  await mesh.close();
+  await upstream.close();
+});
+
+// Guards against memory that grows with the answer, and against an end of the process by a paused connection.
+t.test("should pass a long answer to a slow caller whole, with and without keep-alive", async (t) => {
+  const size = 3 * 1024 * 1024;
+  for (const connection of ["keep-alive", "close"]) {
+    const upstream = await startScriptedServer("127.22.4.1", (socket, head) => {
+      if (head.startsWith("GET /health ")) return;
+      const fields = `connection: ${connection}\r\ncontent-length: ${size}`;
+      socket.write(`HTTP/1.1 200 OK\r\n${fields}\r\n\r\n${"x".repeat(size)}`);
+      if (connection === "close") socket.end();
+    });
+    const mesh = await startMesh({
+      net: "22.4",
+      upstreamPorts: [upstream.port],
+    });
+    const socket = connect(mesh.port, mesh.host);
+    let received = 0;
+    socket.on("data", (chunk) => {
+      received += chunk.length;
+      socket.pause();
+      setTimeout(() => socket.resume(), 1);
+    });
+    socket.write(GET);
+    await waitFor(() => received > size, { timeoutMs: 20_000 });
+    socket.destroy();
+    t.equal(mesh.caller.state().callers.brokenOff, 0);
+    await mesh.close();
+    await upstream.close();
+  }
+});
--- /dev/null
+++ b/packages/proxy/src/outcomes_test.ts
@@ -0,0 +1,256 @@
+import { connect } from "node:net";
+import fc from "fast-check";
+import t from "tap";
+import { waitFor } from "@tanagercove/test_helpers";
+import { classifyExchange } from "./classify_exchange.ts";
+import { readAnswerHead } from "./answer_head.ts";
+import {
+  ANSWER,
+  CALL,
+  type Script,
+  type ScriptedServer,
+  send,
+  startMesh,
+  type StartMeshOptions,
+  startScriptedServer,
+} from "./mesh_fixture.ts";
+
+const SEED = 20_261_204;
+const UPSTREAM_ADDRESS = "127.22.1.1";
+const LONG_BYTES = 400 * 1024;
+
+const HEAD = "HTTP/1.1 200 OK\r\ntanagercove-outcome: answered\r\n";
+
+/** What a server does at the step of an exchange at which it dies. */
+const DEATHS: Readonly<Record<string, Script | undefined>> = {
+  "after accept": undefined,
+  "after headers read": (socket) => socket.resetAndDestroy(),
+  "after headers read, with FIN": (socket) => socket.destroy(),
+  "within the answer's head": (socket) => socket.end(HEAD),
+  "after the answer's head": (socket) =>
+    socket.end(`${HEAD}content-length: 9\r\n\r\n`),
+  "in the body": (socket) => socket.end(`${HEAD}content-length: 9\r\n\r\nhalf`),
+  "in a chunked body": (socket) =>
+    socket.end(`${HEAD}transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n`),
+  "in a chunked body announced as last": (socket) =>
+    socket.end(
+      `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n`,
+    ),
+  "in a body announced as last": (socket) =>
+    socket.end(`${HEAD}connection: close\r\ncontent-length: 9\r\n\r\nhalf`),
+  "in a body without length": (socket) =>
+    socket.end(`${HEAD}connection: close\r\n\r\nhalf`),
+};
+
+/** Where the server that dies stands. */
+const PLACES: Readonly<
+  Record<string, (server: ScriptedServer) => Partial<StartMeshOptions>>
+> = {
+  "upstream behind its owner daemon": ({ port }) => ({ upstreamPorts: [port] }),
+  "owner daemon": ({ port }) => ({ upstreamPorts: [9], peerPorts: [port] }),
+  "upstream called directly": ({ port }) => ({
+    upstreamPorts: [port],
+    proxy: { division: "direct" },
+  }),
+};
+
+for (const [place, optionsFor] of Object.entries(PLACES)) {
+  // Guards against telling "not run" of a request that ran, and against truncated answers that look whole.
+  t.test(`should tell what is certain when the ${place} dies at any step`, async (t) => {
+    for (const [step, script] of Object.entries(DEATHS)) {
+      const server = await startScriptedServer(UPSTREAM_ADDRESS, script);
+      const mesh = await startMesh({
+        net: "22.1",
+        upstreamPorts: [],
+        ...optionsFor(server),
+      });
+      const post = await send(mesh, "POST", "content-length: 0\r\n");
+      const id = /request-id: (\S+)/.exec(post.text)?.[1];
+      t.equal(post.outcome, "unknown", `${step}: POST`);
+      t.equal(
+        server.ran.filter((ran) => ran === id).length,
+        script === undefined ? 0 : 1,
+        `${step}: POST is sent once`,
+      );
+      const get = await send(mesh, "GET");
+      t.equal(get.outcome, "unknown", `${step}: GET`);
+      t.equal(get.status, 502, step);
+      await mesh.close();
+      await server.close();
+    }
+  });
+
+  t.test(`should report connect_failed when the ${place} accepts no connection`, async (t) => {
+    const server = await startScriptedServer(UPSTREAM_ADDRESS, undefined);
+    await server.close();
+    const mesh = await startMesh({
+      net: "22.1",
+      upstreamPorts: [],
+      ...optionsFor(server),
+    });
+    const { outcome, reason } = await send(mesh, "POST");
+    t.same({ outcome, reason }, {
+      outcome: "not_run",
+      reason: "connect_failed",
+    });
+    await mesh.close();
+  });
+
+  // Guards against a truncated long answer that ends like a whole one.
+  t.test(`should break the caller's connection when the ${place} truncates a long answer`, async (t) => {
+    for (
+      const framing of ["content-length: 900000", "transfer-encoding: chunked"]
+    ) {
+      const part = "x".repeat(LONG_BYTES);
+      const body = framing.startsWith("content")
+        ? part
+        : `${LONG_BYTES.toString(16)}\r\n${part}\r\n`;
+      const server = await startScriptedServer(
+        UPSTREAM_ADDRESS,
+        (socket) => socket.end(`${HEAD}${framing}\r\n\r\n${body}`),
+      );
+      const mesh = await startMesh({
+        net: "22.1",
+        upstreamPorts: [],
+        ...optionsFor(server),
+      });
+      const { text } = await send(mesh, "POST");
+      t.notMatch(text, /0\r\n\r\n$/);
+      t.ok(text.length < 900_000);
+      t.equal(mesh.caller.state().callers.brokenOff, 1);
+      await mesh.close();
+      await server.close();
+    }
+  });
+}
+
+// Guards against a later refusal that hides an earlier attempt that ran.
+t.test("should report unknown when a retry is refused after an attempt that ran", async (t) => {
+  const dying = await startScriptedServer(
+    UPSTREAM_ADDRESS,
+    (socket) => socket.destroy(),
+  );
+  const mesh = await startMesh({
+    net: "22.1",
+    upstreamPorts: [dying.port, 9],
+    proxy: {
+      balancing: {
+        observations: { begin() {}, end() {}, reportLoad() {} },
+        choose: ({ candidates, exclude }) =>
+          candidates[exclude.size === 0 && dying.ran.length === 0 ? 0 : 1],
+      },
+    },
+  });
+  const { outcome, reason } = await send(mesh, "GET");
+  t.equal(dying.ran.length, 1);
+  t.same({ outcome, reason }, { outcome: "unknown", reason: "cut" });
+  t.ok(mesh.caller.state().callers.retries >= 1);
+  await mesh.close();
+  await dying.close();
+});
+
+t.test("should retry elsewhere what certainly did not run, and only that, for a POST", async (t) => {
+  const shedding = await startScriptedServer(
+    UPSTREAM_ADDRESS,
+    (socket) =>
+      socket.write(
+        "HTTP/1.1 503 Busy\r\ntanagercove-not-started: true\r\ncontent-length: 0\r\n\r\n",
+      ),
+  );
+  const healthy = await startScriptedServer(
+    UPSTREAM_ADDRESS,
+    (socket) => socket.write(ANSWER),
+  );
+  for (const division of ["owner", "direct"] as const) {
+    const mesh = await startMesh({
+      net: "22.1",
+      upstreamPorts: [shedding.port, healthy.port, 9],
+      proxy: { division },
+    });
+    for (let i = 0; i < 20; i += 1) {
+      const { status, body } = await send(mesh, "POST");
+      t.same({ status, body }, { status: 200, body: "ok" });
+    }
+    await mesh.close();
+  }
+  t.equal(new Set(healthy.ran).size, 40);
+  t.equal(healthy.ran.length, 40);
+  await shedding.close();
+  await healthy.close();
+});
+
+t.test("should pass on an application's 503 as answered", async (t) => {
+  const server = await startScriptedServer(
+    UPSTREAM_ADDRESS,
+    (socket) =>
+      socket.write("HTTP/1.1 503 Down\r\ncontent-length: 4\r\n\r\ndown"),
+  );
+  const mesh = await startMesh({ net: "22.1", upstreamPorts: [server.port] });
+  const { status, outcome, body } = await send(mesh);
+  t.same({ status, outcome, body }, {
+    status: 503,
+    outcome: "answered",
+    body: "down",
+  });
+  t.equal(server.ran.length, 1);
+  await mesh.close();
+  await server.close();
+});
+
+// Guards against an upstream that keeps working for a caller that is gone, and against miscounting it as not run.
+t.test("should cancel on both hops when the caller goes away", async (t) => {
+  const server = await startScriptedServer(UPSTREAM_ADDRESS, () => {});
+  const mesh = await startMesh({ net: "22.1", upstreamPorts: [server.port] });
+  const socket = connect(mesh.port, mesh.host);
+  socket.write(`POST / HTTP/1.1\r\n${CALL}content-length: 1\r\n\r\nx`);
+  await waitFor(() => server.ran.length === 1);
+  socket.destroy();
+  await waitFor(() => mesh.owners[0]!.state().forwarded.cancelled.sent === 1);
+  const { callers } = mesh.caller.state();
+  t.equal(callers.cancelled.sent, 1);
+  t.equal(callers.outcomes.not_run, 0);
+  t.equal(mesh.owners[0]!.state().forwarded.outcomes.not_run, 0);
+  await mesh.close();
+  await server.close();
+});
+
+t.test("should report the deadline as unknown once sent and as not run before", async (t) => {
+  const server = await startScriptedServer(UPSTREAM_ADDRESS, () => {});
+  const mesh = await startMesh({ net: "22.1", upstreamPorts: [server.port] });
+  const sent = await send(mesh, "POST", "tanagercove-deadline-ms: 80\r\n");
+  t.same([sent.status, sent.outcome, sent.reason], [
+    504,
+    "unknown",
+    "deadline",
+  ]);
+  const unsent = await send(mesh, "POST", "tanagercove-deadline-ms: 0\r\n");
+  t.same([unsent.status, unsent.outcome], [504, "not_run"]);
+  t.equal(server.ran.length, 1);
+  await mesh.close();
+  await server.close();
+});
+
+t.test("should never call a begun exchange without a complete head not run", (t) => {
+  console.log(`seed ${SEED}`);
+  const failures = ["connection", "deadline", "cancelled", undefined] as const;
+  fc.assert(
+    fc.property(
+      fc.constantFrom(...failures),
+      fc.constantFrom("peer" as const, "upstream" as const),
+      (failure, hop) =>
+        classifyExchange({ hop, failure, requestBegan: true, head: undefined })
+          .outcome === "unknown",
+    ),
+    { seed: SEED },
+  );
+  const head = readAnswerHead({
+    method: "GET",
+    status: 200,
+    rawHeaders: ["tanagercove-not-started", "true", "content-length", "0"]
+      .map((text) => Buffer.from(text)),
+  });
+  const end = { failure: undefined, requestBegan: true, head };
+  t.equal(classifyExchange({ hop: "upstream", ...end }).outcome, "answered");
+  t.equal(classifyExchange({ hop: "peer", ...end }).outcome, "unknown");
+  t.end();
+});
