Connect the request path to the settings

The limits of the request path were constants. They are now options with defaults and come from the keys of [requests], [upstream] and [daemon].

--- a/packages/daemon/src/request_path.ts
+++ b/packages/daemon/src/request_path.ts
@@ -34,14 +34,31 @@
 export async function startRequestPath(
   { settings, handleRpc, ...ports }: StartRequestPathOptions,
 ): Promise<RequestPath> {
-  const { daemon, upstream } = settings;
+  const { daemon, requests, upstream } = settings;
   const proxy = await startProxy({
     ...ports,
     address: daemon.address,
+    callerAddress: daemon.callerAddress,
     callerPort: daemon.callerPort,
     zone: daemon.zone,
     service: daemon.service,
     upstream,
+    identity: {
+      kind: requests.identity,
+      trustedCallers: requests.trustedCallers,
+      customerKey: requests.customerKey,
+    },
+    division: requests.division,
+    defaultDeadlineMs: requests.defaultDeadlineMs,
+    maxBodyBytes: requests.maxBodyBytes,
+    bufferBytes: requests.bufferBytes,
+    requestTimeoutMs: requests.requestTimeoutMs,
+    maxDepth: requests.maxDepth,
+    slots: upstream.slots,
+    connections: upstream.connections,
+    idleConnectionMs: upstream.idleConnectionMs,
+    healthIntervalMs: upstream.healthIntervalMs,
+    healthTimeoutMs: upstream.healthTimeoutMs,
   });
   const server = createServer(PEER_SERVER_OPTIONS, (request, response) => {
     if (proxy.handleForwarded(request, response)) return;
--- a/packages/proxy/src/caller_handler.ts
+++ b/packages/proxy/src/caller_handler.ts
@@ -19,6 +19,7 @@
   readonly zone: string;
   readonly defaultDeadlineMs: number;
   readonly maxBodyBytes: number;
+  readonly bufferBytes: number;
   readonly maxDepth: number;
   readonly identity: IdentityCheck;
   readonly routingTable: () => RoutingTable | undefined;
@@ -226,6 +227,7 @@
       headers: division.headers({ ...request, revision, timeLeftMs }),
       body: request.body,
       timeoutMs: timeLeftMs + division.deadlineGraceMs,
+      bufferBytes: options.bufferBytes,
     });
     active.onCancel = () => exchange.abort("cancelled");
     const end = await exchange.ended;
--- a/packages/proxy/src/connections.ts
+++ b/packages/proxy/src/connections.ts
@@ -1,8 +1,5 @@
 import { type Client, type Dispatcher, Pool } from "undici";
 
-/** Idle time after which a connection may be dead without any sign. */
-const MAX_IDLE_MS = 1_000;
-
 /** Subtracted from a server's Keep-Alive hint, so that this side closes first. */
 const KEEP_ALIVE_MARGIN_MS = 500;
 
@@ -14,10 +11,16 @@
 /** Pools unused for this time are closed, since VMs come and go. */
 const POOL_UNUSED_MS = 60_000;
 
-/** Options of `ConnectionPools`. */
-export interface ConnectionPoolsOptions {
+/** How connections are opened and kept. */
+export interface ConnectionOptions {
   /** Own address, from which connections are opened. */
   readonly localAddress: string;
+  /** Idle time after which a connection is closed, since it may be dead without any sign. */
+  readonly maxIdleMs: number;
+}
+
+/** Options of `ConnectionPools`. */
+export interface ConnectionPoolsOptions extends ConnectionOptions {
   /** Connections to one destination; unlimited by default. */
   readonly connections?: number;
 }
@@ -28,13 +31,14 @@
 }
 
 /** Options of undici for connections between daemons and to upstreams. */
-export function connectionOptionsFor(
-  localAddress: string,
+export function clientOptions(
+  { localAddress, maxIdleMs }: ConnectionOptions,
 ): Client.Options {
+  const keepAliveMs = Math.max(1, maxIdleMs);
   return {
     localAddress,
-    keepAliveTimeout: MAX_IDLE_MS,
-    keepAliveMaxTimeout: MAX_IDLE_MS,
+    keepAliveTimeout: keepAliveMs,
+    keepAliveMaxTimeout: keepAliveMs,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
     connectTimeout: CONNECT_TIMEOUT_MS,
     maxHeaderSize: PEER_MAX_HEADER_BYTES,
@@ -74,7 +78,7 @@
   #open(destination: string): PoolEntry {
     const entry = {
       pool: new Pool(`http://${destination}`, {
-        ...connectionOptionsFor(this.#options.localAddress),
+        ...clientOptions(this.#options),
         connections: this.#options.connections ?? null,
       }),
       usedAtMs: 0,
--- a/packages/proxy/src/exchange.ts
+++ b/packages/proxy/src/exchange.ts
@@ -4,9 +4,6 @@
 import { type AnswerHead, readAnswerHead } from "./answer_head.ts";
 import type { ExchangeFailure } from "./classify_exchange.ts";
 
-/** Answers up to this size are complete before their first byte is passed on. */
-export const BUFFERED_ANSWER_BYTES = 256 * 1024;
-
 /** Bytes held for a slow receiver where the connection cannot be paused. */
 const MAX_UNPAUSED_BYTES = 16 * 1024 * 1024;
 
@@ -19,6 +16,8 @@
   readonly headers: string[];
   readonly body: Buffer | undefined;
   readonly timeoutMs: number;
+  /** Answers up to this size are complete before their first byte is passed on. */
+  readonly bufferBytes: number;
 }
 
 /** How an exchange ended, or that its long answer has begun. */
@@ -39,6 +38,7 @@
   /** Resolves once, as soon as the whole answer, its long beginning or a failure is known. */
   readonly ended: Promise<ExchangeEnd>;
   readonly #method: string;
+  readonly #bufferBytes: number;
   readonly #startedMs = performance.now();
   readonly #timer: NodeJS.Timeout;
   #resolveEnded!: (end: ExchangeEnd) => void;
@@ -56,6 +56,7 @@
 
   constructor(options: ExchangeOptions) {
     this.#method = options.method;
+    this.#bufferBytes = options.bufferBytes;
     this.ended = new Promise((resolve) => this.#resolveEnded = resolve);
     this.#timer = setTimeout(
       () => this.abort("deadline"),
@@ -105,7 +106,7 @@
     if (this.#sink !== undefined) return this.#passOn(chunk);
     this.#chunks.push(chunk);
     this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes > BUFFERED_ANSWER_BYTES) this.#settle();
+    if (this.#bufferedBytes > this.#bufferBytes) this.#settle();
     return true;
   }
 
--- a/packages/proxy/src/forwarded_handler.ts
+++ b/packages/proxy/src/forwarded_handler.ts
@@ -21,6 +21,7 @@
   readonly upstream: string;
   readonly defaultDeadlineMs: number;
   readonly maxBodyBytes: number;
+  readonly bufferBytes: number;
   readonly routingTable: () => RoutingTable | undefined;
   readonly whenFresh: () => Promise<void> | undefined;
   readonly isLeaving: () => boolean;
@@ -131,6 +132,7 @@
       }),
       body: request.body,
       timeoutMs: timeLeftMs,
+      bufferBytes: options.bufferBytes,
     });
     active.onCancel = () => exchange.abort("cancelled");
     const end = await exchange.ended;
--- a/packages/proxy/src/identity.ts
+++ b/packages/proxy/src/identity.ts
@@ -1,15 +1,21 @@
 import { createHmac, timingSafeEqual } from "node:crypto";
-import { BlockList } from "node:net";
+import { BlockList, isIPv6 } from "node:net";
 import type { RequestHead } from "./request_head.ts";
 
 /** How a customer's identity is proved. */
 export type IdentityKind = "trusted" | "signed";
 
+/** A block of IP addresses. */
+export interface AddressRange {
+  readonly address: string;
+  readonly prefixBits: number;
+}
+
 /** Options of `createIdentityCheck`. */
 export interface IdentityOptions {
   readonly kind: IdentityKind;
-  /** IPv4 networks, such as `127.0.0.0/8`, whose callers `trusted` believes. */
-  readonly trustedCallers?: readonly string[];
+  /** Networks whose callers `trusted` believes; 127.0.0.0/8 by default. */
+  readonly trustedCallers?: readonly AddressRange[];
   /** HMAC key; needed for `signed`. */
   readonly customerKey?: string;
   /** Wall clock in Unix seconds. */
@@ -23,16 +29,18 @@
   accepts(head: RequestHead, fromTrustedAddress: boolean): boolean;
 }
 
-const DEFAULT_TRUSTED_CALLERS = ["127.0.0.0/8"];
+const DEFAULT_TRUSTED_CALLERS: readonly AddressRange[] = [
+  { address: "127.0.0.0", prefixBits: 8 },
+];
 const SIGNATURE = /^[0-9a-f]{64}$/i;
 const EXPIRES = /^\d{1,12}$/;
 
 /** Creates the check for the kind of identity that is set. */
 export function createIdentityCheck(options: IdentityOptions): IdentityCheck {
   const trusted = new BlockList();
-  for (const network of options.trustedCallers ?? DEFAULT_TRUSTED_CALLERS) {
-    const [address, prefix] = network.split("/");
-    trusted.addSubnet(address!, Number(prefix ?? 32), "ipv4");
+  const ranges = options.trustedCallers ?? DEFAULT_TRUSTED_CALLERS;
+  for (const { address, prefixBits } of ranges) {
+    trusted.addSubnet(address, prefixBits, familyOf(address));
   }
   const now = options.nowUnixSeconds ?? (() => Date.now() / 1000);
   const key = options.customerKey ?? "";
@@ -52,7 +60,11 @@
     },
   };
   return {
-    isTrustedAddress: (address) => trusted.check(address, "ipv4"),
+    isTrustedAddress: (address) => trusted.check(address, familyOf(address)),
     accepts: accepts[options.kind],
   };
 }
+
+function familyOf(address: string): "ipv4" | "ipv6" {
+  return isIPv6(address) ? "ipv6" : "ipv4";
+}
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,6 +1,10 @@
 export * from "./classify_exchange.ts";
 export type { Division } from "./divisions.ts";
-export type { IdentityKind, IdentityOptions } from "./identity.ts";
+export type {
+  AddressRange,
+  IdentityKind,
+  IdentityOptions,
+} from "./identity.ts";
 export * from "./ports.ts";
 export * from "./proxy.ts";
 export * from "./refusals.ts";
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -13,7 +13,11 @@
   type ConnectionTracker,
   trackConnections,
 } from "./connection_tracker.ts";
-import { ConnectionPools, PEER_MAX_HEADER_BYTES } from "./connections.ts";
+import {
+  type ConnectionOptions,
+  ConnectionPools,
+  PEER_MAX_HEADER_BYTES,
+} from "./connections.ts";
 import { type Division, FORWARD_PREFIX } from "./divisions.ts";
 import { createForwardedHandler } from "./forwarded_handler.ts";
 import { createIdentityCheck, type IdentityOptions } from "./identity.ts";
@@ -35,6 +39,8 @@
 export interface StartProxyOptions {
   /** IP of this VM; also the source of the proxy's connections. */
   readonly address: string;
+  /** Address for callers; `address` by default. */
+  readonly callerAddress?: string;
   /** Port for callers; 0 chooses one. */
   readonly callerPort: number;
   readonly zone: string;
@@ -56,6 +62,8 @@
   readonly identity?: IdentityOptions;
   readonly defaultDeadlineMs?: number;
   readonly maxBodyBytes?: number;
+  /** Answers up to this size are complete before their first byte is passed on. */
+  readonly bufferBytes?: number;
   /** Time in which a request must be complete. */
   readonly requestTimeoutMs?: number;
   /** Hops of a call chain after which a request is refused. */
@@ -64,6 +72,7 @@
   readonly slots?: number;
   /** Connections to an upstream, health polls included. */
   readonly connections?: number;
+  readonly idleConnectionMs?: number;
   readonly healthIntervalMs?: number;
   readonly healthTimeoutMs?: number;
 }
@@ -129,9 +138,13 @@
     createPlainAdmission(options.slots ?? 10);
   const callers = new RequestCounters();
   const forwarded = new RequestCounters();
-  const peerPools = new ConnectionPools({ localAddress: options.address });
-  const upstreamPools = new ConnectionPools({
+  const connection: ConnectionOptions = {
     localAddress: options.address,
+    maxIdleMs: options.idleConnectionMs ?? 1_000,
+  };
+  const peerPools = new ConnectionPools(connection);
+  const upstreamPools = new ConnectionPools({
+    ...connection,
     // One connection is left for health polls.
     connections: Math.max(1, connections - 1),
   });
@@ -144,6 +157,7 @@
   const shared = {
     defaultDeadlineMs: options.defaultDeadlineMs ?? 5_000,
     maxBodyBytes: options.maxBodyBytes ?? 1_048_576,
+    bufferBytes: options.bufferBytes ?? 262_144,
     routingTable: options.routingTable,
     whenFresh: options.whenFresh ?? (() => undefined),
     isClosing: () => closing,
@@ -198,12 +212,16 @@
   const tracker = trackConnections(server);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
-    server.listen(options.callerPort, options.address, resolve);
+    server.listen(
+      options.callerPort,
+      options.callerAddress ?? options.address,
+      resolve,
+    );
   });
   const watch = watchUpstreamHealth({
     ...options.upstream,
-    localAddress: options.address,
-    intervalMs: options.healthIntervalMs ?? 500,
+    connection,
+    intervalMs: options.healthIntervalMs ?? 1_000,
     timeoutMs: options.healthTimeoutMs ?? 500,
     onHealth(next) {
       const drained = health?.state === "draining";
--- a/packages/proxy/src/refusals_test.ts
+++ b/packages/proxy/src/refusals_test.ts
@@ -100,7 +100,10 @@
 
 t.test("should believe only trusted addresses", async (t) => {
   const mesh = await startWith({
-    identity: { kind: "trusted", trustedCallers: ["10.0.0.0/8"] },
+    identity: {
+      kind: "trusted",
+      trustedCallers: [{ address: "10.0.0.0", prefixBits: 8 }],
+    },
   });
   const response = await call(mesh, { "tanagercove-customer": "perth" });
   t.equal(summary(response), "401 not_run identity_refused");
--- a/packages/proxy/src/upstream_health.ts
+++ b/packages/proxy/src/upstream_health.ts
@@ -1,5 +1,5 @@
 import { Client } from "undici";
-import { connectionOptionsFor } from "./connections.ts";
+import { clientOptions, type ConnectionOptions } from "./connections.ts";
 import { Exchange } from "./exchange.ts";
 
 /** State that an upstream reports. */
@@ -16,7 +16,7 @@
 export interface WatchUpstreamHealthOptions {
   readonly address: string;
   readonly port: number;
-  readonly localAddress: string;
+  readonly connection: ConnectionOptions;
   readonly intervalMs: number;
   readonly timeoutMs: number;
   readonly onHealth: (health: UpstreamHealth) => void;
@@ -29,6 +29,9 @@
   close(): Promise<void>;
 }
 
+/** Health answers are small; a longer one is not read. */
+const MAX_HEALTH_BYTES = 16 * 1024;
+
 const STATES: ReadonlySet<string> = new Set(["starting", "ready", "draining"]);
 
 /**
@@ -40,21 +43,24 @@
 ): UpstreamHealthWatch {
   const client = new Client(
     `http://${options.address}:${options.port}`,
-    connectionOptionsFor(options.localAddress),
+    clientOptions(options.connection),
   );
   let failures = 0;
   let closed = false;
   let timer: NodeJS.Timeout;
 
   async function poll(): Promise<void> {
-    const { head, failure, chunks } = await new Exchange({
+    const exchange = new Exchange({
       dispatcher: client,
       method: "GET",
       path: "/health",
       headers: [],
       body: undefined,
       timeoutMs: options.timeoutMs,
-    }).ended;
+      bufferBytes: MAX_HEALTH_BYTES,
+    });
+    const { head, failure, chunks, continues } = await exchange.ended;
+    if (continues) exchange.abort("cancelled");
     if (closed) return;
     const health = failure === undefined && head?.status === 200
       ? parseHealth(Buffer.concat(chunks).toString())
