Merge the request path and its decisions into the daemon

Cause: proxy, balancing, admission and retries were built apart behind ports. Change: request_decisions.ts connects them; a cancelled exchange is no evidence about its upstream; slow_start_ms reaches the choice of upstream.

--- a/packages/balancing/src/choose_upstream.ts
+++ b/packages/balancing/src/choose_upstream.ts
@@ -22,6 +22,8 @@
   readonly random: () => number;
   /** Own requests in flight at which an upstream counts as saturated. */
   readonly saturatedInFlight?: number;
+  /** Time over which a started upstream reaches its full share. */
+  readonly slowStartMs?: number;
 }
 
 /**
@@ -78,12 +80,13 @@
  */
 function takingPart(
   group: readonly Vm[],
-  { observations, nowMs, random }: ChooseUpstreamOptions,
+  { observations, nowMs, random, slowStartMs }: ChooseUpstreamOptions,
 ): readonly Vm[] {
   const shares = group.map((vm) =>
     slowStartShare({
       startedMs: startOf(observations.get(vm.id), nowMs),
       nowMs,
+      slowStartMs,
     })
   );
   const largest = Math.max(...shares);
--- a/packages/balancing/src/upstream_observations.ts
+++ b/packages/balancing/src/upstream_observations.ts
@@ -8,11 +8,12 @@
  *
  * - `ok`: it answered, whatever the status.
  * - `failed`: no connection, a broken connection, a truncated response or silence.
+ * - `cancelled`: the caller went away first, which says nothing about the upstream.
  * - `not_run`: it is alive and refused (`queue_full`, `queue_timeout`, `shed`, `leaving`, `starting`).
  *
  * A refused connection is `failed` although the request's outcome is `not_run`.
  */
-export type UpstreamResult = "ok" | "failed" | "not_run";
+export type UpstreamResult = "ok" | "failed" | "not_run" | "cancelled";
 
 /** The end of a request to an upstream. */
 export interface UpstreamEnd {
@@ -139,6 +140,7 @@
 > = {
   ok: recordAnswer,
   failed: recordFailure,
+  cancelled: () => {},
   // A refusal shows that the upstream is alive but not that it can serve, so
   // it neither adds to the failures nor clears them.
   not_run: (state, { nowMs }) => {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -9,7 +9,6 @@
 import { logEvent, type Logger } from "@tanagercove/logs";
 import { Metrics } from "@tanagercove/metrics";
 import { createHttpPlatform } from "@tanagercove/platform";
-import { startProxyServer } from "@tanagercove/proxy";
 import { computeRoutingTable, type RoutingTable } from "@tanagercove/routing";
 import type { Settings } from "@tanagercove/settings";
 import type { ListProblem, Lists, Vm } from "@tanagercove/types";
@@ -17,6 +16,8 @@
 import type { DaemonState, DaemonSummary } from "./daemon_summary.ts";
 import { gatherFleetStatus } from "./fleet_status.ts";
 import { startOperatorsServer } from "./operators_server.ts";
+import { createRequestDecisions } from "./request_decisions.ts";
+import { type RequestPath, startRequestPath } from "./request_path.ts";
 
 /** Options of `startDaemon`. */
 export interface StartDaemonOptions {
@@ -48,6 +49,8 @@
   let table: RoutingTable | undefined;
   let lists: Lists | undefined;
   let vms: readonly Vm[] = [];
+  let requestPath: RequestPath | undefined = undefined;
+  const decisions = createRequestDecisions(settings);
 
   const recompute = () => {
     const revision = listsStore.held?.revision;
@@ -70,6 +73,7 @@
     validate: ({ texts }) => reasonOf(parseVms(texts.vms)),
     onChange: ({ held }) => {
       vms = parseVms(held.texts.vms).unwrapOr([]);
+      decisions.setVms(vms);
       recompute();
       logVersionTaken(log, held);
     },
@@ -120,6 +124,7 @@
         summary: summary(),
         lists: listsStore.held?.texts,
         vms: vmsStore.held?.texts.vms,
+        requests: requestPath?.proxy.state(),
       }),
       metrics: () => metrics.read(),
     },
@@ -141,18 +146,16 @@
   });
   components.push(reader);
 
-  const proxy = await listening(() =>
-    startProxyServer({
-      address: settings.daemon.callerAddress,
-      callerPort: settings.daemon.callerPort,
-      routingTable: () => table,
-    })
+  const started = await listening(() =>
+    startRequestPath({ settings, decisions, routingTable: () => table })
   );
-  if (proxy.isErr) {
+  if (started.isErr) {
     await closeAll(components);
-    return Result.err(proxy.error);
+    return Result.err(started.error);
   }
-  components.push(proxy.value);
+  requestPath = started.value;
+  const { drainTimeoutMs } = settings.daemon;
+  components.push({ close: () => started.value.close({ drainTimeoutMs }) });
   reader.start();
   logEvent(log, {
     event: "daemon_started",
