Open platform connections from the daemon's own address

undici overrides `connect.localAddress` with the client's own option, so connections to the platform came from 127.0.0.1 and a relay or firewall that goes by zone could not tell them. The address is now the client's option. Before: the new test saw 127.0.0.1 (1 failed). After: 1 passed (`node scripts/test.mjs local_address`).

--- a/packages/platform/src/http_platform.ts
+++ b/packages/platform/src/http_platform.ts
@@ -90,8 +90,9 @@
   return new Client(options.url, {
     pipelining: 1,
     maxResponseSize: MAX_RESPONSE_BYTES,
+    // Set here, since the client overrides the field of the same name in `connect`.
+    localAddress: options.localAddress,
     connect: {
-      localAddress: options.localAddress,
       timeout: options.timeoutMs ?? DEFAULT_TIMEOUT_MS,
     },
   });
