--- a/packages/daemon/src/run_daemon_test.ts
+++ b/packages/daemon/src/run_daemon_test.ts
@@ -9,9 +9,12 @@
 import { formatVms } from "@tanagercove/lists";
 import { waitFor } from "@tanagercove/test_helpers";
 import { HEADERS } from "@tanagercove/types";
+import type { DaemonSummary } from "./daemon_summary.ts";
 
 const PROGRAM = "dist/tanagercove.cjs";
 const CALLER_PORT = 8080;
+/** Keeps watches, which the stand-in answers without change, from spinning. */
+const PLATFORM_DELAY_MS = 20;
 let lastAddress = 0;
 
 /** Runs the built program with a platform and an upstream of its own. */
@@ -22,7 +25,10 @@
   readonly address?: string;
 } = {}) {
   const address = options.address ?? `127.24.3.${++lastAddress}`;
-  const upstream = await listen(t, options.upstream ?? ((_, res) => res.end()));
+  const upstream = await listen(t, {
+    address,
+    handler: options.upstream ?? ((_, response) => response.end()),
+  });
   const values = {
     plans: "perth = basic\n",
     allowances: "basic = swatches\n",
@@ -31,22 +37,24 @@
       service: "swatches",
       zone: "zone-a",
       region: "region-1",
-      address: "127.0.0.1",
+      address,
       callerPort: CALLER_PORT,
       peerPort: 8081,
       upstreamPort: upstream,
       state: "live",
     }]),
   };
-  const platform = await listen(t, (req, res) => {
-    const key = /^\/v1\/values\/(\w+)/.exec(req.url ?? "")?.[1];
-    if (key !== undefined) {
+  const platform = await listen(t, {
+    address,
+    handler: (request, response) => {
+      const key = /^\/v1\/values\/(\w+)/.exec(request.url ?? "")?.[1];
       const value = values[key as keyof typeof values];
-      res.end(JSON.stringify({ key, revision: 1, value }));
-      return;
-    }
-    const keys = { plans: 1, allowances: 1, vms: 1 };
-    setTimeout(() => res.end(JSON.stringify({ revision: 1, keys })), 50);
+      const keys = { plans: 1, allowances: 1, vms: 1 };
+      const body = key === undefined
+        ? { revision: 1, keys }
+        : { key, revision: 1, value };
+      setTimeout(() => response.end(JSON.stringify(body)), PLATFORM_DELAY_MS);
+    },
   });
   const file = join(t.testdir({}), "daemon.ini");
   writeFileSync(
@@ -56,8 +64,8 @@
       `peer_port = 8081\ndrain_timeout_ms = ${
         options.drainTimeoutMs ?? 10_000
       }\n` +
-      `[platform]\nurl = http://127.0.0.1:${platform}\n` +
-      `[upstream]\naddress = 127.0.0.1\nport = ${upstream}\n` +
+      `[platform]\nurl = http://${address}:${platform}\n` +
+      `[upstream]\naddress = ${address}\nport = ${upstream}\n` +
       `[operators]\naddress = ${address}\n`,
   );
   const child = spawn(
@@ -83,8 +91,11 @@
   return { child, text, ended, events, until };
 }
 
-async function listen(t: Test, handler: RequestListener): Promise<number> {
-  const server = createServer(handler).listen(0, "127.0.0.1");
+async function listen(
+  t: Test,
+  options: { readonly address: string; readonly handler: RequestListener },
+): Promise<number> {
+  const server = createServer(options.handler).listen(0, options.address);
   await once(server, "listening");
   t.teardown(() => {
     server.close();
@@ -99,13 +110,14 @@
   });
 }
 
+/** The lists come before the VM list; until both are held, a call is refused and reaches no upstream. */
 async function untilServing(address: string): Promise<void> {
   await waitFor(async () => {
-    const answer = await request(`http://${address}:8082/healthz`)
+    const answer = await request(`http://${address}:8082/status`)
       .catch(() => undefined);
-    await answer?.body.dump();
-    return answer?.statusCode === 200;
-  }, { what: "healthy daemon" });
+    const status = await answer?.body.json() as Partial<DaemonSummary>;
+    return status?.state === "serving" && status.vms_revision === 1;
+  }, { what: "daemon with both lists and the VM list" });
 }
 
 /** An upstream that answers only when `finish` is called. */
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -240,15 +240,14 @@
   readonly [E in LogEvent]: { readonly event: E } & FieldsOf<E>;
 }[LogEvent];
 
-/** Writes the events as a Markdown table for operators. */
+/** Writes the events as Markdown for operators, one heading for each. */
 export function eventsReference(): string {
   return Object.entries(LOG_EVENTS).map(([event, definition]) => {
     const fields = Object.keys(definition.fields).map((name) => `\`${name}\``);
     return [
       `### ${event}`,
       "",
-      `- Level: ${definition.level}`,
-      `- Fields: ${fields.join(", ")}`,
+      `- Level: ${definition.level}; fields: ${fields.join(", ")}`,
       `- Meaning: ${definition.meaning}.`,
       `- What to do: ${definition.action}.`,
       "",
--- a/packages/logs/src/logs_test.ts
+++ b/packages/logs/src/logs_test.ts
@@ -1,6 +1,17 @@
+import { readFileSync, writeFileSync } from "node:fs";
 import t from "tap";
 import { waitFor } from "@tanagercove/test_helpers";
-import { createLogger, LOG_EVENTS, logEvent, RefusalSummary } from "./index.ts";
+import {
+  createLogger,
+  eventsReference,
+  LOG_EVENTS,
+  logEvent,
+  RefusalSummary,
+} from "./index.ts";
+
+const OPERATORS_PAGE = "docs/operators.md";
+const REFERENCE_START = "<!-- deno-fmt-ignore-start -->\n\n";
+const REFERENCE_END = "\n<!-- deno-fmt-ignore-end -->";
 
 const UNITS = /_(ms|bytes|port)$/;
 
@@ -60,3 +71,17 @@
   summary.close();
   t.match(lines[1], { by_reason: { shed: 1 } }, "the rest is logged at close");
 });
+
+/** Run with TANAGERCOVE_WRITE_DOCS=1 after a change of the event table. */
+t.test("should agree with the events in the operators' page", (t) => {
+  const page = readFileSync(OPERATORS_PAGE, "utf8");
+  const [before, rest = ""] = page.split(REFERENCE_START);
+  const [, after] = rest.split(REFERENCE_END);
+  const expected =
+    `${before}${REFERENCE_START}${eventsReference()}${REFERENCE_END}${after}`;
+  if (process.env.TANAGERCOVE_WRITE_DOCS === "1") {
+    writeFileSync(OPERATORS_PAGE, expected);
+  }
+  t.equal(readFileSync(OPERATORS_PAGE, "utf8"), expected);
+  t.end();
+});
--- a/packages/settings/src/reference.ts
+++ b/packages/settings/src/reference.ts
@@ -20,7 +20,7 @@
     const rows = Object.entries(definitions).map(([key, definition]) => [
       `\`${key}\``,
       absenceOf(definition),
-      escapePipes(definition.accepted),
+      formatAccepted(definition.accepted),
       definition.doc,
     ]);
     const table = formatTable([
@@ -54,8 +54,11 @@
   return presence.text === "" ? "empty" : `\`${presence.text}\``;
 }
 
-function escapePipes(text: string): string {
-  return text.replaceAll("|", "\\|");
+/** Patterns and choices are code; a `|` would end the table's cell. */
+function formatAccepted(accepted: string): string {
+  return /[|[]/.test(accepted)
+    ? `\`${accepted.replaceAll("|", "\\|")}\``
+    : accepted;
 }
 
 /** Pads cells as `deno fmt` does, so that the committed page stays unchanged by it. */
