--- a/packages/daemon/src/run_daemon_test.ts
+++ b/packages/daemon/src/run_daemon_test.ts
@@ -123,7 +123,11 @@
 /** An upstream that answers only when `finish` is called. */
 function slowUpstream() {
   const state = { started: false, finish: () => {} };
-  const handler: RequestListener = (_, response) => {
+  const handler: RequestListener = (request, response) => {
+    if (request.url === "/health") {
+      response.end(JSON.stringify({ state: "ready", load: 0 }));
+      return;
+    }
     state.started = true;
     state.finish = () => response.end("whole answer");
   };
