Log unanswered requests as summaries and show all state as metrics

Cause: the request path counts by reason, but neither log nor /metrics showed it. Change: every 10 s one event sums up what was added to the counts, read from the proxy's state without a hook on the hot path; /metrics renders every number of that state. Conclusion: an overload is visible without a line for each request.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,8 +6,8 @@
   plansWithoutAllowance,
   validateLists,
 } from "@tanagercove/lists";
-import { logEvent, type Logger } from "@tanagercove/logs";
-import { Metrics } from "@tanagercove/metrics";
+import { logEvent, type Logger, RefusalSummary } from "@tanagercove/logs";
+import { Metrics, readState } from "@tanagercove/metrics";
 import { createHttpPlatform } from "@tanagercove/platform";
 import { computeRoutingTable, type RoutingTable } from "@tanagercove/routing";
 import type { Settings } from "@tanagercove/settings";
@@ -126,7 +126,11 @@
         vms: vmsStore.held?.texts.vms,
         requests: requestPath?.proxy.state(),
       }),
-      metrics: () => metrics.read(),
+      metrics: () => {
+        const reading = metrics.read();
+        const requests = readState("requests", requestPath?.proxy.state());
+        return { ...reading, gauges: [...reading.gauges, ...requests] };
+      },
     },
   });
   if (operators.isErr) return Result.err(operators.error);
@@ -154,6 +158,10 @@
     return Result.err(started.error);
   }
   requestPath = started.value;
+  const { proxy } = requestPath;
+  components.push(
+    new RefusalSummary({ log, counts: () => proxy.state().callers.reasons }),
+  );
   const { drainTimeoutMs } = settings.daemon;
   components.push({ close: () => started.value.close({ drainTimeoutMs }) });
   reader.start();
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -202,14 +202,15 @@
     meaning: "The health of this VM's upstream changed",
     action: "check the upstream if it stays unreachable",
   },
-  requests_refused: {
+  requests_not_answered: {
     level: "warn",
     fields: {
-      refused: "number",
+      requests: "number",
       by_reason: "counts",
       interval_ms: "number",
     },
-    meaning: "Requests that were not run, summed up over the interval",
+    meaning:
+      "Callers' requests that were refused or whose outcome is unknown, summed up over the interval",
     action: "see the reasons below",
   },
 } as const satisfies Record<string, EventDefinition>;
--- a/packages/logs/src/index.ts
+++ b/packages/logs/src/index.ts
@@ -12,6 +12,7 @@
   type Logger,
 } from "./logger.ts";
 export {
+  type ReasonCounts,
   RefusalSummary,
   type RefusalSummaryOptions,
 } from "./refusal_summary.ts";
--- a/packages/logs/src/refusal_summary.ts
+++ b/packages/logs/src/refusal_summary.ts
@@ -1,55 +1,59 @@
 import type { Logger } from "pino";
 import { logEvent } from "./logger.ts";
 
+/** Requests by the reason why they were not answered, counted since the start. */
+export type ReasonCounts = Readonly<Partial<Record<string, number>>>;
+
 /** Options of `RefusalSummary`. */
 export interface RefusalSummaryOptions {
-  /** Time over which refusals are summed up. */
+  readonly log: Logger;
+  /** Reads the counts; called once in each interval. */
+  readonly counts: () => ReasonCounts;
+  /** Time over which requests are summed up. */
   readonly intervalMs?: number;
 }
 
 const DEFAULT_INTERVAL_MS = 10_000;
-/** Reasons are a closed set; the bound holds even if a caller passes text from outside. */
-const MAX_REASONS = 64;
-const OTHER_REASONS = "other";
 
 /**
- * Counts refused requests by reason and logs at most one event in each interval, because one line
- * for each refusal would make an overload worse.
+ * Logs at most one event in each interval for all requests that were not answered, because one line
+ * for each would make an overload worse.
  */
 export class RefusalSummary {
-  readonly #log: Logger;
+  readonly #options: RefusalSummaryOptions;
   readonly #intervalMs: number;
-  #counts = new Map<string, number>();
-  #timer: NodeJS.Timeout | undefined;
+  readonly #timer: NodeJS.Timeout;
+  #logged: ReasonCounts = {};
 
-  constructor(log: Logger, options: RefusalSummaryOptions = {}) {
-    this.#log = log;
+  constructor(options: RefusalSummaryOptions) {
+    this.#options = options;
     this.#intervalMs = options.intervalMs ?? DEFAULT_INTERVAL_MS;
-  }
-
-  /** Counts one refused request. */
-  add(reason: string): void {
-    const known = this.#counts.has(reason) || this.#counts.size < MAX_REASONS;
-    const key = known ? reason : OTHER_REASONS;
-    this.#counts.set(key, (this.#counts.get(key) ?? 0) + 1);
-    this.#timer ??= setTimeout(() => this.#flush(), this.#intervalMs).unref();
+    this.#timer = setInterval(() => this.#log(), this.#intervalMs).unref();
   }
 
   /** Logs what was counted since the last event. */
-  close(): void {
-    this.#flush();
+  close(): Promise<void> {
+    clearInterval(this.#timer);
+    this.#log();
+    return Promise.resolve();
   }
 
-  #flush(): void {
-    clearTimeout(this.#timer);
-    this.#timer = undefined;
-    if (this.#counts.size === 0) return;
-    const counts = this.#counts;
-    this.#counts = new Map();
-    logEvent(this.#log, {
-      event: "requests_refused",
-      refused: [...counts.values()].reduce((sum, count) => sum + count, 0),
-      by_reason: Object.fromEntries(counts),
+  #log(): void {
+    const counts = this.#options.counts();
+    const added = Object.entries(counts)
+      .map(([reason, count = 0]) => ({
+        reason,
+        count: count - (this.#logged[reason] ?? 0),
+      }))
+      .filter(({ count }) => count > 0);
+    this.#logged = { ...counts };
+    if (added.length === 0) return;
+    logEvent(this.#options.log, {
+      event: "requests_not_answered",
+      requests: added.reduce((sum, { count }) => sum + count, 0),
+      by_reason: Object.fromEntries(
+        added.map(({ reason, count }) => [reason, count]),
+      ),
       interval_ms: this.#intervalMs,
     });
   }
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -8,4 +8,5 @@
   type MetricsReading,
   type NumberReading,
 } from "./metrics.ts";
+export { readState } from "./read_state.ts";
 export { renderMetricsText } from "./render.ts";
--- a/packages/metrics/src/metrics_test.ts
+++ b/packages/metrics/src/metrics_test.ts
@@ -1,5 +1,5 @@
 import t from "tap";
-import { Metrics, renderMetricsText } from "./index.ts";
+import { Metrics, readState, renderMetricsText } from "./index.ts";
 
 t.test("should count each set of labels on its own, whatever their order", (t) => {
   const metrics = new Metrics();
@@ -50,3 +50,22 @@
   }
   t.end();
 });
+
+t.test("should read the numbers of a component's state, so that none is left out of metrics", (t) => {
+  const state = {
+    leaving: true,
+    division: "owner",
+    callers: { brokenOff: 2, reasons: { queue_full: 3 } },
+    list: [1, 2],
+    none: undefined,
+  };
+  const shown = readState("requests", state).map(({ name, value }) =>
+    `${name} ${value}`
+  );
+  t.same(shown, [
+    "requests_leaving 1",
+    "requests_callers_broken_off 2",
+    "requests_callers_reasons_queue_full 3",
+  ]);
+  t.end();
+});
