Log when the upstream of a VM begins or ceases to drain

Cause: the request path reports it, but nothing wrote the event. Change: upstream_state_changed carries the reported state.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -151,7 +151,16 @@
   components.push(reader);
 
   const started = await listening(() =>
-    startRequestPath({ settings, decisions, routingTable: () => table })
+    startRequestPath({
+      settings,
+      decisions,
+      routingTable: () => table,
+      onUpstreamDraining: (draining) =>
+        logEvent(log, {
+          event: "upstream_state_changed",
+          state: draining ? "draining" : "ready",
+        }),
+    })
   );
   if (started.isErr) {
     await closeAll(components);
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -198,9 +198,10 @@
   },
   upstream_state_changed: {
     level: "info",
-    fields: { state: "text", former_state: "text" },
-    meaning: "The health of this VM's upstream changed",
-    action: "check the upstream if it stays unreachable",
+    fields: { state: "text" },
+    meaning:
+      "This VM's upstream began (`draining`) or ceased (`ready`) to report that it drains",
+    action: NOTHING,
   },
   requests_not_answered: {
     level: "warn",
