Refuse requests that would start too late and set the measured defaults

Cause: a late start takes a slot and ends as unknown; two defaults were guesses. Change: a start needs the median service time, on arrival and after the wait; oldest_first and every 16th slot for idempotent requests are the defaults.

--- a/packages/admission/src/admission_queue.ts
+++ b/packages/admission/src/admission_queue.ts
@@ -5,6 +5,7 @@
   decideAdmission,
   decideDisplaced,
   decideNextClass,
+  decideStart,
   predictWaitMs,
   type RequestClass,
   type WaitingCounts,
@@ -14,6 +15,7 @@
   type QueueOrder,
   type QueueOrderHandler,
 } from "./queue_order.ts";
+import { ServiceTimes } from "./service_times.ts";
 
 /** Options of `AdmissionQueue`. */
 export interface AdmissionQueueOptions {
@@ -48,13 +50,15 @@
 type Verdict = Result<Admission, AdmissionRefusal>;
 
 interface Waiter {
+  /** Time of the clock at which the request's deadline passes. */
+  readonly deadlineAtMs: number;
   settle(verdict: Verdict): void;
 }
 
 const DEFAULT_QUEUE_PER_SLOT = 4;
 const DEFAULT_QUEUE_TIMEOUT_MS = 1_000;
-const DEFAULT_QUEUE_ORDER: QueueOrder = "newest_first";
-const DEFAULT_IDEMPOTENT_GRANT_EVERY = 8;
+const DEFAULT_QUEUE_ORDER: QueueOrder = "oldest_first";
+const DEFAULT_IDEMPOTENT_GRANT_EVERY = 16;
 
 /**
  * Requests that wait when the VM starts to leave came before its notice. A
@@ -64,9 +68,6 @@
  */
 const DEFAULT_LEAVING_GRACE_MS = 1_000;
 
-/** Weight of a new sample in the average of service times, about the last twenty. */
-const SERVICE_TIME_SAMPLE_WEIGHT = 0.1;
-
 /** Admits requests to the slots of one upstream, with a bounded queue. */
 export class AdmissionQueue {
   readonly #slots: number;
@@ -76,13 +77,13 @@
   readonly #idempotentGrantEvery: number;
   readonly #leavingGraceMs: number;
   readonly #clock: Clock;
+  readonly #serviceTimes = new ServiceTimes();
   readonly #waiting: Record<RequestClass, Waiter[]> = {
     idempotent: [],
     non_idempotent: [],
   };
   #runningCount = 0;
   #passedOver = 0;
-  #serviceTimeMs = 0;
   #isLeaving = false;
   #leavingTimer: Timer | undefined;
   #onIdle: (() => void)[] = [];
@@ -119,6 +120,7 @@
       isLeaving: this.#isLeaving,
       freeSlots: this.#slots - this.#runningCount,
       waitMs: this.#predictWaitMs(requestClass),
+      neededMs: this.#serviceTimes.medianMs,
       deadlineMs: request.signal?.aborted ? 0 : request.deadlineMs,
       queueTimeoutMs: this.#queueTimeoutMs,
     });
@@ -156,7 +158,7 @@
       aheadInClass: this.#order.aheadOfNew(waiting[requestClass]),
       idempotentGrantEvery: this.#idempotentGrantEvery,
       slots: this.#slots,
-      serviceTimeMs: this.#serviceTimeMs,
+      serviceTimeMs: this.#serviceTimes.meanMs,
     });
   }
 
@@ -177,6 +179,7 @@
       Math.min(deadlineMs, this.#queueTimeoutMs),
     );
     const waiter: Waiter = {
+      deadlineAtMs: this.#clock.nowMs() + deadlineMs,
       settle(verdict) {
         timer.cancel();
         signal?.removeEventListener("abort", onAbort);
@@ -214,29 +217,36 @@
 
   #release(serviceTimeMs: number): void {
     this.#runningCount -= 1;
-    this.#recordServiceTime(serviceTimeMs);
+    this.#serviceTimes.record(serviceTimeMs);
     this.#startNext();
     if (this.#runningCount > 0) return;
     for (const resolve of this.#onIdle.splice(0)) resolve();
   }
 
-  #recordServiceTime(sampleMs: number): void {
-    const before = this.#serviceTimeMs === 0 ? sampleMs : this.#serviceTimeMs;
-    this.#serviceTimeMs = before +
-      (sampleMs - before) * SERVICE_TIME_SAMPLE_WEIGHT;
+  #startNext(): void {
+    for (;;) {
+      const waiter = this.#takeNext();
+      if (waiter === undefined) return;
+      const verdict = decideStart({
+        timeLeftMs: waiter.deadlineAtMs - this.#clock.nowMs(),
+        neededMs: this.#serviceTimes.medianMs,
+      });
+      if (verdict === "run") return waiter.settle(this.#grant());
+      waiter.settle(Result.err(verdict));
+    }
   }
 
-  #startNext(): void {
+  #takeNext(): Waiter | undefined {
     const waiting = this.waitingCounts;
     const next = decideNextClass({
       waiting,
       passedOver: this.#passedOver,
       idempotentGrantEvery: this.#idempotentGrantEvery,
     });
-    if (next === undefined) return;
+    if (next === undefined) return undefined;
     const isPassedOver = next === "non_idempotent" && waiting.idempotent > 0;
     this.#passedOver = isPassedOver ? this.#passedOver + 1 : 0;
-    this.#order.takeNext(this.#waiting[next])?.settle(this.#grant());
+    return this.#order.takeNext(this.#waiting[next]);
   }
 
   #refuseWaiting(): void {
--- a/packages/admission/src/decisions.ts
+++ b/packages/admission/src/decisions.ts
@@ -46,6 +46,8 @@
   readonly freeSlots: number;
   /** Predicted time until a slot is free. */
   readonly waitMs: number;
+  /** Time that half of the requests need with a slot. */
+  readonly neededMs: number;
   /** Time until the request's deadline. */
   readonly deadlineMs: number;
   readonly queueTimeoutMs: number;
@@ -63,10 +65,32 @@
   if (options.isLeaving) return "leaving";
   if (!(options.deadlineMs > 0)) return "deadline";
   if (options.freeSlots > 0) return "run";
-  if (options.waitMs >= options.deadlineMs) return "deadline";
+  const canFinish = decideStart({
+    timeLeftMs: options.deadlineMs - options.waitMs,
+    neededMs: options.neededMs,
+  });
+  if (canFinish !== "run") return canFinish;
   return options.waitMs < options.queueTimeoutMs ? "wait" : "queue_timeout";
 }
 
+/** Options of `decideStart`. */
+export interface DecideStartOptions {
+  readonly timeLeftMs: number;
+  /** Time that half of the requests need with a slot. */
+  readonly neededMs: number;
+}
+
+/**
+ * Decides whether a request that has waited still starts. With less time left
+ * than half of the requests need it would more likely end as `unknown`, which a
+ * non-idempotent request cannot recover from, and take the slot from another.
+ */
+export function decideStart(
+  { timeLeftMs, neededMs }: DecideStartOptions,
+): "run" | "deadline" {
+  return timeLeftMs > neededMs ? "run" : "deadline";
+}
+
 /** Options of `decideDisplaced`. */
 export interface DecideDisplacedOptions {
   /** Waiting requests, the new one included. */
