Call other daemons by JSON-RPC over HTTP with deadlines

Daemons had no way to talk to each other. Adds a request handler for /rpc and a client with one connection and one task for each peer: a deadline at both ends, gzip above 1 KB, limits on body size, calls per peer and connections, and exact byte counts of the sockets. The platform adapter now binds its connections to the VM's address; undici ignored the address given in its connect options.

--- a/packages/errors/src/rpc_error.ts
+++ b/packages/errors/src/rpc_error.ts
@@ -2,6 +2,8 @@
 export type RpcError =
   | { readonly kind: "timeout"; readonly timeoutMs: number }
   | { readonly kind: "unreachable"; readonly message: string }
+  /** Too many calls to this peer are open; nothing was sent. */
+  | { readonly kind: "busy"; readonly openCalls: number }
   | {
     readonly kind: "refused";
     readonly code: number;
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./socket_byte_counter.ts";
--- a/packages/platform/src/http_platform.ts
+++ b/packages/platform/src/http_platform.ts
@@ -88,12 +88,11 @@
 
 function openClient(options: CreateHttpPlatformOptions): Client {
   return new Client(options.url, {
+    // The client overrides a local address given in `connect`.
+    localAddress: options.localAddress,
     pipelining: 1,
     maxResponseSize: MAX_RESPONSE_BYTES,
-    connect: {
-      localAddress: options.localAddress,
-      timeout: options.timeoutMs ?? DEFAULT_TIMEOUT_MS,
-    },
+    connect: { timeout: options.timeoutMs ?? DEFAULT_TIMEOUT_MS },
   });
 }
 
--- /dev/null
+++ b/packages/rpc/src/peer_connection.ts
@@ -0,0 +1,238 @@
+import {
+  createJSONRPCRequest,
+  isJSONRPCResponse,
+  JSONRPCClient,
+  type JSONRPCResponse,
+} from "json-rpc-2.0";
+import { Result } from "true-myth";
+import { buildConnector, Client } from "undici";
+import type { RpcError } from "@tanagercove/errors";
+import type { SocketByteCounter } from "@tanagercove/metrics";
+import { decodeBody, encodeBody } from "./body.ts";
+import type { RpcCall, RpcPeer } from "./rpc_client.ts";
+import { RPC_PATH } from "./rpc_methods.ts";
+
+/** Options of `PeerConnection`. */
+export interface PeerConnectionOptions {
+  readonly peer: RpcPeer;
+  readonly bytes: SocketByteCounter;
+  readonly localAddress: string | undefined;
+  readonly maxBodyBytes: number;
+  readonly maxCalls: number;
+  readonly idleMs: number;
+  /** Called when no further call is taken. */
+  readonly onEnd: () => void;
+}
+
+type CallResult = Result<unknown, RpcError>;
+
+interface OpenCall extends Required<RpcCall> {
+  readonly deadline: AbortSignal;
+  readonly resolve: (result: CallResult) => void;
+}
+
+/** A connection to one peer and the task that runs its calls one after the other. */
+export class PeerConnection {
+  /** Resolves when the task is over and the connection closed. */
+  readonly ended: Promise<void>;
+  readonly #options: PeerConnectionOptions;
+  readonly #waiting: OpenCall[] = [];
+  readonly #stop = new AbortController();
+  #running = false;
+  #wake: () => void = () => {};
+  #client: Client | undefined;
+  /** Calls completed on the present connection. */
+  #completed = 0;
+
+  constructor(options: PeerConnectionOptions) {
+    this.#options = options;
+    this.ended = this.#run();
+  }
+
+  call(call: Required<RpcCall>): Promise<CallResult> {
+    const { maxCalls } = this.#options;
+    const openCalls = this.#waiting.length + (this.#running ? 1 : 0);
+    if (this.#stop.signal.aborted) {
+      return Promise.resolve(closedResult());
+    }
+    if (openCalls >= maxCalls) {
+      return Promise.resolve(Result.err({ kind: "busy", openCalls }));
+    }
+    return new Promise((settle) => {
+      const deadline = new AbortController();
+      const timer = setTimeout(() => {
+        deadline.abort();
+        if (this.#removeWaiting(open)) open.resolve(timeoutResult(open));
+      }, call.timeoutMs);
+      const open: OpenCall = {
+        ...call,
+        deadline: deadline.signal,
+        resolve: (result) => {
+          clearTimeout(timer);
+          settle(result);
+        },
+      };
+      this.#waiting.push(open);
+      this.#wake();
+    });
+  }
+
+  endIfIdle(): void {
+    if (!this.#running && this.#waiting.length === 0) this.end();
+  }
+
+  end(): void {
+    if (this.#stop.signal.aborted) return;
+    this.#stop.abort();
+    this.#options.onEnd();
+    this.#wake();
+  }
+
+  async #run(): Promise<void> {
+    for (;;) {
+      const open = await this.#next();
+      if (open === undefined) break;
+      this.#running = true;
+      const result = await this.#exchange(open);
+      this.#running = false;
+      open.resolve(result);
+    }
+    for (const open of this.#waiting.splice(0)) open.resolve(closedResult());
+    await this.#drop();
+  }
+
+  /** Waits for a call; gives undefined when the connection is to end. */
+  async #next(): Promise<OpenCall | undefined> {
+    if (this.#waiting.length === 0 && !this.#stop.signal.aborted) {
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(() => this.endIfIdle(), this.#options.idleMs);
+        timer.unref();
+        this.#wake = () => {
+          clearTimeout(timer);
+          resolve();
+        };
+      });
+    }
+    return this.#stop.signal.aborted ? undefined : this.#waiting.shift();
+  }
+
+  #removeWaiting(open: OpenCall): boolean {
+    const position = this.#waiting.indexOf(open);
+    if (position < 0) return false;
+    this.#waiting.splice(position, 1);
+    return true;
+  }
+
+  async #exchange(open: OpenCall): Promise<CallResult> {
+    let failure: RpcError | undefined;
+    const rpc: JSONRPCClient = new JSONRPCClient(async (request) => {
+      const response = await this.#post(request, open);
+      if (response.isOk) return rpc.receive(response.value);
+      failure = response.error;
+      throw new Error(failure.kind);
+    });
+    const request = createJSONRPCRequest(1, open.method, open.params);
+    const answer = await rpc.requestAdvanced(request);
+    if (failure !== undefined) return Result.err(failure);
+    if (answer.error === undefined) return Result.ok(answer.result);
+    const { code, message } = answer.error;
+    return Result.err({ kind: "refused", code, message: String(message) });
+  }
+
+  /** Sends a request; one that fails on a connection used before is sent again on a new one. */
+  async #post(
+    request: unknown,
+    open: OpenCall,
+  ): Promise<Result<JSONRPCResponse, RpcError>> {
+    const reused = this.#completed > 0;
+    const first = await this.#postOnce(request, open);
+    if (first.isOk) return first;
+    await this.#drop();
+    const again = reused && first.error.kind === "unreachable" &&
+      !this.#stop.signal.aborted;
+    return again ? await this.#postOnce(request, open) : first;
+  }
+
+  async #postOnce(
+    request: unknown,
+    open: OpenCall,
+  ): Promise<Result<JSONRPCResponse, RpcError>> {
+    const signal = AbortSignal.any([open.deadline, this.#stop.signal]);
+    try {
+      const { bytes, headers } = await encodeBody(request);
+      this.#client ??= this.#connect();
+      const response = await this.#client.request({
+        method: "POST",
+        path: RPC_PATH,
+        headers,
+        body: bytes,
+        signal,
+      });
+      const body = Buffer.from(await response.body.arrayBuffer());
+      if (response.statusCode !== 200) {
+        return malformed(`Status ${response.statusCode}`);
+      }
+      const message = await decodeBody(body, {
+        encoding: response.headers["content-encoding"],
+        maxBytes: this.#options.maxBodyBytes,
+      });
+      if (message.isErr) return malformed(message.error);
+      if (!isResponseToOurs(message.value)) return malformed("No response");
+      this.#completed += 1;
+      return Result.ok(message.value);
+    } catch (error) {
+      if (open.deadline.aborted) return timeoutResult(open);
+      return Result.err({ kind: "unreachable", message: String(error) });
+    }
+  }
+
+  #connect(): Client {
+    const { peer, localAddress, bytes, maxBodyBytes, idleMs } = this.#options;
+    const connect = buildConnector({} as buildConnector.BuildOptions);
+    const host = peer.address.includes(":")
+      ? `[${peer.address}]`
+      : peer.address;
+    return new Client(`http://${host}:${peer.port}`, {
+      localAddress,
+      pipelining: 1,
+      maxResponseSize: maxBodyBytes,
+      keepAliveTimeout: idleMs,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: (options, callback) =>
+        connect(options, (...[error, socket]) => {
+          if (error !== null) return callback(error, null);
+          bytes.track(socket);
+          callback(null, socket);
+        }),
+    });
+  }
+
+  async #drop(): Promise<void> {
+    const client = this.#client;
+    this.#client = undefined;
+    this.#completed = 0;
+    await client?.destroy().catch(() => {});
+  }
+}
+
+function isResponseToOurs(message: unknown): message is JSONRPCResponse {
+  if (typeof message !== "object" || message === null) return false;
+  if (!isJSONRPCResponse(message) || message.id !== 1) return false;
+  return message.error === undefined ||
+    (typeof message.error === "object" && message.error !== null);
+}
+
+function malformed(message: string): Result<never, RpcError> {
+  return Result.err({ kind: "malformed", message });
+}
+
+function timeoutResult(
+  { timeoutMs }: Pick<OpenCall, "timeoutMs">,
+): Result<never, RpcError> {
+  return Result.err({ kind: "timeout", timeoutMs });
+}
+
+function closedResult(): Result<never, RpcError> {
+  return Result.err({ kind: "unreachable", message: "Client is closed" });
+}
--- /dev/null
+++ b/packages/rpc/src/rpc_server.ts
@@ -0,0 +1,184 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  createJSONRPCErrorResponse,
+  createJSONRPCSuccessResponse,
+  JSONRPCErrorCode,
+  type JSONRPCRequest,
+  type JSONRPCResponse,
+  JSONRPCServer,
+} from "json-rpc-2.0";
+import type { Result } from "true-myth";
+import type { SocketByteCounter } from "@tanagercove/metrics";
+import { decodeBody, encodeBody, MAX_BODY_BYTES } from "./body.ts";
+import {
+  isRpcMethod,
+  type RpcMethod,
+  TIMEOUT_MS_BY_METHOD,
+} from "./rpc_methods.ts";
+
+/** Error answer of a method. */
+export interface RpcFault {
+  /** JSON-RPC error code. */
+  readonly code: number;
+  readonly message: string;
+}
+
+/** Code of the answer to parameters of a wrong form. */
+export const INVALID_PARAMS: number = JSONRPCErrorCode.InvalidParams;
+
+/** Handles the calls of one method. `params` comes from the network and must be checked. */
+export type RpcMethodHandler = (
+  params: unknown,
+) => Promise<Result<unknown, RpcFault>>;
+
+/** Handlers of all methods. */
+export type RpcHandlers = Readonly<Record<RpcMethod, RpcMethodHandler>>;
+
+/** Options of `createRpcRequestHandler`. */
+export interface CreateRpcRequestHandlerOptions {
+  readonly handlers: RpcHandlers;
+  /** Counts the bytes of the connections that calls arrive on. */
+  readonly bytes?: SocketByteCounter;
+  /** Limit on a request body, before and after decompression. */
+  readonly maxBodyBytes?: number;
+  /** Calls handled at once; above it the answer is 503. */
+  readonly maxOpenCalls?: number;
+  /** Time for a request to arrive completely. */
+  readonly receiveTimeoutMs?: number;
+  readonly timeoutMsByMethod?: Readonly<Record<RpcMethod, number>>;
+  /** Told when a method handler throws; the caller gets an error answer. */
+  readonly onFault?: (message: string, error: unknown) => void;
+}
+
+/** Handles one HTTP request to `/rpc`; the promise never rejects. */
+export type RpcRequestHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => Promise<void>;
+
+/** Creates the handler for `/rpc` on the peer port. Past its deadline, a call's connection is closed. */
+export function createRpcRequestHandler(
+  options: CreateRpcRequestHandlerOptions,
+): RpcRequestHandler {
+  const maxBodyBytes = options.maxBodyBytes ?? MAX_BODY_BYTES;
+  const maxOpenCalls = options.maxOpenCalls ?? 256;
+  const receiveTimeoutMs = options.receiveTimeoutMs ?? 1_000;
+  const timeoutMsByMethod = options.timeoutMsByMethod ?? TIMEOUT_MS_BY_METHOD;
+  const server = createServer(options);
+  let openCalls = 0;
+
+  async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const close = () => request.socket.destroy();
+    let deadline = setTimeout(close, receiveTimeoutMs);
+    try {
+      const bytes = await readBody(request, maxBodyBytes);
+      if (bytes === undefined) return refuse(response, 413);
+      const body = await decodeBody(bytes, {
+        encoding: request.headers["content-encoding"],
+        maxBytes: maxBodyBytes,
+      });
+      if (body.isErr) return refuse(response, 400);
+      clearTimeout(deadline);
+      const { method } = (body.value ?? {}) as Partial<JSONRPCRequest>;
+      deadline = setTimeout(
+        close,
+        isRpcMethod(method) ? timeoutMsByMethod[method] : receiveTimeoutMs,
+      );
+      await send(response, await dispatch(server, body.value));
+    } catch {
+      close();
+    } finally {
+      clearTimeout(deadline);
+    }
+  }
+
+  return async (request, response) => {
+    options.bytes?.track(request.socket);
+    request.on("error", () => {});
+    response.on("error", () => {});
+    if (request.method !== "POST") return refuse(response, 405);
+    if (openCalls >= maxOpenCalls) return refuse(response, 503);
+    openCalls += 1;
+    await handle(request, response);
+    openCalls -= 1;
+  };
+}
+
+function createServer(options: CreateRpcRequestHandlerOptions): JSONRPCServer {
+  const server = new JSONRPCServer({
+    errorListener: (message, error) => options.onFault?.(message, error),
+  });
+  for (const [method, handler] of Object.entries(options.handlers)) {
+    server.addMethodAdvanced(method, async (request) => {
+      const answer = await handler(request.params);
+      const id = request.id ?? null;
+      return answer.isOk
+        ? createJSONRPCSuccessResponse(id, answer.value ?? null)
+        : createJSONRPCErrorResponse(
+          id,
+          answer.error.code,
+          answer.error.message,
+        );
+    });
+  }
+  return server;
+}
+
+/** Batches are refused: one request could otherwise cause any number of fetches. */
+async function dispatch(
+  server: JSONRPCServer,
+  body: unknown,
+): Promise<JSONRPCResponse | null> {
+  if (typeof body !== "object" || body === null || Array.isArray(body)) {
+    return createJSONRPCErrorResponse(
+      null,
+      JSONRPCErrorCode.InvalidRequest,
+      "Expected one request object",
+    );
+  }
+  return await server.receive(body as JSONRPCRequest);
+}
+
+/** Reads a body, or gives undefined where it is too large. */
+async function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | undefined> {
+  if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
+    return undefined;
+  }
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > maxBytes) return undefined;
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
+async function send(
+  response: ServerResponse,
+  message: JSONRPCResponse | null,
+): Promise<void> {
+  if (message === null) {
+    response.writeHead(204).end();
+    return;
+  }
+  const { bytes, headers } = await encodeBody(message);
+  if (response.destroyed) return;
+  const done = new Promise<void>((resolve) => {
+    response.once("close", resolve);
+  });
+  response.writeHead(200, headers).end(bytes);
+  await done;
+}
+
+function refuse(response: ServerResponse, status: number): void {
+  if (response.headersSent || response.destroyed) return;
+  response.writeHead(status, { connection: "close", "content-length": 0 })
+    .end();
+}
