Keep the other daemons, their notices and the readers' ranks

The distribution must know whom to call and who watches the platform. Clock and random numbers are ports. Conclusion: readers and push targets can be chosen.

--- /dev/null
+++ b/packages/membership/src/membership.ts
@@ -0,0 +1,262 @@
+import { randomUUID } from "node:crypto";
+import type { Vm } from "@tanagercove/types";
+import { type LeavingNotice, LeavingNotices } from "./leaving_notices.ts";
+import {
+  type Clock,
+  type Random,
+  SYSTEM_CLOCK,
+  SYSTEM_RANDOM,
+} from "./ports.ts";
+import { rankByRendezvous } from "./rendezvous.ts";
+import { type Suspicion, Suspicions } from "./suspicions.ts";
+
+/** A daemon that can be called. */
+export interface Peer {
+  /** VM id, or `IP PORT` of a seed whose VM is not known. */
+  readonly id: string;
+  /** IP number. */
+  readonly address: string;
+  readonly port: number;
+  /** Undefined for a seed whose VM is not known. */
+  readonly zone: string | undefined;
+}
+
+/** Address of a daemon's peer port in the settings. */
+export interface SeedAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Options of `Membership`. */
+export interface MembershipOptions {
+  readonly vmId: string;
+  readonly zone: string;
+  /** Daemons to call while no VM list is known. */
+  readonly seeds?: readonly SeedAddress[];
+  readonly readersPerZone?: number;
+  /** Random id of this process. */
+  readonly processId?: string;
+  readonly clock?: Clock;
+  readonly random?: Random;
+}
+
+/** State of the membership for operators. */
+export interface MembershipDump {
+  readonly processId: string;
+  readonly vmCount: number;
+  readonly seeds: readonly SeedAddress[];
+  readonly ownRank: number;
+  readonly readersInZone: readonly string[];
+  readonly leaving: readonly LeavingNotice[];
+  readonly suspected: readonly Suspicion[];
+}
+
+/** The other daemons as this daemon knows them. */
+export class Membership {
+  readonly processId: string;
+  readonly #options: MembershipOptions;
+  readonly #random: Random;
+  readonly #notices: LeavingNotices;
+  readonly #suspicions: Suspicions;
+  readonly #seeds: readonly Peer[];
+  #vms: readonly Vm[] = [];
+  #peerById: ReadonlyMap<string, Peer> = new Map();
+  #peersByZone: ReadonlyMap<string, readonly Peer[]> = new Map();
+  #ranks: readonly string[] = [];
+  /** VMs that the VM list says are leaving. */
+  #leavingIds: ReadonlySet<string> = new Set();
+  #leaving = false;
+
+  constructor(options: MembershipOptions) {
+    const clock = options.clock ?? SYSTEM_CLOCK;
+    this.#options = options;
+    this.#random = options.random ?? SYSTEM_RANDOM;
+    this.#notices = new LeavingNotices(clock);
+    this.#suspicions = new Suspicions({ clock, random: this.#random });
+    this.#seeds = (options.seeds ?? []).map(({ address, port }) => ({
+      id: `${address} ${port}`,
+      address,
+      port,
+      zone: undefined,
+    }));
+    this.processId = options.processId ?? randomUUID();
+  }
+
+  get vmId(): string {
+    return this.#options.vmId;
+  }
+
+  get zone(): string {
+    return this.#options.zone;
+  }
+
+  get vms(): readonly Vm[] {
+    return this.#vms;
+  }
+
+  get readersPerZone(): number {
+    return this.#options.readersPerZone ?? 2;
+  }
+
+  /** Daemons known, this one included. */
+  get daemonCount(): number {
+    return this.#peerById.size > 0
+      ? this.#peerById.size + 1
+      : this.#seeds.length + 1;
+  }
+
+  /** Replaces the VM list. */
+  setVms(vms: readonly Vm[]): void {
+    const others = vms.filter(({ id }) => id !== this.vmId).map(peerOf);
+    const byZone = new Map<string, Peer[]>();
+    for (const peer of others) {
+      const inZone = byZone.get(peer.zone ?? "");
+      if (inZone === undefined) byZone.set(peer.zone ?? "", [peer]);
+      else inZone.push(peer);
+    }
+    const live = vms.filter(({ zone, state }) =>
+      zone === this.zone && state === "live"
+    );
+    this.#vms = vms;
+    this.#peerById = new Map(others.map((peer) => [peer.id, peer]));
+    this.#peersByZone = byZone;
+    this.#ranks = rankByRendezvous(this.zone, live.map(({ id }) => id));
+    this.#leavingIds = new Set(
+      vms.filter(({ state }) => state === "leaving").map(({ id }) => id),
+    );
+    this.#notices.retain((vmId) => this.#peerById.has(vmId));
+    this.#suspicions.retain((id) =>
+      this.#peerById.has(id) || this.#seeds.some((seed) => seed.id === id)
+    );
+  }
+
+  /** The peer on a VM of the VM list. */
+  peer(vmId: string): Peer | undefined {
+    return this.#peerById.get(vmId);
+  }
+
+  /** All peers of the VM list, or the seeds while it names none. */
+  peers(): readonly Peer[] {
+    return this.#peerById.size > 0 ? [...this.#peerById.values()] : this.#seeds;
+  }
+
+  seeds(): readonly Peer[] {
+    return this.#seeds;
+  }
+
+  /** Rank of a VM among the live VMs of this zone; a VM that is not listed has the last. */
+  rankOf(vmId: string): number {
+    const rank = this.#ranks.indexOf(vmId);
+    return rank < 0 ? this.#ranks.length : rank;
+  }
+
+  get ownRank(): number {
+    return this.rankOf(this.vmId);
+  }
+
+  get isReader(): boolean {
+    return this.ownRank < this.readersPerZone;
+  }
+
+  /** The readers of this zone by rank, this daemon included if it is one. */
+  readersInZone(): readonly string[] {
+    return this.#ranks.slice(0, this.readersPerZone);
+  }
+
+  /** Different random peers in this zone; seeds while the VM list names no peer at all. */
+  pickInZone(count: number): readonly Peer[] {
+    const candidates = this.#peerById.size === 0
+      ? this.#seeds
+      : this.#peersByZone.get(this.zone) ?? [];
+    return this.#pick(candidates, count);
+  }
+
+  /** Random peers, each in a different other zone. */
+  pickElsewhere(count: number): readonly Peer[] {
+    const zones = [...this.#peersByZone.keys()].filter((zone) =>
+      zone !== this.zone
+    );
+    return this.#sample(zones, count).flatMap((zone) =>
+      this.#pick(this.#peersByZone.get(zone) ?? [], 1)
+    );
+  }
+
+  /** Different random peers in any zone. */
+  pickAnywhere(count: number): readonly Peer[] {
+    return this.#pick(this.peers(), count);
+  }
+
+  /** Notes a failed exchange; true where the peer was not suspected before. */
+  exchangeFailed(peerId: string): boolean {
+    return this.#suspicions.failed(peerId);
+  }
+
+  /** Notes a response of a peer; true where it was suspected. */
+  exchangeSucceeded(peerId: string): boolean {
+    return this.#suspicions.heard(peerId);
+  }
+
+  /** Notes a message that a process itself sent. */
+  heardFrom(vmId: string, processId: string): void {
+    if (!this.#peerById.has(vmId)) return;
+    this.#suspicions.heard(vmId);
+    this.#notices.heard(vmId, processId);
+  }
+
+  /** Takes a leaving notice about a VM of the VM list; true where it is new. */
+  takeNotice(notice: LeavingNotice): boolean {
+    return this.#peerById.has(notice.vmId) && this.#notices.take(notice);
+  }
+
+  /** Makes this daemon repeat a notice about itself from now on. */
+  startLeaving(): void {
+    this.#leaving = true;
+  }
+
+  /** Notices to pass on, the own one included. */
+  notices(): readonly LeavingNotice[] {
+    const { vmId, processId } = this;
+    const others = this.#notices.list();
+    return this.#leaving ? [{ vmId, processId, ageMs: 0 }, ...others] : others;
+  }
+
+  /** Tells whether a VM is leaving, by the VM list or a notice. */
+  isLeaving(vmId: string): boolean {
+    return this.#leavingIds.has(vmId) || this.#notices.has(vmId);
+  }
+
+  dump(): MembershipDump {
+    return {
+      processId: this.processId,
+      vmCount: this.#vms.length,
+      seeds: this.#options.seeds ?? [],
+      ownRank: this.ownRank,
+      readersInZone: this.readersInZone(),
+      leaving: this.notices(),
+      suspected: this.#suspicions.list(),
+    };
+  }
+
+  /** Passes suspected peers over unless all are suspected. */
+  #pick(candidates: readonly Peer[], count: number): readonly Peer[] {
+    const trusted = candidates.filter(({ id }) => !this.#suspicions.has(id));
+    const picked = this.#sample(trusted, count);
+    if (picked.length > 0) return picked;
+    return this.#sample(candidates, count);
+  }
+
+  #sample<T>(items: readonly T[], count: number): readonly T[] {
+    const rest = [...items];
+    const size = Math.min(count, rest.length);
+    for (let i = 0; i < size; i += 1) {
+      const j = i + Math.floor(this.#random.next() * (rest.length - i));
+      [rest[i], rest[j]] = [rest[j]!, rest[i]!];
+    }
+    return rest.slice(0, size);
+  }
+}
+
+function peerOf(vm: Vm): Peer {
+  const { id, address, peerPort, zone } = vm;
+  return { id, address, port: peerPort, zone };
+}
--- /dev/null
+++ b/packages/membership/src/membership_test.ts
@@ -0,0 +1,140 @@
+import fc from "fast-check";
+import t from "tap";
+import type { Vm } from "@tanagercove/types";
+import { Membership, NOTICE_EXPIRY_MS, rankByRendezvous } from "./index.ts";
+
+const SEED = 20_261_204;
+
+function vm(id: string, zone: string, state: Vm["state"] = "live"): Vm {
+  return {
+    id,
+    zone,
+    service: "swatches",
+    region: "r",
+    address: "127.21.2.1",
+    callerPort: 1,
+    peerPort: 2,
+    upstreamPort: 3,
+    state,
+  };
+}
+
+const VMS = ["a", "b", "c", "d", "e", "f"].flatMap((zone) =>
+  [1, 2, 3, 4, 5].map((n) => vm(`${zone}${n}`, zone))
+);
+
+function open(vmId = "a1") {
+  let nowMs = 1_000;
+  let step = 0;
+  const membership = new Membership({
+    vmId,
+    zone: "a",
+    seeds: [{ address: "127.21.2.9", port: 9 }],
+    clock: { nowMs: () => nowMs, sleep: () => Promise.resolve() },
+    random: { next: () => ((step += 1) * 0.618_034) % 1 },
+  });
+  return { membership, advance: (ms: number) => nowMs += ms };
+}
+
+t.test("should rank the VMs alike everywhere and move no other when one goes", (t) => {
+  t.comment(`seed ${SEED}`);
+  const ids = fc.uniqueArray(fc.string({ minLength: 1, maxLength: 8 }), {
+    minLength: 2,
+    maxLength: 30,
+  });
+  fc.assert(
+    fc.property(ids, fc.nat(), (vmIds, n) => {
+      const ranked = rankByRendezvous("z", vmIds);
+      const gone = vmIds[n % vmIds.length]!;
+      const left = rankByRendezvous(
+        "z",
+        [...vmIds].reverse().filter((id) => id !== gone),
+      );
+      t.strictSame(left, ranked.filter((id) => id !== gone));
+    }),
+    { seed: SEED, numRuns: 50 },
+  );
+  t.end();
+});
+
+t.test("should give two of a zone's live VMs the role of reader", (t) => {
+  const withLeaving = VMS.map((v) =>
+    v.id === "a3" ? vm("a3", "a", "leaving") : v
+  );
+  const readers = ["a1", "a2", "a3", "a4", "a5"].filter((id) => {
+    const { membership } = open(id);
+    membership.setVms(withLeaving);
+    return membership.isReader;
+  });
+  t.equal(readers.length, 2);
+  t.notOk(readers.includes("a3"), "a VM that is leaving reads no more");
+  const { membership } = open("unlisted");
+  t.ok(membership.isReader, "without a VM list");
+  membership.setVms(withLeaving);
+  t.equal(membership.ownRank, 4, "a VM not listed ranks last");
+  t.end();
+});
+
+t.test("should choose different peers, never itself, other zones once each", (t) => {
+  const { membership } = open();
+  t.strictSame(membership.pickInZone(2).map(({ id }) => id), ["127.21.2.9 9"]);
+  membership.setVms(VMS);
+  for (let n = 0; n < 50; n += 1) {
+    const inZone = membership.pickInZone(4).map(({ id }) => id).sort();
+    t.strictSame(inZone, ["a2", "a3", "a4", "a5"]);
+    const zones = membership.pickElsewhere(5).map(({ zone }) => zone).sort();
+    t.strictSame(zones, ["b", "c", "d", "e", "f"]);
+  }
+  t.end();
+});
+
+t.test("should pass suspected peers over until the backoff ends or they answer", (t) => {
+  const { membership, advance } = open();
+  membership.setVms(VMS);
+  for (const id of ["a2", "a3", "a4"]) {
+    t.ok(membership.exchangeFailed(id));
+    t.notOk(membership.exchangeFailed(id));
+  }
+  t.strictSame(membership.pickInZone(4).map(({ id }) => id), ["a5"]);
+  membership.exchangeSucceeded("a2");
+  t.equal(membership.pickInZone(4).length, 2);
+  advance(2_001);
+  t.equal(membership.pickInZone(4).length, 4);
+  for (const id of ["a2", "a3", "a4", "a5"]) membership.exchangeFailed(id);
+  t.equal(membership.pickInZone(1).length, 1, "all suspected");
+  t.end();
+});
+
+t.test("should let a notice expire unless the leaving process repeats it", (t) => {
+  const { membership, advance } = open();
+  membership.setVms(VMS);
+  const notice = { vmId: "b1", processId: "p1", ageMs: 0 };
+  t.ok(membership.takeNotice(notice));
+  advance(20_000);
+  const passedOn = membership.notices()[0]!;
+  t.equal(passedOn.ageMs, 20_000);
+  t.notOk(membership.takeNotice(passedOn), "its own copy comes back");
+  advance(NOTICE_EXPIRY_MS - 20_000);
+  t.notOk(membership.isLeaving("b1"));
+  t.notOk(membership.takeNotice({ ...passedOn, ageMs: NOTICE_EXPIRY_MS }));
+  t.ok(membership.takeNotice(notice), "repeated");
+  membership.setVms([vm("b1", "b", "leaving")]);
+  advance(NOTICE_EXPIRY_MS);
+  t.ok(membership.isLeaving("b1"), "confirmed by the VM list");
+  t.end();
+});
+
+t.test("should drop a notice about a process that a new one has replaced", (t) => {
+  const { membership } = open();
+  membership.setVms(VMS);
+  const notice = { vmId: "b1", processId: "p1", ageMs: 0 };
+  membership.takeNotice(notice);
+  membership.heardFrom("b1", "p1");
+  t.ok(membership.isLeaving("b1"), "still the same process");
+  membership.heardFrom("b1", "p2");
+  t.notOk(membership.isLeaving("b1"));
+  t.notOk(membership.takeNotice(notice), "late copy of the old notice");
+  t.ok(membership.takeNotice({ ...notice, processId: "p2" }));
+  t.notOk(membership.takeNotice({ ...notice, vmId: "unlisted" }));
+  t.end();
+});
