--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,13 +1,10 @@
 import { createServer } from "node:http";
-import { PlatformReader } from "@tanagercove/distribution";
-import { parseVms, validateLists } from "@tanagercove/lists";
 import type { Logger } from "@tanagercove/logs";
-import { createHttpPlatform } from "@tanagercove/platform";
 import { startProxyServer } from "@tanagercove/proxy";
-import { computeRoutingTable, type RoutingTable } from "@tanagercove/routing";
+import { RPC_PATH } from "@tanagercove/rpc";
 import type { Settings } from "@tanagercove/settings";
-import type { ListProblem, Lists, Vm } from "@tanagercove/types";
-import { SnapshotStore } from "@tanagercove/versions";
+import { createConfiguration } from "./configuration.ts";
+import { startPeerServer } from "./peer_server.ts";
 
 /** Options of `startDaemon`. */
 export interface StartDaemonOptions {
@@ -25,84 +22,47 @@
 export async function startDaemon(
   { settings, log }: StartDaemonOptions,
 ): Promise<Daemon> {
-  let table: RoutingTable | undefined;
-  let lists: Lists | undefined;
-  let vms: readonly Vm[] = [];
-
-  const recompute = () => {
-    const revision = listsStore.held?.revision;
-    if (lists === undefined || revision === undefined) return;
-    table = computeRoutingTable({ revision, lists, vms });
-  };
-  const listsStore = new SnapshotStore<"lists">({
-    kind: "lists",
-    validate: ({ texts }) => reasonOf(validateLists(texts)),
-    onChange: ({ held }) => {
-      lists = validateLists(held.texts).unwrapOr(undefined as never);
-      recompute();
-      log.info({
-        event: "version_taken",
-        revision: held.revision,
-        hash: held.hash,
-      });
-    },
-    onRefused: (refused) => log.warn({ event: "version_refused", ...refused }),
+  const { vmId, zone, address } = settings.daemon;
+  const configuration = createConfiguration({
+    vmId,
+    zone,
+    address,
+    platformUrl: settings.platform.url,
+    log,
   });
-  const vmsStore = new SnapshotStore<"vms">({
-    kind: "vms",
-    validate: ({ texts }) => reasonOf(parseVms(texts.vms)),
-    onChange: ({ held }) => {
-      vms = parseVms(held.texts.vms).unwrapOr([]);
-      recompute();
-    },
-  });
-  const platform = createHttpPlatform({ url: settings.platform.url });
-  const reader = new PlatformReader({
-    platform,
-    lists: listsStore,
-    vms: vmsStore,
+  const peerServer = await startPeerServer({
+    address,
+    port: settings.daemon.peerPort,
+    handlers: { [RPC_PATH]: configuration.handleRpc },
   });
   const proxy = await startProxyServer({
-    address: settings.daemon.address,
+    address,
     callerPort: settings.daemon.callerPort,
-    routingTable: () => table,
+    routingTable: () => configuration.routingTable(),
   });
   const operators = createServer((_request, response) => {
-    const held = listsStore.held;
+    const held = configuration.stores.lists.held;
     response.setHeader("content-type", "application/json");
     response.end(JSON.stringify({
       vm_id: settings.daemon.vmId,
       zone: settings.daemon.zone,
       revision: held?.revision,
       hash: held?.hash,
-      refused: listsStore.refused,
+      refused: configuration.stores.lists.refused,
     }));
   });
   operators.listen(settings.operators.port, settings.operators.address);
-  reader.start();
+  configuration.start();
   log.info({ event: "daemon_started" });
 
   return {
     async close() {
       await proxy.close();
-      await reader.close();
-      await platform.close();
+      await configuration.close();
+      await peerServer.close();
       operators.close();
       operators.closeAllConnections();
       log.info({ event: "daemon_stopped" });
     },
   };
 }
-
-function reasonOf(
-  verdict: {
-    readonly isErr: boolean;
-    readonly error?: readonly ListProblem[];
-  },
-): string | undefined {
-  if (!verdict.isErr) return undefined;
-  return verdict.error?.map(({ place, message }) =>
-    `${place.list}:${place.line}: ${message}`
-  )
-    .join("; ");
-}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,2 @@
+export * from "./configuration.ts";
 export * from "./daemon.ts";
--- /dev/null
+++ b/packages/distribution/src/distribution.ts
@@ -0,0 +1,440 @@
+import { Result } from "true-myth";
+import {
+  type Clock,
+  type Membership,
+  type MembershipDump,
+  type Peer,
+  type Random,
+  SYSTEM_CLOCK,
+  SYSTEM_RANDOM,
+} from "@tanagercove/membership";
+import type { PlatformPort } from "@tanagercove/platform";
+import {
+  INVALID_PARAMS,
+  type RpcCaller,
+  type RpcHandlers,
+  type RpcMethod,
+  type RpcMethodHandler,
+} from "@tanagercove/rpc";
+import type { SnapshotId, SnapshotKind } from "@tanagercove/types";
+import type { OfferCounts, RefusedVersion } from "@tanagercove/versions";
+import { Confirmations } from "./confirmations.ts";
+import type { EventListener } from "./events.ts";
+import { join, type JoinOutcome } from "./joining.ts";
+import {
+  type Digest,
+  encodeDigest,
+  encodeNotice,
+  parseDigest,
+  parseFetchRequest,
+  parseNotice,
+  parsePush,
+} from "./messages.ts";
+import {
+  completeTuning,
+  type DistributionTuning,
+  type Weight,
+} from "./options.ts";
+import { PauseGate } from "./pause_gate.ts";
+import {
+  type PlatformCounts,
+  PlatformWatch,
+  type WatchRole,
+} from "./platform_watch.ts";
+import {
+  Replication,
+  type ReplicationCounts,
+  type SnapshotStores,
+} from "./replication.ts";
+import type { DaemonSummary } from "./summary.ts";
+
+/** Options of `Distribution`. */
+export interface DistributionOptions {
+  readonly membership: Membership;
+  readonly stores: SnapshotStores;
+  readonly rpc: RpcCaller;
+  readonly platform: PlatformPort;
+  readonly weight?: Weight;
+  /** Overrides figures of the weight. */
+  readonly tuning?: Partial<DistributionTuning>;
+  readonly clock?: Clock;
+  readonly random?: Random;
+  readonly onEvent?: EventListener;
+}
+
+/** State of one store for operators. */
+export interface StoreDump {
+  readonly held: SnapshotId | null;
+  readonly floor: number;
+  readonly offers: OfferCounts;
+  readonly refused: readonly RefusedVersion[];
+}
+
+/** State of the distribution for operators; plain JSON. */
+export interface DistributionDump {
+  readonly ready: boolean;
+  readonly floorUnconfirmed: boolean;
+  readonly join: JoinOutcome | null;
+  readonly role: WatchRole;
+  readonly confirmationAgeMs: number | null;
+  readonly pauses: number;
+  readonly malformedMessages: number;
+  readonly tuning: DistributionTuning;
+  readonly platform: PlatformCounts;
+  readonly replication: ReplicationCounts;
+  readonly versions: Readonly<Record<SnapshotKind, StoreDump>>;
+  readonly membership: MembershipDump;
+}
+
+const KINDS: readonly SnapshotKind[] = ["lists", "vms"];
+const REFRESH_PEERS_IN_ZONE = 2;
+const REFRESH_PEERS_ELSEWHERE = 1;
+
+/** Keeps the stores at the newest version that the platform or any reachable daemon has. */
+export class Distribution {
+  /** Handlers of the calls of other daemons. */
+  readonly handlers: RpcHandlers;
+  readonly #options: DistributionOptions;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #tuning: DistributionTuning;
+  readonly #replication: Replication;
+  readonly #confirmations: Confirmations;
+  readonly #watch: PlatformWatch;
+  readonly #gate: PauseGate;
+  readonly #stop = new AbortController();
+  #task: Promise<void> | undefined;
+  #join: JoinOutcome | undefined;
+  #floorUnconfirmed = false;
+  #malformed = 0;
+
+  constructor(options: DistributionOptions) {
+    const { membership, stores, rpc, platform } = options;
+    const clock = options.clock ?? SYSTEM_CLOCK;
+    const random = options.random ?? SYSTEM_RANDOM;
+    const tuning = completeTuning(options.tuning, options.weight);
+    this.#options = options;
+    this.#clock = clock;
+    this.#random = random;
+    this.#tuning = tuning;
+    this.#confirmations = new Confirmations({
+      clock,
+      membership,
+      staleAfterMs: tuning.staleAfterMs,
+    });
+    this.#replication = new Replication({
+      stores,
+      membership,
+      rpc,
+      clock,
+      tuning,
+      isWatching: () => this.#watch.isWatching,
+      onEvent: options.onEvent ?? (() => {}),
+    });
+    this.#watch = new PlatformWatch({
+      platform,
+      replication: this.#replication,
+      membership,
+      confirmations: this.#confirmations,
+      clock,
+      random,
+      tuning,
+      askReaders: () => this.#askReaders(),
+    });
+    this.#gate = new PauseGate({
+      clock,
+      refresh: (pausedMs) => this.#refresh(pausedMs),
+    });
+    this.handlers = this.#createHandlers();
+  }
+
+  /** Whether joining is over and a version of the lists, not older than the floor, is held. */
+  get isReady(): boolean {
+    const { lists } = this.#options.stores;
+    return this.#join !== undefined && lists.held !== undefined &&
+      lists.held.revision >= lists.floor;
+  }
+
+  /** Resolves when no request may be routed by a version that a pause has made old. */
+  whenFresh(): Promise<void> {
+    return this.#gate.whenFresh();
+  }
+
+  /** Joins the other daemons, then keeps the stores up to date until `close()`. */
+  start(): void {
+    this.#gate.start();
+    this.#task = this.#run();
+  }
+
+  /** Tells peers that this daemon is leaving; digests repeat it. */
+  async announceLeaving(): Promise<void> {
+    const { membership } = this.#options;
+    membership.startLeaving();
+    const notice = encodeNotice({ ...this.#replication.sender, ageMs: 0 });
+    const peers = [
+      ...membership.pickInZone(this.#tuning.fanOut),
+      ...membership.pickElsewhere(this.#tuning.zoneLinks),
+    ];
+    await Promise.all(
+      peers.map((peer) =>
+        this.#replication.call(peer, "membership.leaving", notice)
+      ),
+    );
+  }
+
+  /** Ends all tasks. The caller closes the RPC client first, which ends open calls. */
+  async close(): Promise<void> {
+    this.#stop.abort();
+    await this.#gate.close();
+    await this.#task;
+    await this.#watch.close();
+    await this.#replication.close();
+  }
+
+  /** What `status.summary` answers. */
+  summary(): DaemonSummary {
+    const { membership, stores } = this.#options;
+    return {
+      vm_id: membership.vmId,
+      zone: membership.zone,
+      process_id: membership.processId,
+      ready: this.isReady,
+      floor_unconfirmed: this.#floorUnconfirmed,
+      role: this.#watch.role,
+      confirmation_age_ms: this.#confirmations.knownAgeMs ?? null,
+      lists: this.#held("lists") ?? null,
+      vms: this.#held("vms") ?? null,
+      refused: { lists: stores.lists.refused, vms: stores.vms.refused },
+    };
+  }
+
+  dump(): DistributionDump {
+    return {
+      ready: this.isReady,
+      floorUnconfirmed: this.#floorUnconfirmed,
+      join: this.#join ?? null,
+      role: this.#watch.role,
+      confirmationAgeMs: this.#confirmations.knownAgeMs ?? null,
+      pauses: this.#gate.pauses,
+      malformedMessages: this.#malformed,
+      tuning: this.#tuning,
+      platform: this.#watch.counts,
+      replication: this.#replication.counts,
+      versions: {
+        lists: this.#dumpStore("lists"),
+        vms: this.#dumpStore("vms"),
+      },
+      membership: this.#options.membership.dump(),
+    };
+  }
+
+  async #run(): Promise<void> {
+    const signal = this.#stop.signal;
+    const outcome = await join({
+      membership: this.#options.membership,
+      replication: this.#replication,
+      platform: this.#options.platform,
+      clock: this.#clock,
+      timeoutMs: this.#tuning.joinTimeoutMs,
+      signal,
+      exchange: (peer) => this.#exchange(peer),
+    });
+    if (signal.aborted) return;
+    this.#join = outcome;
+    const { holders, responses, tookMs } = outcome;
+    const details = { holders, responses, took_ms: Math.round(tookMs) };
+    this.#replication.event("join_completed", details);
+    if (holders === 0) {
+      this.#floorUnconfirmed = true;
+      this.#replication.event("floor_unconfirmed", details);
+    }
+    this.#watch.start();
+    await this.#exchangeDigests();
+  }
+
+  /** Starts a digest exchange in each interval; a silent peer does not delay the next one. */
+  async #exchangeDigests(): Promise<void> {
+    const { digestIntervalMs, remoteDigestEvery } = this.#tuning;
+    const signal = this.#stop.signal;
+    for (let n = 1; !signal.aborted; n += 1) {
+      const jitter = 0.75 + this.#random.next() / 2;
+      await this.#clock.sleep(digestIntervalMs * jitter, signal);
+      if (signal.aborted) return;
+      const peer = this.#choosePartner(n % remoteDigestEvery === 0);
+      if (peer === undefined) continue;
+      this.#replication.inBackground(this.#synchronize(peer));
+    }
+  }
+
+  #choosePartner(remote: boolean): Peer | undefined {
+    const { membership } = this.#options;
+    const [peer] = remote
+      ? membership.pickElsewhere(1)
+      : membership.pickInZone(1);
+    return peer ?? membership.pickAnywhere(1)[0];
+  }
+
+  /** Exchanges digests and fetches what is missing; false where the peer did not answer. */
+  async #synchronize(peer: Peer): Promise<boolean> {
+    const digest = await this.#exchange(peer);
+    if (digest === undefined) return false;
+    await Promise.all(KINDS.map(async (kind) => {
+      const theirs = digest[kind];
+      if (theirs === undefined) return;
+      if (!this.#replication.isBehind(kind, theirs)) return;
+      await this.#replication.catchUp(kind, peer, theirs);
+    }));
+    return true;
+  }
+
+  async #exchange(peer: Peer): Promise<Digest | undefined> {
+    const sentAtMs = this.#clock.nowMs();
+    const message = encodeDigest(this.#digest());
+    const answer = await this.#replication.call(
+      peer,
+      "digest.exchange",
+      message,
+    );
+    if (answer.isErr) return undefined;
+    const digest = parseDigest(answer.value);
+    if (digest === undefined) this.#malformed += 1;
+    else this.#absorb(digest, Math.ceil(this.#clock.nowMs() - sentAtMs));
+    return digest;
+  }
+
+  #digest(): Digest {
+    return {
+      sender: this.#replication.sender,
+      lists: this.#held("lists"),
+      vms: this.#held("vms"),
+      confirmationAgeMs: this.#confirmations.knownAgeMs,
+      reader: this.#confirmations.reader,
+      notices: this.#options.membership.notices(),
+    };
+  }
+
+  /** Takes what a digest tells beside the versions. */
+  #absorb(digest: Digest, transitMs: number): void {
+    const { membership } = this.#options;
+    const { sender, reader, confirmationAgeMs } = digest;
+    membership.heardFrom(sender.vmId, sender.processId);
+    for (const notice of digest.notices) {
+      if (!membership.takeNotice(notice)) continue;
+      this.#replication.event("vm_leaving", { vm_id: notice.vmId });
+    }
+    if (confirmationAgeMs !== undefined) {
+      this.#confirmations.takeAge(confirmationAgeMs + transitMs);
+    }
+    const isOfZone = membership.peer(sender.vmId)?.zone === membership.zone &&
+      reader !== undefined &&
+      membership.peer(reader.vmId)?.zone === membership.zone;
+    if (isOfZone) {
+      const { vmId, ageMs } = reader;
+      this.#confirmations.takeReader({ vmId, ageMs: ageMs + transitMs });
+    }
+  }
+
+  async #askReaders(): Promise<void> {
+    const { membership } = this.#options;
+    const readers = membership.readersInZone().flatMap((vmId) =>
+      membership.peer(vmId) ?? []
+    );
+    await Promise.all(readers.map((peer) => this.#synchronize(peer)));
+  }
+
+  /** After a pause: connections may be dead and versions old. Returns when one peer has answered. */
+  async #refresh(pausedMs: number): Promise<void> {
+    const { membership, rpc } = this.#options;
+    const details = { paused_ms: Math.round(pausedMs) };
+    this.#replication.event("pause_detected", details);
+    rpc.closeIdle();
+    const peers = [
+      ...membership.pickInZone(REFRESH_PEERS_IN_ZONE),
+      ...membership.pickElsewhere(REFRESH_PEERS_ELSEWHERE),
+    ];
+    const exchanges = peers.map(async (peer) => {
+      const answered = await this.#synchronize(peer);
+      return answered ? Promise.resolve() : Promise.reject();
+    });
+    const done = Promise.any(exchanges).catch(() => {});
+    this.#replication.inBackground(Promise.allSettled(exchanges));
+    await done;
+  }
+
+  #createHandlers(): RpcHandlers {
+    const { membership } = this.#options;
+    const replication = this.#replication;
+    return {
+      "digest.exchange": this.#handle("digest.exchange", {
+        parse: parseDigest,
+        handle: (digest) => {
+          this.#absorb(digest, 0);
+          this.#fetchFromSender(digest);
+          return encodeDigest(this.#digest());
+        },
+      }),
+      "versions.push": this.#handle("versions.push", {
+        parse: parsePush,
+        handle: (push) => {
+          membership.heardFrom(push.sender.vmId, push.sender.processId);
+          return { verdict: replication.receivePush(push) };
+        },
+      }),
+      "versions.fetch": this.#handle("versions.fetch", {
+        parse: parseFetchRequest,
+        handle: (request) => replication.answerFetch(request),
+      }),
+      "membership.leaving": this.#handle("membership.leaving", {
+        parse: parseNotice,
+        handle: (notice) => {
+          if (membership.takeNotice(notice)) {
+            replication.event("vm_leaving", { vm_id: notice.vmId });
+          }
+          return {};
+        },
+      }),
+      "status.summary": () => Promise.resolve(Result.ok(this.summary())),
+    };
+  }
+
+  #handle<T>(method: RpcMethod, steps: {
+    readonly parse: (params: unknown) => T | undefined;
+    readonly handle: (message: T) => unknown;
+  }): RpcMethodHandler {
+    return (params) => {
+      const message = steps.parse(params);
+      if (message !== undefined) {
+        return Promise.resolve(Result.ok(steps.handle(message)));
+      }
+      this.#malformed += 1;
+      return Promise.resolve(Result.err({
+        code: INVALID_PARAMS,
+        message: `Parameters of "${method}" have another form than expected`,
+      }));
+    };
+  }
+
+  /** Only a sender that the VM list names is called back. */
+  #fetchFromSender(digest: Digest): void {
+    const peer = this.#options.membership.peer(digest.sender.vmId);
+    if (peer === undefined) return;
+    for (const kind of KINDS) {
+      const theirs = digest[kind];
+      if (theirs === undefined) continue;
+      if (!this.#replication.isBehind(kind, theirs)) continue;
+      this.#replication.inBackground(
+        this.#replication.catchUp(kind, peer, theirs),
+      );
+    }
+  }
+
+  #held(kind: SnapshotKind): SnapshotId | undefined {
+    const held = this.#options.stores[kind].held;
+    return held && { revision: held.revision, hash: held.hash };
+  }
+
+  #dumpStore(kind: SnapshotKind): StoreDump {
+    const { floor, counts: offers, refused } = this.#options.stores[kind];
+    return { held: this.#held(kind) ?? null, floor, offers, refused };
+  }
+}
--- /dev/null
+++ b/packages/distribution/src/distribution_test.ts
@@ -0,0 +1,548 @@
+import fc from "fast-check";
+import t, { type Test } from "tap";
+import { formatVms, parseVms, validateLists } from "@tanagercove/lists";
+import { Membership } from "@tanagercove/membership";
+import type { RpcMethod } from "@tanagercove/rpc";
+import {
+  FakeNetwork,
+  FakePlatform,
+  VirtualClock,
+} from "@tanagercove/test_helpers";
+import type { Snapshot, SnapshotId, Vm } from "@tanagercove/types";
+import {
+  computeDelta,
+  contentHash,
+  makeSnapshot,
+  SnapshotStore,
+} from "@tanagercove/versions";
+import {
+  Distribution,
+  type DistributionEventName,
+  type DistributionTuning,
+  type SnapshotStores,
+} from "./index.ts";
+
+const SEED = 20_261_204;
+const SENDER = { vm_id: "b1", process_id: "p" };
+const NO_HASH = "0".repeat(64);
+
+function vmOf(zone: string, n: number): Vm {
+  return {
+    id: `${zone}${n}`,
+    zone,
+    service: "swatches",
+    region: "r",
+    address: `127.21.${zone.charCodeAt(0)}.${n}`,
+    callerPort: 1,
+    peerPort: 2,
+    upstreamPort: 3,
+    state: "live",
+  };
+}
+
+function vmsOf(zones: string, perZone: number): readonly Vm[] {
+  return [...zones].flatMap((zone) =>
+    Array.from({ length: perZone }, (_, n) => vmOf(zone, n + 1))
+  );
+}
+
+function lists(revision: number, plans: string, allowances = "p = s") {
+  const texts = { plans, allowances };
+  return makeSnapshot({ kind: "lists", revision, texts });
+}
+
+/** A fleet in memory on virtual time. */
+class Fleet {
+  readonly clock = new VirtualClock();
+  readonly network = new FakeNetwork(this.clock);
+  readonly platform = new FakePlatform(this.clock);
+  readonly daemons = new Map<string, ReturnType<Fleet["start"]>>();
+  readonly cutOff = new Set<string>();
+  #random = 0;
+
+  constructor(t: Test, readonly vms: readonly Vm[]) {
+    this.platform.publish("vms", formatVms(vms));
+    this.platform.publish("allowances", "p = s\n");
+    this.platform.publish("plans", "c = p\n");
+    t.teardown(async () => {
+      const closing = [...this.daemons.values()].map(({ close }) => close());
+      await this.clock.advance(10_000);
+      await Promise.all(closing);
+    });
+  }
+
+  startAll(tuning?: Partial<DistributionTuning>): void {
+    for (const vm of this.vms) this.start(vm, tuning);
+  }
+
+  start(
+    vm: Vm,
+    tuning?: Partial<DistributionTuning>,
+    seeds: readonly Vm[] = [],
+  ) {
+    const { clock, network, platform } = this;
+    const random = {
+      next: () => (this.#random = (this.#random + 0.618_034) % 1),
+    };
+    const membership = new Membership({
+      vmId: vm.id,
+      zone: vm.zone,
+      seeds: seeds.map(({ address, peerPort: port }) => ({ address, port })),
+      clock,
+      random,
+    });
+    const events: DistributionEventName[] = [];
+    const taken: Snapshot<"lists">[] = [];
+    const stores: SnapshotStores = {
+      lists: new SnapshotStore<"lists">({
+        kind: "lists",
+        validate: ({ texts }) =>
+          validateLists(texts).isErr ? "invalid lists" : undefined,
+        onChange: ({ held }) => taken.push(held),
+      }),
+      vms: new SnapshotStore<"vms">({
+        kind: "vms",
+        validate: ({ texts }) =>
+          parseVms(texts.vms).isErr ? "invalid vms" : undefined,
+        onChange: ({ held }) =>
+          membership.setVms(parseVms(held.texts.vms).unwrapOr([])),
+      }),
+    };
+    const distribution = new Distribution({
+      membership,
+      stores,
+      tuning,
+      clock,
+      random,
+      rpc: network.callerFrom(vm.address),
+      platform: platform.port(() => !this.cutOff.has(vm.id)),
+      onEvent: ({ event }) => events.push(event),
+    });
+    network.listen(vm.address, distribution.handlers);
+    distribution.start();
+    const daemon = {
+      vm,
+      membership,
+      stores,
+      distribution,
+      events,
+      taken,
+      close: () => {
+        network.close(vm.address);
+        this.daemons.delete(vm.id);
+        return distribution.close();
+      },
+    };
+    this.daemons.set(vm.id, daemon);
+    return daemon;
+  }
+
+  daemon(id: string) {
+    return this.daemons.get(id)!;
+  }
+
+  /** Daemons whose lists have this revision. */
+  at(revision: number): number {
+    return [...this.daemons.values()].filter(({ stores }) =>
+      stores.lists.held?.revision === revision
+    ).length;
+  }
+
+  readers(zone: string): readonly string[] {
+    return [...this.daemons.values()]
+      .find(({ vm }) => vm.zone === zone)!.membership.readersInZone();
+  }
+
+  call(to: string, method: RpcMethod, params: unknown) {
+    return this.daemon(to).distribution.handlers[method](params);
+  }
+}
+
+function revisionsOf(daemon: { readonly taken: readonly SnapshotId[] }) {
+  return daemon.taken.map(({ revision }) => revision);
+}
+
+async function startedFleet(t: Test, zones: string, perZone: number) {
+  const fleet = new Fleet(t, vmsOf(zones, perZone));
+  fleet.startAll();
+  await fleet.clock.advance(4_000);
+  t.equal(fleet.at(fleet.platform.revision), zones.length * perZone);
+  return fleet;
+}
+
+t.test("should bring a change to every daemon within 3 s with a bounded number of platform calls", async (t) => {
+  const fleet = await startedFleet(t, "abc", 10);
+  const callsStart = fleet.platform.calls;
+  await fleet.clock.advance(3_000);
+  const atRest = fleet.platform.calls - callsStart;
+  const revision = fleet.platform.publish("plans", "c = p\nd = p\n");
+  await fleet.clock.advance(3_000);
+  t.equal(fleet.at(revision), 30);
+  const calls = fleet.platform.calls - callsStart - atRest;
+  t.comment(`${atRest} calls in 3 s at rest, ${calls} with a change`);
+  t.ok(atRest <= 6 * 3, "a watch of each of 6 readers in 1.5 s");
+  t.ok(calls <= atRest + 6 * 3, "an index and a value for each reader");
+  t.equal(fleet.readers("a").length, 2);
+});
+
+t.test("should bring changes to a zone that is cut off from the platform", async (t) => {
+  const fleet = await startedFleet(t, "abc", 5);
+  for (const { id } of vmsOf("a", 5)) fleet.cutOff.add(id);
+  const revision = fleet.platform.publish("plans", "e = p\n");
+  await fleet.clock.advance(3_000);
+  t.equal(fleet.at(revision), 15);
+});
+
+t.test("should replace dead readers one after the other and stop when they return", async (t) => {
+  const fleet = await startedFleet(t, "a", 8);
+  const ranked = [...fleet.daemons.keys()].sort((a, b) =>
+    fleet.daemon(a).membership.ownRank - fleet.daemon(b).membership.ownRank
+  );
+  const dead = ranked.slice(0, 2).map((id) => fleet.daemon(id));
+  await fleet.clock.advance(1_000);
+  const closing = dead.map(({ close }) => close());
+  await fleet.clock.advance(5_000);
+  await Promise.all(closing);
+  const watching = () =>
+    [...fleet.daemons].filter(([, { distribution }]) =>
+      distribution.summary().role !== "none"
+    ).map(([id]) => id);
+  t.strictSame(watching(), [ranked[2]]);
+  const revision = fleet.platform.publish("plans", "f = p\n");
+  await fleet.clock.advance(3_000);
+  t.equal(fleet.at(revision), 6);
+  fleet.start(dead[0]!.vm);
+  await fleet.clock.advance(8_000);
+  t.strictSame(watching(), [ranked[0]]);
+});
+
+t.test("should keep own reading within half of the platform's rate", async (t) => {
+  const fleet = new Fleet(t, vmsOf("a", 20));
+  // 20 daemons at 10 calls/s: 5 calls/s for all, beside the two readers' retries.
+  fleet.startAll({ readsPerSecond: 10 });
+  await fleet.clock.advance(4_000);
+  fleet.platform.setMode("outage");
+  await fleet.clock.advance(30_000);
+  const callsBefore = fleet.platform.calls;
+  await fleet.clock.advance(60_000);
+  const perSecond = (fleet.platform.calls - callsBefore) / 60;
+  t.ok(perSecond < 2 * 1.8 + 5 * 1.3, `${perSecond} calls/s`);
+  fleet.platform.setMode("normal");
+  const revision = fleet.platform.publish("plans", "g = p\n");
+  await fleet.clock.advance(3_000);
+  t.equal(fleet.at(revision), 20, "recovered within 3 s");
+});
+
+t.test("should join at the fleet's version though the platform is stale", async (t) => {
+  const fleet = await startedFleet(t, "ab", 4);
+  fleet.platform.setMode("stale");
+  for (const { id } of vmsOf("ab", 4)) fleet.cutOff.add(id);
+  const newer = lists(fleet.platform.revision + 5, "c = p\nz = p");
+  fleet.daemon("a1").stores.lists.offer(newer);
+  await fleet.clock.advance(4_000);
+  const late = fleet.start(vmOf("a", 9), {}, [vmOf("a", 2)]);
+  t.notOk(late.distribution.isReady);
+  await fleet.clock.advance(4_000);
+  t.ok(late.distribution.isReady);
+  t.strictSame(revisionsOf(late), [newer.revision]);
+  t.ok(late.events.includes("platform_stale"));
+  t.notOk(late.events.includes("floor_unconfirmed"));
+});
+
+t.test("should take nothing older than the floor though its holder cannot deliver it", async (t) => {
+  const fleet = await startedFleet(t, "a", 3);
+  fleet.network.fault = ({ method }) =>
+    method === "versions.fetch" ? "refused" : undefined;
+  const target = lists(fleet.platform.revision + 5, "z = p");
+  fleet.daemon("a1").stores.lists.offer(target);
+  fleet.daemon("a2").stores.lists.raiseFloor(target.revision);
+  const late = fleet.start(vmOf("a", 9), {}, [vmOf("a", 1)]);
+  await fleet.clock.advance(8_000);
+  t.equal(late.stores.lists.held, undefined);
+  t.notOk(late.distribution.isReady);
+  t.ok(late.events.includes("floor_not_reached"));
+  fleet.network.fault = () => undefined;
+  await fleet.clock.advance(8_000);
+  t.strictSame(revisionsOf(late), [target.revision]);
+  t.ok(late.distribution.isReady);
+});
+
+t.test("should ask the VMs of the platform's list when the seeds are gone", async (t) => {
+  const fleet = await startedFleet(t, "a", 4);
+  const newer = lists(fleet.platform.revision + 5, "z = p");
+  for (const id of ["a1", "a2", "a3", "a4"]) {
+    fleet.cutOff.add(id);
+    fleet.daemon(id).stores.lists.offer(newer);
+  }
+  const late = fleet.start(vmOf("a", 9), {}, [vmOf("z", 1)]);
+  await fleet.clock.advance(4_000);
+  t.strictSame(revisionsOf(late), [newer.revision]);
+});
+
+t.test("should report an unconfirmed floor when no other daemon answers", async (t) => {
+  const fleet = new Fleet(t, vmsOf("a", 3));
+  const only = fleet.start(vmOf("a", 1), {}, [vmOf("a", 2)]);
+  await fleet.clock.advance(2_900);
+  t.equal(only.stores.lists.held, undefined, "the platform is not yet trusted");
+  await fleet.clock.advance(1_000);
+  t.equal(only.stores.lists.held?.revision, fleet.platform.revision);
+  t.ok(only.events.includes("floor_unconfirmed"));
+  t.ok(only.distribution.summary().floor_unconfirmed);
+});
+
+t.test("should never hold a mixture of two edits that cross a read", async (t) => {
+  const fleet = new Fleet(t, vmsOf("a", 2));
+  let edits = 0;
+  fleet.platform.beforeRead = (key) => {
+    if (key !== "allowances" || edits >= 4) return;
+    edits += 1;
+    fleet.platform.publish("plans", `c = p${edits}\n`);
+    fleet.platform.publish("allowances", `p${edits} = s\n`);
+  };
+  fleet.startAll();
+  await fleet.clock.advance(6_000);
+  const taken = [...fleet.daemons.values()].flatMap(({ taken }) => taken);
+  const mixtures = taken.filter(({ texts }) => {
+    const plan = /= (p\d*)/.exec(texts.plans)?.[1];
+    return !texts.allowances.startsWith(`${plan} =`);
+  });
+  t.equal(edits, 4);
+  t.strictSame(mixtures, []);
+  t.equal(fleet.at(fleet.platform.revision), 2);
+  const crossed = [...fleet.daemons.values()].flatMap(({ events }) => events)
+    .filter((event) => event === "edits_crossed");
+  t.ok(crossed.length >= 1);
+});
+
+t.test("should neither take nor push an invalid version, and take the next valid one", async (t) => {
+  const fleet = await startedFleet(t, "ab", 5);
+  const before = fleet.platform.revision;
+  const invalid = fleet.platform.publish("plans", "c = p\nno entry\n");
+  const callsBefore = fleet.platform.calls;
+  await fleet.clock.advance(5_000);
+  t.equal(fleet.at(before), 10);
+  const calls = fleet.platform.calls - callsBefore;
+  t.ok(calls < 30, `${calls} calls: not read again with every watch`);
+  const sent = JSON.stringify(fleet.network.calls);
+  t.notOk(sent.includes(`"revision":${invalid},`), "in no message");
+  const reader = fleet.daemon(fleet.readers("a")[0]!);
+  t.strictSame(reader.stores.lists.refused.map(({ revision }) => revision), [
+    invalid,
+  ]);
+  const valid = fleet.platform.publish("plans", "c = p\nd = p\n");
+  await fleet.clock.advance(3_000);
+  t.equal(fleet.at(valid), 10);
+});
+
+t.test("should distribute lists while the VM list is bad", async (t) => {
+  const fleet = await startedFleet(t, "ab", 5);
+  fleet.platform.publish("vms", "a1 = nonsense\n");
+  const revision = fleet.platform.publish("plans", "c = p\nd = p\n");
+  await fleet.clock.advance(3_000);
+  t.equal(fleet.at(revision), 10);
+  t.equal(fleet.daemon("a1").membership.vms.length, 10);
+});
+
+t.test("should keep the content held first when a peer has the same revision with other content", async (t) => {
+  const fleet = await startedFleet(t, "a", 4);
+  const { revision } = fleet.platform;
+  const other = lists(revision, "c = q");
+  const sender = { ...SENDER, vm_id: "a2" };
+  const held = fleet.daemon("a1").stores.lists.held!;
+  await fleet.call("a1", "digest.exchange", {
+    sender,
+    lists: { revision, hash: other.hash },
+    leaving: [],
+  });
+  const delta = {
+    ...computeDelta({ ...held, revision: 1 }, other)!,
+    base: held,
+  };
+  const forged = { ...delta, base: { revision: 1, hash: held.hash } };
+  await fleet.call("a1", "versions.push", {
+    sender,
+    kind: "lists",
+    target: { revision, hash: other.hash },
+    delta: forged,
+  });
+  await fleet.clock.advance(2_000);
+  t.equal(fleet.daemon("a1").stores.lists.held!.hash, held.hash);
+  const { events, distribution } = fleet.daemon("a1");
+  t.equal(events.filter((event) => event === "version_conflict").length, 1);
+  t.equal(distribution.dump().replication.conflicts, 2);
+});
+
+t.test("should fetch the whole version when a delta leads to another hash", async (t) => {
+  const fleet = await startedFleet(t, "a", 3);
+  const held = fleet.daemon("a1").stores.lists.held!;
+  const target = lists(held.revision + 1, "c = p\nx = p");
+  const wrong = computeDelta(held, lists(held.revision + 1, "c = forged"))!;
+  fleet.cutOff.add("a1").add("a2").add("a3");
+  fleet.daemon("a2").stores.lists.offer(target);
+  const id = { revision: target.revision, hash: target.hash };
+  const answer = await fleet.call("a1", "versions.push", {
+    sender: { vm_id: "a2", process_id: "p" },
+    kind: "lists",
+    target: id,
+    delta: { ...wrong, target: id },
+  });
+  t.strictSame(answer.unwrapOr(undefined), { verdict: "fetching" });
+  t.equal(fleet.daemon("a1").stores.lists.held, held);
+  await fleet.clock.advance(10);
+  t.equal(fleet.daemon("a1").stores.lists.held!.hash, target.hash);
+  t.equal(
+    fleet.daemon("a1").distribution.dump().replication.deltaMismatches,
+    1,
+  );
+});
+
+t.test("should stay in step while a third of the peers is silent", async (t) => {
+  const fleet = await startedFleet(t, "ab", 6);
+  const silent = new Set(
+    ["a1", "a2", "b1", "b2"].map((id) => fleet.daemon(id).vm.address),
+  );
+  fleet.network.fault = ({ from, to }) =>
+    silent.has(from) || silent.has(to) ? "silent" : undefined;
+  for (const id of ["a1", "a2", "b1", "b2"]) fleet.cutOff.add(id);
+  await fleet.clock.advance(5_000);
+  const revision = fleet.platform.publish("plans", "h = p\n");
+  await fleet.clock.advance(3_000);
+  t.equal(fleet.at(revision), 8);
+  fleet.network.fault = () => undefined;
+  await fleet.clock.advance(3_000);
+  t.equal(fleet.at(revision), 12, "healed within 3 s");
+});
+
+t.test("should hold requests after a pause until a peer has answered, at most 500 ms", async (t) => {
+  const fleet = await startedFleet(t, "a", 4);
+  const { distribution, stores } = fleet.daemon("a1");
+  const newer = lists(fleet.platform.revision + 5, "z = p");
+  for (const id of ["a2", "a3", "a4"]) {
+    fleet.cutOff.add(id);
+    fleet.daemon(id).stores.lists.offer(newer);
+  }
+  fleet.cutOff.add("a1");
+  fleet.clock.pause(5_000);
+  let seen: number | undefined;
+  void distribution.whenFresh().then(() => seen = stores.lists.held?.revision);
+  await fleet.clock.advance(0);
+  t.equal(seen, newer.revision, "with the version that peers hold");
+
+  fleet.network.fault = () => "silent";
+  fleet.clock.pause(5_000);
+  let opened = false;
+  void distribution.whenFresh().then(() => opened = true);
+  await fleet.clock.advance(450);
+  t.notOk(opened);
+  await fleet.clock.advance(100);
+  t.ok(opened, "at most 500 ms");
+  t.equal(distribution.dump().pauses, 2);
+});
+
+t.test("should survive hostile requests without a step back or a forged content", async (t) => {
+  const fleet = await startedFleet(t, "ab", 3);
+  const held = fleet.daemon("a1").stores.lists.held!;
+  const hash = fc.constantFrom(held.hash, NO_HASH, "x");
+  const revision = fc.constantFrom(0, 1, 3, 4, 5, 99, -1, 1.5, 2 ** 53);
+  const id = fc.oneof(fc.record({ revision, hash }), fc.jsonValue());
+  const name = fc.constantFrom("plans", "allowances", "vms", "__proto__", "q");
+  const edit = fc.record({
+    op: fc.constantFrom("keep", "drop", "insert", "?"),
+    count: fc.constantFrom(0, 1, 2, 3, -1, 1e9, "1"),
+    lines: fc.oneof(fc.array(fc.string()), fc.jsonValue()),
+  });
+  const delta = fc.record({
+    kind: fc.constantFrom("lists", "vms", "constructor"),
+    base: fc.oneof(
+      fc.constant({ revision: held.revision, hash: held.hash }),
+      id,
+    ),
+    target: id,
+    edits: fc.oneof(fc.dictionary(name, fc.array(edit)), fc.jsonValue()),
+  });
+  const message = fc.oneof(
+    fc.jsonValue(),
+    fc.record({
+      sender: fc.oneof(fc.constant(SENDER), fc.jsonValue()),
+      kind: fc.constantFrom("lists", "vms", "__proto__"),
+      target: id,
+      delta: fc.option(delta, { nil: undefined }),
+      have: id,
+      lists: fc.option(id, { nil: undefined }),
+      vms: fc.option(id, { nil: undefined }),
+      confirmation_age_ms: fc.constantFrom(0, 5, -5, "x", undefined),
+      reader: fc.option(fc.jsonValue(), { nil: undefined }),
+      leaving: fc.oneof(fc.constant([]), fc.array(fc.jsonValue())),
+    }).map((fields) =>
+      fields.delta === undefined
+        ? fields
+        : { ...fields, target: fields.delta.target }
+    ),
+  );
+  const method = fc.constantFrom<RpcMethod>(
+    "digest.exchange",
+    "versions.push",
+    "versions.fetch",
+    "membership.leaving",
+    "status.summary",
+  );
+  t.comment(`seed ${SEED}`);
+  const { stores } = fleet.daemon("a1");
+  await fc.assert(
+    fc.asyncProperty(method, message, async (chosen, params) => {
+      const before = stores.lists.held!.revision;
+      const answer = await fleet.call("a1", chosen, params);
+      const after = stores.lists.held!;
+      return (answer.isOk || answer.error.message !== "") &&
+        after.revision >= before && contentHash(after.texts) === after.hash &&
+        validateLists(after.texts).isOk;
+    }),
+    { seed: SEED, numRuns: 2_000 },
+  );
+});
+
+t.test("should survive hostile answers without a step back or a forged content", async (t) => {
+  const fleet = await startedFleet(t, "ab", 3);
+  const forged = { ...lists(50, "c = forged"), hash: NO_HASH };
+  const invalid = lists(51, "no entry");
+  const valid = lists(52, "c = p");
+  const answers = fc.oneof(
+    fc.jsonValue(),
+    fc.record({
+      type: fc.constantFrom("snapshot", "deltas", "nothing_newer"),
+      snapshot: fc.constantFrom<unknown>(forged, invalid, {
+        ...valid,
+        texts: {},
+      }),
+      deltas: fc.array(fc.jsonValue(), { maxLength: 2 }),
+      sender: fc.constant(SENDER),
+      lists: fc.constant({ revision: 60, hash: NO_HASH }),
+      leaving: fc.constant([]),
+    }),
+  );
+  const { stores, distribution } = fleet.daemon("a1");
+  let answer: unknown;
+  const hostile = () => Promise.resolve({ isOk: true, value: answer } as never);
+  fleet.network.listen(fleet.daemon("b1").vm.address, {
+    ...fleet.daemon("b1").distribution.handlers,
+    "digest.exchange": hostile,
+    "versions.fetch": hostile,
+  });
+  const before = stores.lists.held!;
+  t.comment(`seed ${SEED}`);
+  await fc.assert(
+    fc.asyncProperty(answers, async (chosen) => {
+      answer = chosen;
+      await fleet.call("a1", "versions.push", {
+        sender: SENDER,
+        kind: "lists",
+        target: { revision: 60, hash: NO_HASH },
+      });
+      await fleet.clock.advance(5);
+      return stores.lists.held === before;
+    }),
+    { seed: SEED, numRuns: 300 },
+  );
+  t.ok(distribution.dump().replication.snapshotMismatches > 0);
+  t.strictSame(stores.lists.refused.map(({ revision }) => revision), [51]);
+});
--- a/packages/distribution/src/index.ts
+++ b/packages/distribution/src/index.ts
@@ -1,1 +1,15 @@
-export * from "./platform_reader.ts";
+export * from "./distribution.ts";
+export type {
+  DistributionEvent,
+  DistributionEventName,
+  EventListener,
+} from "./events.ts";
+export {
+  completeTuning,
+  type DistributionTuning,
+  type Weight,
+} from "./options.ts";
+export type { DaemonSummary } from "./summary.ts";
+export type { JoinOutcome } from "./joining.ts";
+export type { PlatformCounts, WatchRole } from "./platform_watch.ts";
+export type { ReplicationCounts, SnapshotStores } from "./replication.ts";
--- /dev/null
+++ b/packages/distribution/src/platform_watch.ts
@@ -0,0 +1,327 @@
+import { Result } from "true-myth";
+import type { PlatformError } from "@tanagercove/errors";
+import type { Clock, Membership, Random } from "@tanagercove/membership";
+import type { PlatformIndex, PlatformPort } from "@tanagercove/platform";
+import type { PlatformKey, Snapshot, SnapshotKind } from "@tanagercove/types";
+import { makeSnapshot } from "@tanagercove/versions";
+import type { Confirmations } from "./confirmations.ts";
+import type { DistributionTuning } from "./options.ts";
+import type { Replication } from "./replication.ts";
+
+/** Why this daemon calls the platform, if it does. */
+export type WatchRole = "none" | "reader" | "replacement" | "own_reading";
+
+/** Options of `PlatformWatch`. */
+export interface PlatformWatchOptions {
+  readonly platform: PlatformPort;
+  readonly replication: Replication;
+  readonly membership: Membership;
+  readonly confirmations: Confirmations;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly tuning: DistributionTuning;
+  /** Asks the readers of the zone for their confirmation. */
+  readonly askReaders: () => Promise<void>;
+}
+
+/** Counts for operators. */
+export interface PlatformCounts {
+  readonly calls: number;
+  readonly failures: number;
+  readonly staleIndexes: number;
+  readonly crossedEdits: number;
+}
+
+type ReadError = PlatformError | { readonly kind: "crossed" };
+type Round = "confirmed" | "stale" | "crossed" | "timeout" | "failed";
+
+const KINDS: readonly SnapshotKind[] = ["lists", "vms"];
+const REPLACEMENT_STEP_MS = 500;
+const RANK_STEP_MS = 100;
+/** A replacement of a high rank would otherwise wait for longer than the 3 s allowed for a change. */
+const MAX_RANK_WAIT_MS = 500;
+const RETRY_MIN_MS = 250;
+const RETRY_MAX_MS = 1_000;
+const CROSSED_RETRY_MS = 20;
+/** Interval of a platform that answers watches at once without a change. */
+const MIN_WATCH_INTERVAL_MS = 100;
+const ROLE_CHECK_MS = 100;
+const MIN_OWN_READING_MS = 1_000;
+
+/** Watches the platform while the daemon's rank or the age of the confirmations demands it. */
+export class PlatformWatch {
+  readonly #options: PlatformWatchOptions;
+  readonly #stop = new AbortController();
+  readonly #counts = {
+    calls: 0,
+    failures: 0,
+    staleIndexes: 0,
+    crossedEdits: 0,
+  };
+  #task: Promise<void> | undefined;
+  #role: WatchRole = "none";
+  #afterRevision = 0;
+  #crossedInARow = 0;
+  #lost = false;
+  #stale = false;
+  /** Revision last read from the platform, valid or not. */
+  readonly #readRevision: Record<SnapshotKind, number> = { lists: -1, vms: -1 };
+
+  constructor(options: PlatformWatchOptions) {
+    this.#options = options;
+  }
+
+  get role(): WatchRole {
+    return this.#role;
+  }
+
+  get isWatching(): boolean {
+    return this.#role === "reader" || this.#role === "replacement";
+  }
+
+  get counts(): PlatformCounts {
+    return { ...this.#counts };
+  }
+
+  start(): void {
+    this.#task = this.#run();
+  }
+
+  async close(): Promise<void> {
+    this.#stop.abort();
+    await this.#task;
+  }
+
+  async #run(): Promise<void> {
+    const { clock } = this.#options;
+    const signal = this.#stop.signal;
+    while (!signal.aborted) {
+      const role = await this.#nextRole();
+      this.#setRole(role);
+      if (role === "none") {
+        await clock.sleep(ROLE_CHECK_MS, signal);
+        continue;
+      }
+      const startedMs = clock.nowMs();
+      const callsBefore = this.#counts.calls;
+      const round = await this.#round(role);
+      if (signal.aborted) return;
+      const waitMs = this.#pauseAfter(round, {
+        role,
+        tookMs: clock.nowMs() - startedMs,
+        calls: this.#counts.calls - callsBefore,
+      });
+      if (waitMs > 0) await clock.sleep(waitMs, signal);
+    }
+  }
+
+  /** The role that the rank and the confirmations call for. */
+  async #nextRole(): Promise<WatchRole> {
+    const { membership, confirmations, clock, random } = this.#options;
+    if (membership.isReader) return "reader";
+    const rank = membership.ownRank;
+    if (this.#role === "replacement" && !confirmations.hasReaderBelow(rank)) {
+      return "replacement";
+    }
+    if (this.#dueRole(rank) === "none") return "none";
+    // The digests of a large zone can be older than the readers' confirmations.
+    if (this.#role === "none") await this.#options.askReaders();
+    const due = this.#dueRole(rank);
+    if (due === "own_reading" && this.#role !== "own_reading") {
+      const jitterMs = random.next() * this.#ownReadingIntervalMs();
+      await clock.sleep(jitterMs, this.#stop.signal);
+      return this.#dueRole(rank);
+    }
+    return due;
+  }
+
+  #dueRole(rank: number): WatchRole {
+    const { membership, confirmations, tuning } = this.#options;
+    const ageMs = confirmations.ageMs;
+    const steps = rank - membership.readersPerZone;
+    if (ageMs > tuning.staleAfterMs + steps * REPLACEMENT_STEP_MS) {
+      return "replacement";
+    }
+    return ageMs > 3 * tuning.staleAfterMs ? "own_reading" : "none";
+  }
+
+  #setRole(role: WatchRole): void {
+    if (role === this.#role) return;
+    const { replication, membership } = this.#options;
+    const before = this.#role;
+    this.#role = role;
+    const event = role === "none" ? "watch_stopped" : "watch_started";
+    replication.event(event, { role, before, rank: membership.ownRank });
+  }
+
+  async #round(role: WatchRole): Promise<Round> {
+    const { platform, replication, confirmations, tuning } = this.#options;
+    this.#counts.calls += 1;
+    const index = await platform.watchIndex({
+      afterRevision: this.#afterRevision,
+      waitMs: role === "own_reading" ? 0 : tuning.watchWaitMs,
+      signal: this.#stop.signal,
+    });
+    if (this.#stop.signal.aborted) return "failed";
+    if (index.isErr) return this.#fail(index.error);
+    if (this.#lost) replication.event("platform_back", {});
+    this.#lost = false;
+    if (this.#noteStale(index.value)) return "stale";
+    const read = await this.#readNewer(index.value);
+    if (this.#stop.signal.aborted) return "failed";
+    if (read.isErr) return this.#fail(read.error);
+    this.#crossedInARow = 0;
+    this.#afterRevision = index.value.revision;
+    confirmations.confirm();
+    return "confirmed";
+  }
+
+  #fail(error: ReadError): Round {
+    const { replication } = this.#options;
+    if (error.kind === "crossed") {
+      this.#counts.crossedEdits += 1;
+      this.#crossedInARow += 1;
+      replication.event("edits_crossed", { in_a_row: this.#crossedInARow });
+      return "crossed";
+    }
+    this.#counts.failures += 1;
+    if (!this.#lost) replication.event("platform_lost", { ...error });
+    const first = !this.#lost;
+    this.#lost = true;
+    return error.kind === "timeout" && first ? "timeout" : "failed";
+  }
+
+  /** Tells whether the index is older than what this daemon holds or knows to exist. */
+  #noteStale(index: PlatformIndex): boolean {
+    const { replication } = this.#options;
+    const older = KINDS.filter((kind) =>
+      revisionOf(kind, index) < replication.store(kind).floor
+    );
+    const stale = older.length > 0;
+    if (stale) this.#counts.staleIndexes += 1;
+    if (stale !== this.#stale) {
+      const details = older.map((kind) => ({
+        kind,
+        revision: revisionOf(kind, index),
+        floor: replication.store(kind).floor,
+      }));
+      const event = stale ? "platform_stale" : "platform_current";
+      replication.event(event, { older: details });
+    }
+    this.#stale = stale;
+    return stale;
+  }
+
+  /** Time until the next call. */
+  #pauseAfter(round: Round, taken: {
+    readonly role: WatchRole;
+    readonly tookMs: number;
+    readonly calls: number;
+  }): number {
+    const { random } = this.#options;
+    if (round === "confirmed" && taken.role !== "own_reading") {
+      return Math.max(0, MIN_WATCH_INTERVAL_MS - taken.tookMs);
+    }
+    if (taken.role !== "reader") {
+      const meanMs = taken.calls * this.#ownReadingIntervalMs();
+      return meanMs * (0.5 + random.next());
+    }
+    if (round === "timeout") return 0;
+    if (round === "crossed") {
+      const backoffMs = CROSSED_RETRY_MS * 2 ** this.#crossedInARow;
+      return Math.min(backoffMs, RETRY_MAX_MS) * random.next();
+    }
+    return RETRY_MIN_MS + (RETRY_MAX_MS - RETRY_MIN_MS) * random.next();
+  }
+
+  /** Mean interval at which all daemons together use half of the platform's rate. */
+  #ownReadingIntervalMs(): number {
+    const { membership, tuning } = this.#options;
+    const sharedMs = 2 * membership.daemonCount * 1_000 /
+      tuning.readsPerSecond;
+    return Math.max(MIN_OWN_READING_MS, sharedMs);
+  }
+
+  /** Reads what is newer; a failure of one kind does not keep the other from being read. */
+  async #readNewer(index: PlatformIndex): Promise<Result<void, ReadError>> {
+    const { clock, membership } = this.#options;
+    if (!KINDS.some((kind) => this.#isNewer(kind, index))) {
+      return Result.ok(undefined);
+    }
+    const waitMs = Math.min(
+      MAX_RANK_WAIT_MS,
+      membership.ownRank * RANK_STEP_MS,
+    );
+    if (waitMs > 0) await clock.sleep(waitMs, this.#stop.signal);
+    const lists = await this.#readLists(index);
+    const vms = await this.#readVms(index);
+    return lists.isErr ? lists : vms;
+  }
+
+  #isNewer(kind: SnapshotKind, index: PlatformIndex): boolean {
+    const store = this.#options.replication.store(kind);
+    const revision = revisionOf(kind, index);
+    const known = Math.max(
+      store.held?.revision ?? -1,
+      this.#readRevision[kind],
+    );
+    return !this.#stop.signal.aborted && revision > known;
+  }
+
+  async #readLists(index: PlatformIndex): Promise<Result<void, ReadError>> {
+    if (!this.#isNewer("lists", index)) return Result.ok(undefined);
+    const held = this.#options.replication.store("lists").held;
+    // A list that has not changed since the held revision has the text that is held.
+    const unchanged = (key: PlatformKey) =>
+      held !== undefined && index.keys[key] <= held.revision;
+    const plans = unchanged("plans")
+      ? Result.ok<string, ReadError>(held!.texts.plans)
+      : await this.#readValue("plans", index);
+    if (plans.isErr) return Result.err(plans.error);
+    const allowances = unchanged("allowances")
+      ? Result.ok<string, ReadError>(held!.texts.allowances)
+      : await this.#readValue("allowances", index);
+    if (allowances.isErr) return Result.err(allowances.error);
+    this.#offer(makeSnapshot({
+      kind: "lists",
+      revision: revisionOf("lists", index),
+      texts: { plans: plans.value, allowances: allowances.value },
+    }));
+    return Result.ok(undefined);
+  }
+
+  async #readVms(index: PlatformIndex): Promise<Result<void, ReadError>> {
+    if (!this.#isNewer("vms", index)) return Result.ok(undefined);
+    const text = await this.#readValue("vms", index);
+    if (text.isErr) return Result.err(text.error);
+    this.#offer(makeSnapshot({
+      kind: "vms",
+      revision: revisionOf("vms", index),
+      texts: { vms: text.value },
+    }));
+    return Result.ok(undefined);
+  }
+
+  #offer<K extends SnapshotKind>(snapshot: Snapshot<K>): void {
+    this.#options.replication.offer(snapshot, { source: "platform" });
+    this.#readRevision[snapshot.kind] = snapshot.revision;
+  }
+
+  async #readValue(
+    key: PlatformKey,
+    index: PlatformIndex,
+  ): Promise<Result<string, ReadError>> {
+    this.#counts.calls += 1;
+    const value = await this.#options.platform.readValue(key);
+    if (value.isErr) return Result.err(value.error);
+    return value.value.revision === index.keys[key]
+      ? Result.ok(value.value.value)
+      : Result.err({ kind: "crossed" });
+  }
+}
+
+/** Revision of a kind's version in an index. */
+export function revisionOf(kind: SnapshotKind, index: PlatformIndex): number {
+  const { plans, allowances, vms } = index.keys;
+  return kind === "vms" ? vms : Math.max(plans, allowances);
+}
--- /dev/null
+++ b/packages/distribution/src/replication.ts
@@ -0,0 +1,376 @@
+import { Result } from "true-myth";
+import type { Clock, Membership, Peer } from "@tanagercove/membership";
+import type { RpcCaller, RpcMethod } from "@tanagercove/rpc";
+import type { Snapshot, SnapshotId, SnapshotKind } from "@tanagercove/types";
+import {
+  applyDelta,
+  contentHash,
+  type Delta,
+  type OfferVerdict,
+  type SnapshotStore,
+} from "@tanagercove/versions";
+import type {
+  DistributionEvent,
+  DistributionEventName,
+  EventListener,
+} from "./events.ts";
+import {
+  encodeFetchRequest,
+  encodePush,
+  type FetchRequest,
+  type FetchResponse,
+  parseFetchResponse,
+  type Push,
+  type Sender,
+} from "./messages.ts";
+import type { DistributionTuning } from "./options.ts";
+
+/** The stores of both kinds. */
+export type SnapshotStores = {
+  readonly [K in SnapshotKind]: SnapshotStore<K>;
+};
+
+/** What became of a push. */
+export type PushVerdict = "have" | "taken" | "fetching" | "refused";
+
+/** Where a snapshot came from: the platform, or the VM id of a peer. */
+export type SnapshotSource = "platform" | string;
+
+/** Counts for operators. */
+export interface ReplicationCounts {
+  readonly pushesSent: number;
+  readonly pushesFailed: number;
+  readonly pushesReceived: number;
+  readonly fetchesDone: number;
+  readonly fetchesFailed: number;
+  readonly deltaMismatches: number;
+  readonly snapshotMismatches: number;
+  readonly conflicts: number;
+}
+
+/** Options of `Replication`. */
+export interface ReplicationOptions {
+  readonly stores: SnapshotStores;
+  readonly membership: Membership;
+  readonly rpc: RpcCaller;
+  readonly clock: Clock;
+  readonly tuning: DistributionTuning;
+  /** Tells whether this daemon watches the platform; it then pushes to other zones as well. */
+  readonly isWatching: () => boolean;
+  readonly onEvent: EventListener;
+}
+
+/** Fetches of one kind at once; more only queue. */
+const MAX_FETCHES = 4;
+/** Time that a fetch waits for one already running, which may bring the same version. */
+const FETCH_PATIENCE_MS = 300;
+
+/** Offers snapshots to the stores, pushes what was taken and fetches what is missing. */
+export class Replication {
+  readonly #options: ReplicationOptions;
+  readonly #background = new Set<Promise<unknown>>();
+  readonly #fetches: Record<SnapshotKind, Set<Promise<unknown>>> = {
+    lists: new Set(),
+    vms: new Set(),
+  };
+  readonly #waitingFetches: Record<SnapshotKind, number> = { lists: 0, vms: 0 };
+  readonly #reportedConflicts = new Map<SnapshotKind, string>();
+  readonly #counts: { -readonly [K in keyof ReplicationCounts]: number } = {
+    pushesSent: 0,
+    pushesFailed: 0,
+    pushesReceived: 0,
+    fetchesDone: 0,
+    fetchesFailed: 0,
+    deltaMismatches: 0,
+    snapshotMismatches: 0,
+    conflicts: 0,
+  };
+  #closed = false;
+
+  constructor(options: ReplicationOptions) {
+    this.#options = options;
+  }
+
+  get counts(): ReplicationCounts {
+    return { ...this.#counts };
+  }
+
+  get sender(): Sender {
+    const { vmId, processId } = this.#options.membership;
+    return { vmId, processId };
+  }
+
+  /** Resolves when the exchanges that run in the background are over. */
+  async close(): Promise<void> {
+    this.#closed = true;
+    await Promise.all(this.#background);
+  }
+
+  store<K extends SnapshotKind>(kind: K): SnapshotStore<K> {
+    return this.#options.stores[kind];
+  }
+
+  /** Tells whether a peer's version is one that this daemon should fetch. */
+  isBehind(kind: SnapshotKind, theirs: SnapshotId | undefined): boolean {
+    if (theirs === undefined) return false;
+    const store = this.#options.stores[kind];
+    const held = store.held;
+    if (held === undefined) {
+      return theirs.revision >= store.floor && !store.isRefused(theirs);
+    }
+    if (theirs.revision === held.revision && theirs.hash !== held.hash) {
+      this.#reportConflict(kind, theirs);
+    }
+    return theirs.revision > held.revision && !store.isRefused(theirs);
+  }
+
+  /** Offers a snapshot with a checked hash, and pushes it if it is taken. */
+  offer<K extends SnapshotKind>(
+    snapshot: Snapshot<K>,
+    { source, delta }: {
+      readonly source: SnapshotSource;
+      readonly delta?: Delta;
+    },
+  ): OfferVerdict {
+    const store = this.store(snapshot.kind);
+    const previous = store.held;
+    const knownRefused = store.isRefused(snapshot);
+    const verdict = store.offer(snapshot, { delta });
+    const { kind, revision, hash } = snapshot;
+    const details = { kind, revision, hash, source };
+    if (verdict === "taken") {
+      this.event("version_taken", { ...details, previous: previous?.revision });
+      this.inBackground(this.#push(kind, previous, source));
+    }
+    if (verdict === "refused" && !knownRefused) {
+      const { reason } = store.refused.at(-1)!;
+      this.event("version_refused", { ...details, reason });
+    }
+    if (verdict === "conflict") this.#reportConflict(kind, snapshot);
+    return verdict;
+  }
+
+  /** Handles a push; what it cannot take from the delta is fetched in the background. */
+  receivePush(push: Push): PushVerdict {
+    this.#counts.pushesReceived += 1;
+    const { kind, target, sender } = push;
+    if (!this.isBehind(kind, target)) {
+      return this.store(kind).isRefused(target) ? "refused" : "have";
+    }
+    const applied = push.delta && this.#apply(kind, [push.delta]);
+    if (applied?.isOk) {
+      const verdict = this.offer(applied.value, {
+        source: sender.vmId,
+        delta: push.delta,
+      });
+      return verdict === "taken" || verdict === "refused" ? verdict : "have";
+    }
+    const peer = this.#options.membership.peer(sender.vmId);
+    if (peer === undefined) return "refused";
+    this.inBackground(this.catchUp(kind, peer, target));
+    return "fetching";
+  }
+
+  /** Answers what a peer lacks: deltas where all are kept and small, otherwise the whole snapshot. */
+  answerFetch({ kind, have }: FetchRequest): FetchResponse {
+    const store = this.store(kind);
+    const held = store.held;
+    if (held === undefined || (have && have.revision >= held.revision)) {
+      return { type: "nothing_newer" };
+    }
+    const deltas = have && store.deltasSince(have);
+    return deltas === undefined || deltas.length === 0
+      ? { type: "snapshot", snapshot: held as Snapshot<"lists"> }
+      : { type: "deltas", deltas };
+  }
+
+  /** Fetches from a peer whatever is newer, unless this daemon gets the version from another first. */
+  async catchUp(
+    kind: SnapshotKind,
+    peer: Peer,
+    theirs: SnapshotId,
+  ): Promise<void> {
+    if (this.#waitingFetches[kind] >= MAX_FETCHES) return;
+    const running = this.#fetches[kind];
+    this.#waitingFetches[kind] += 1;
+    if (running.size > 0) {
+      await Promise.race([
+        ...running,
+        this.#options.clock.sleep(FETCH_PATIENCE_MS),
+      ]);
+    }
+    this.#waitingFetches[kind] -= 1;
+    const useless = this.#closed || running.size >= MAX_FETCHES ||
+      !this.isBehind(kind, theirs);
+    if (useless) return;
+    const fetch = this.#fetch(kind, peer);
+    running.add(fetch);
+    const succeeded = await fetch;
+    running.delete(fetch);
+    this.#counts[succeeded ? "fetchesDone" : "fetchesFailed"] += 1;
+  }
+
+  /** Calls a peer and notes in the membership whether it answered. */
+  async call(
+    peer: Peer,
+    method: RpcMethod,
+    params: unknown,
+  ): Promise<Result<unknown, string>> {
+    const { rpc, membership } = this.#options;
+    const answer = await rpc.call(peer, { method, params });
+    if (answer.isOk) {
+      if (membership.exchangeSucceeded(peer.id)) {
+        this.event("peer_back", { peer: peer.id });
+      }
+      return Result.ok(answer.value);
+    }
+    const { kind } = answer.error;
+    const unanswered = kind === "timeout" || kind === "unreachable";
+    if (unanswered && !this.#closed && membership.exchangeFailed(peer.id)) {
+      this.event("peer_suspected", { peer: peer.id, method, reason: kind });
+    }
+    return Result.err(kind);
+  }
+
+  /** Runs an exchange that nobody awaits but `close()`. */
+  inBackground(task: Promise<unknown>): void {
+    this.#background.add(task);
+    void task.finally(() => this.#background.delete(task));
+  }
+
+  event(
+    event: DistributionEventName,
+    details: DistributionEvent["details"],
+    level: DistributionEvent["level"] = WARNINGS.has(event) ? "warn" : "info",
+  ): void {
+    this.#options.onEvent({ event, level, details });
+  }
+
+  async #push(
+    kind: SnapshotKind,
+    previous: SnapshotId | undefined,
+    source: SnapshotSource,
+  ): Promise<void> {
+    const { membership, tuning, isWatching } = this.#options;
+    const held = this.store(kind).held;
+    if (held === undefined) return;
+    const delta = previous && this.store(kind).deltasSince(previous)?.at(-1);
+    const small = delta !== undefined &&
+      JSON.stringify(delta).length <= tuning.maxPushedDeltaBytes;
+    const message = encodePush({
+      sender: this.sender,
+      kind,
+      target: { revision: held.revision, hash: held.hash },
+      delta: small ? delta : undefined,
+    });
+    const targets = [
+      ...membership.pickInZone(tuning.fanOut),
+      ...(isWatching() ? membership.pickElsewhere(tuning.zoneLinks) : []),
+    ].filter(({ id }) => id !== source);
+    await Promise.all(targets.map(async (peer) => {
+      const answer = await this.call(peer, "versions.push", message);
+      this.#counts[answer.isOk ? "pushesSent" : "pushesFailed"] += 1;
+    }));
+  }
+
+  /** Fetches deltas, or the whole snapshot when they do not fit. */
+  async #fetch(kind: SnapshotKind, peer: Peer): Promise<boolean> {
+    for (const have of [this.#held(kind), undefined]) {
+      const request = encodeFetchRequest({ sender: this.sender, kind, have });
+      const answer = await this.call(peer, "versions.fetch", request);
+      const response = answer.isOk
+        ? parseFetchResponse(answer.value)
+        : undefined;
+      if (response === undefined) {
+        const reason = answer.isOk ? "malformed" : answer.error;
+        this.event("fetch_failed", { kind, peer: peer.id, reason });
+        return false;
+      }
+      if (response.type === "nothing_newer") return false;
+      const snapshot = this.#open(kind, response, peer);
+      if (snapshot !== undefined) {
+        return this.offer(snapshot, { source: peer.id }) === "taken";
+      }
+      if (response.type === "snapshot") return false;
+    }
+    return false;
+  }
+
+  #open<K extends SnapshotKind>(
+    kind: K,
+    response: Exclude<FetchResponse, { readonly type: "nothing_newer" }>,
+    peer: Peer,
+  ): Snapshot<K> | undefined {
+    if (response.type === "deltas") {
+      const applied = this.#apply(kind, response.deltas);
+      return applied.isOk ? applied.value : undefined;
+    }
+    const { snapshot } = response;
+    const authentic = snapshot.kind === kind &&
+      contentHash(snapshot.texts) === snapshot.hash;
+    if (authentic) return snapshot as unknown as Snapshot<K>;
+    this.#counts.snapshotMismatches += 1;
+    const { revision, hash } = snapshot;
+    this.event("snapshot_mismatch", { kind, revision, hash, peer: peer.id });
+    return undefined;
+  }
+
+  /** Applies a chain of deltas to what is held; a wrong hash on the way ends it. */
+  #apply<K extends SnapshotKind>(
+    kind: K,
+    deltas: readonly Delta[],
+  ): Result<Snapshot<K>, string> {
+    let snapshot = this.store(kind).held;
+    for (const delta of deltas) {
+      if (snapshot === undefined || delta.kind !== kind) {
+        return Result.err("base_differs");
+      }
+      const next = applyDelta(snapshot, delta);
+      if (next.isErr) {
+        if (next.error !== "base_differs") {
+          this.#counts.deltaMismatches += 1;
+          const reason = next.error;
+          this.event("delta_mismatch", { kind, ...delta.target, reason });
+        }
+        return Result.err(next.error);
+      }
+      snapshot = next.value;
+    }
+    return snapshot === undefined
+      ? Result.err("base_differs")
+      : Result.ok(snapshot);
+  }
+
+  #held(kind: SnapshotKind): SnapshotId | undefined {
+    const held = this.store(kind).held;
+    return held && { revision: held.revision, hash: held.hash };
+  }
+
+  /** Logs each conflicting version once and counts every sight of it. */
+  #reportConflict(kind: SnapshotKind, theirs: SnapshotId): void {
+    this.#counts.conflicts += 1;
+    const key = `${theirs.revision} ${theirs.hash}`;
+    if (this.#reportedConflicts.get(kind) === key) return;
+    this.#reportedConflicts.set(kind, key);
+    const { revision, hash } = theirs;
+    this.event("version_conflict", {
+      kind,
+      revision,
+      hash,
+      held_hash: this.store(kind).held?.hash,
+    });
+  }
+}
+
+const WARNINGS: ReadonlySet<DistributionEventName> = new Set([
+  "version_refused",
+  "version_stale",
+  "version_conflict",
+  "delta_mismatch",
+  "snapshot_mismatch",
+  "platform_lost",
+  "platform_stale",
+  "floor_unconfirmed",
+  "floor_not_reached",
+  "pause_detected",
+]);
--- a/packages/platform/src/http_platform.ts
+++ b/packages/platform/src/http_platform.ts
@@ -1,5 +1,6 @@
+import type { Socket } from "node:net";
 import { Result } from "true-myth";
-import { Client } from "undici";
+import { buildConnector, Client } from "undici";
 import type { PlatformError } from "@tanagercove/errors";
 import type { PlatformKey } from "@tanagercove/types";
 import type {
@@ -17,10 +18,8 @@
   readonly localAddress?: string;
   /** Time that a call may take beyond its wait. */
   readonly timeoutMs?: number;
-  /** Told the bytes of each exchange's bodies, for the count of control bytes. */
-  readonly onBytes?: (
-    bytes: { readonly sentBytes: number; readonly receivedBytes: number },
-  ) => void;
+  /** Told each connection that is opened, for the count of control bytes. */
+  readonly onSocket?: (socket: Socket) => void;
 }
 
 const DEFAULT_TIMEOUT_MS = 500;
@@ -46,7 +45,6 @@
     try {
       const response = await used.request({ method: "GET", path, signal });
       const body = await response.body.text();
-      options.onBytes?.({ sentBytes: path.length, receivedBytes: body.length });
       if (response.statusCode === 429) {
         return Result.err({ kind: "rate_limited" });
       }
@@ -87,12 +85,18 @@
 }
 
 function openClient(options: CreateHttpPlatformOptions): Client {
+  const timeout = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  const connect = buildConnector({ timeout } as buildConnector.BuildOptions);
   return new Client(options.url, {
-    // The client overrides a local address given in `connect`.
     localAddress: options.localAddress,
     pipelining: 1,
     maxResponseSize: MAX_RESPONSE_BYTES,
-    connect: { timeout: options.timeoutMs ?? DEFAULT_TIMEOUT_MS },
+    connect: (target, callback) =>
+      connect(target, (...[error, socket]) => {
+        if (error !== null) return callback(error, null);
+        options.onSocket?.(socket);
+        callback(null, socket);
+      }),
   });
 }
 
--- a/packages/versions/src/snapshot_store.ts
+++ b/packages/versions/src/snapshot_store.ts
@@ -34,6 +34,12 @@
   readonly maxDeltaBytes?: number;
 }
 
+/** Options of `SnapshotStore.offer`. */
+export interface OfferOptions {
+  /** Delta from the snapshot held to the one offered, where the caller has applied it. */
+  readonly delta?: Delta;
+}
+
 const MAX_REFUSED = 16;
 
 /** Holds one snapshot whole and replaces it only by a valid one of a higher revision. */
@@ -42,6 +48,7 @@
   #held: Snapshot<K> | undefined;
   #deltas: { readonly delta: Delta; readonly sizeBytes: number }[] = [];
   #refused: RefusedVersion[] = [];
+  #floor = 0;
   #counts: Record<OfferVerdict, number> = {
     taken: 0,
     same: 0,
@@ -70,14 +77,31 @@
     return { ...this.#counts };
   }
 
+  /** Lowest revision that may be taken. */
+  get floor(): number {
+    return Math.max(this.#floor, this.#held?.revision ?? 0);
+  }
+
+  /** Lets no revision below this one be taken; lower floors have no effect. */
+  raiseFloor(revision: number): void {
+    this.#floor = Math.max(this.#floor, revision);
+  }
+
   /** Takes the snapshot if it is valid and of a higher revision than the one held. */
-  offer(snapshot: Snapshot<K>): OfferVerdict {
+  offer(snapshot: Snapshot<K>, options: OfferOptions = {}): OfferVerdict {
     const verdict = this.#judge(snapshot);
     this.#counts[verdict] += 1;
-    if (verdict === "taken") this.#take(snapshot);
+    if (verdict === "taken") this.#take(snapshot, options.delta);
     return verdict;
   }
 
+  /** Tells whether this version was refused as invalid. */
+  isRefused(snapshot: SnapshotId): boolean {
+    return this.#refused.some((known) =>
+      known.revision === snapshot.revision && known.hash === snapshot.hash
+    );
+  }
+
   /** Deltas that lead from `have` to the snapshot held, or undefined where they are not all kept. */
   deltasSince(have: SnapshotId): readonly Delta[] | undefined {
     const start = this.#deltas.findIndex(({ delta }) =>
@@ -90,30 +114,24 @@
 
   #judge(snapshot: Snapshot<K>): OfferVerdict {
     const held = this.#held;
-    if (held !== undefined && snapshot.revision < held.revision) return "older";
+    if (snapshot.revision < this.floor) return "older";
     if (held !== undefined && snapshot.revision === held.revision) {
       return snapshot.hash === held.hash ? "same" : "conflict";
     }
-    if (this.#isRefused(snapshot)) return "refused";
+    if (this.isRefused(snapshot)) return "refused";
     const reason = this.#options.validate(snapshot);
     if (reason === undefined) return "taken";
     this.#refuse({ revision: snapshot.revision, hash: snapshot.hash, reason });
     return "refused";
   }
 
-  #isRefused(snapshot: SnapshotId): boolean {
-    return this.#refused.some((known) =>
-      known.revision === snapshot.revision && known.hash === snapshot.hash
-    );
-  }
-
   #refuse(refused: RefusedVersion): void {
     this.#refused = [...this.#refused, refused].slice(-MAX_REFUSED);
     this.#options.onRefused?.(refused);
   }
 
-  #take(snapshot: Snapshot<K>): void {
-    const delta = this.#held && computeDelta(this.#held, snapshot);
+  #take(snapshot: Snapshot<K>, known: Delta | undefined): void {
+    const delta = known ?? (this.#held && computeDelta(this.#held, snapshot));
     this.#held = snapshot;
     this.#keepDelta(delta);
     this.#options.onChange?.({ held: snapshot, delta });
--- a/packages/versions/src/snapshot_store_test.ts
+++ b/packages/versions/src/snapshot_store_test.ts
@@ -90,3 +90,16 @@
   );
   t.end();
 });
+
+t.test("should take no revision below a floor, held or not", (t) => {
+  const store = new SnapshotStore<"lists">({
+    kind: "lists",
+    validate: () => undefined,
+  });
+  store.raiseFloor(5);
+  store.raiseFloor(2);
+  t.equal(store.offer(lists(4, "a = b")), "older");
+  t.equal(store.held, undefined);
+  t.equal(store.offer(lists(5, "a = b")), "taken");
+  t.end();
+});
