--- a/packages/daemon/src/configuration.ts
+++ b/packages/daemon/src/configuration.ts
@@ -1,35 +1,38 @@
+import type { Result } from "true-myth";
 import {
   Distribution,
   type DistributionTuning,
   type SnapshotStores,
-  type Weight,
 } from "@tanagercove/distribution";
-import { parseVms, validateLists } from "@tanagercove/lists";
-import type { Logger } from "@tanagercove/logs";
-import { Membership, type SeedAddress } from "@tanagercove/membership";
+import type { RpcError } from "@tanagercove/errors";
+import {
+  parseVms,
+  plansWithoutAllowance,
+  validateLists,
+} from "@tanagercove/lists";
+import { logEvent, type Logger } from "@tanagercove/logs";
+import { Membership } from "@tanagercove/membership";
 import { type ByteTotals, SocketByteCounter } from "@tanagercove/metrics";
 import { createHttpPlatform } from "@tanagercove/platform";
 import { computeRoutingTable, type RoutingTable } from "@tanagercove/routing";
 import {
   createRpcRequestHandler,
   RpcClient,
+  type RpcMethod,
   type RpcRequestHandler,
 } from "@tanagercove/rpc";
+import type { Settings } from "@tanagercove/settings";
 import type { ListProblem, Lists, Vm } from "@tanagercove/types";
 import { SnapshotStore } from "@tanagercove/versions";
 
 /** Options of `createConfiguration`. */
 export interface CreateConfigurationOptions {
-  readonly vmId: string;
-  readonly zone: string;
-  /** The VM's own address, which outgoing connections come from. */
-  readonly address: string;
-  readonly platformUrl: string;
+  readonly settings: Settings;
   readonly log: Logger;
-  readonly seeds?: readonly SeedAddress[];
-  readonly readersPerZone?: number;
-  readonly weight?: Weight;
-  readonly tuning?: Partial<DistributionTuning>;
+  /** What this daemon answers to `status.summary`. */
+  readonly summary: () => unknown;
+  /** Called with each new VM list. */
+  readonly onVms?: (vms: readonly Vm[]) => void;
 }
 
 /** The configuration side of a daemon: versions, other daemons and the platform. */
@@ -41,6 +44,8 @@
   readonly handleRpc: RpcRequestHandler;
   /** The table in force, or undefined until the daemon has joined and holds a version. */
   routingTable(): RoutingTable | undefined;
+  /** Asks the daemon on a VM for its summary. */
+  askSummary(vm: Vm): Promise<Result<unknown, RpcError>>;
   /** Bytes exchanged with other daemons and the platform. */
   controlBytes(): ByteTotals;
   /** Joins and keeps the versions up to date. The peer port must listen before. */
@@ -52,19 +57,32 @@
 export function createConfiguration(
   options: CreateConfigurationOptions,
 ): Configuration {
-  const { log, vmId, zone, address } = options;
+  const { settings, log } = options;
+  const { daemon, peers } = settings;
   const bytes = new SocketByteCounter();
   const membership = new Membership({
-    vmId,
-    zone,
-    seeds: options.seeds,
-    readersPerZone: options.readersPerZone,
+    vmId: daemon.vmId,
+    zone: daemon.zone,
+    seeds: peers.seeds,
+    readersPerZone: settings.distribution.readersPerZone,
+  });
+  const { stores, routingTable } = createStores({
+    log,
+    onVms: (vms) => {
+      membership.setVms(vms);
+      options.onVms?.(vms);
+    },
+  });
+  const timeoutMsByMethod = timeoutsOf(settings);
+  const rpc = new RpcClient({
+    localAddress: daemon.address,
+    bytes,
+    timeoutMsByMethod,
   });
-  const { stores, routingTable } = createStores(membership);
-  const rpc = new RpcClient({ localAddress: address, bytes });
   const platform = createHttpPlatform({
-    url: options.platformUrl,
-    localAddress: address,
+    url: settings.platform.url,
+    localAddress: daemon.address,
+    timeoutMs: settings.platform.timeoutMs,
     onSocket: (socket) => bytes.track(socket),
   });
   const distribution = new Distribution({
@@ -72,15 +90,17 @@
     stores,
     rpc,
     platform,
-    weight: options.weight,
-    tuning: options.tuning,
-    onEvent: ({ event, level, details }) => log[level]({ ...details, event }),
+    weight: settings.distribution.weight,
+    tuning: tuningOf(settings),
+    summary: options.summary,
+    onEvent: (record) => logEvent(log, record),
   });
   const handleRpc = createRpcRequestHandler({
     handlers: distribution.handlers,
     bytes,
+    timeoutMsByMethod,
     onFault: (message, error) =>
-      log.error({ event: "rpc_fault", message, error: String(error) }),
+      logEvent(log, { event: "rpc_fault", message: `${message}: ${error}` }),
   });
   return {
     distribution,
@@ -88,6 +108,8 @@
     stores,
     handleRpc,
     routingTable: () => distribution.isReady ? routingTable() : undefined,
+    askSummary: ({ address, peerPort: port }) =>
+      rpc.call({ address, port }, { method: "status.summary", params: {} }),
     controlBytes: () => bytes.totals(),
     start: () => distribution.start(),
     async close() {
@@ -98,8 +120,39 @@
   };
 }
 
+function timeoutsOf({ peers }: Settings): Readonly<Record<RpcMethod, number>> {
+  const { rpcTimeoutMs, fetchTimeoutMs } = peers;
+  return {
+    "digest.exchange": rpcTimeoutMs,
+    "versions.push": rpcTimeoutMs,
+    "versions.fetch": fetchTimeoutMs,
+    "membership.leaving": rpcTimeoutMs,
+    "status.summary": rpcTimeoutMs,
+  };
+}
+
+function tuningOf(settings: Settings): Partial<DistributionTuning> {
+  const { distribution, peers, platform } = settings;
+  return {
+    fanOut: distribution.fanOut,
+    zoneLinks: distribution.zoneLinks,
+    digestIntervalMs: distribution.digestIntervalMs,
+    remoteDigestEvery: distribution.remoteDigestEvery,
+    staleAfterMs: distribution.staleAfterMs,
+    readStaggerMs: distribution.readStaggerMs,
+    pauseThresholdMs: distribution.pauseThresholdMs,
+    pauseGateMs: distribution.pauseGateMs,
+    joinTimeoutMs: peers.joinTimeoutMs,
+    readsPerSecond: platform.readsPerSecond,
+    watchWaitMs: platform.watchWaitMs,
+  };
+}
+
 /** Creates the stores, whose changes replace the VM list and the routing table. */
-function createStores(membership: Membership) {
+function createStores({ log, onVms }: {
+  readonly log: Logger;
+  readonly onVms: (vms: readonly Vm[]) => void;
+}) {
   let table: RoutingTable | undefined;
   let lists: { readonly revision: number; readonly content: Lists } | undefined;
   let vms: readonly Vm[] = [];
@@ -124,6 +177,7 @@
       onChange: ({ held }) => {
         lists = { revision: held.revision, content: parsedLists! };
         recompute();
+        warnOfPlans(log, lists);
       },
     }),
     vms: new SnapshotStore<"vms">({
@@ -136,7 +190,7 @@
       },
       onChange: () => {
         vms = parsedVms;
-        membership.setVms(vms);
+        onVms(vms);
         recompute();
       },
     }),
@@ -144,6 +198,18 @@
   return { stores, routingTable: () => table };
 }
 
+function warnOfPlans(
+  log: Logger,
+  { revision, content }: {
+    readonly revision: number;
+    readonly content: Lists;
+  },
+): void {
+  const plans = plansWithoutAllowance(content).join(", ");
+  if (plans === "") return;
+  logEvent(log, { event: "plans_without_allowance", revision, plans });
+}
+
 const MAX_PROBLEMS_DESCRIBED = 10;
 
 /** Names list and line of each problem, up to a limit. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,68 +1,159 @@
-import { createServer } from "node:http";
-import type { Logger } from "@tanagercove/logs";
-import { startProxyServer } from "@tanagercove/proxy";
-import { RPC_PATH } from "@tanagercove/rpc";
+import { Result } from "true-myth";
+import { type ListenError, listenErrorOf } from "@tanagercove/errors";
+import { logEvent, type Logger } from "@tanagercove/logs";
+import { Metrics } from "@tanagercove/metrics";
 import type { Settings } from "@tanagercove/settings";
 import { createConfiguration } from "./configuration.ts";
-import { startPeerServer } from "./peer_server.ts";
+import type { DaemonState, DaemonSummary } from "./daemon_summary.ts";
+import { gatherFleetStatus } from "./fleet_status.ts";
+import { startOperatorsServer } from "./operators_server.ts";
+import { createRequestDecisions } from "./request_decisions.ts";
+import { type RequestPath, startRequestPath } from "./request_path.ts";
 
 /** Options of `startDaemon`. */
 export interface StartDaemonOptions {
   readonly settings: Settings;
   readonly log: Logger;
+  /** Version of the program, shown in status and log. */
+  readonly programVersion: string;
 }
 
 /** A running daemon. */
 export interface Daemon {
+  summary(): DaemonSummary;
   /** Stops taking requests, lets those in flight end and releases everything. */
   close(): Promise<void>;
 }
 
-/** Starts one daemon. */
+interface Closable {
+  close(): Promise<void>;
+}
+
+/** Starts one daemon: first the operators' port, then the configuration, then the request path. */
 export async function startDaemon(
-  { settings, log }: StartDaemonOptions,
-): Promise<Daemon> {
-  const { vmId, zone, address } = settings.daemon;
+  options: StartDaemonOptions,
+): Promise<Result<Daemon, ListenError>> {
+  const { settings, log } = options;
+  const startedAtMs = performance.now();
+  const metrics = new Metrics();
+  let draining = false;
+  let requestPath: RequestPath | undefined = undefined;
+  const decisions = createRequestDecisions(settings);
   const configuration = createConfiguration({
-    vmId,
-    zone,
-    address,
-    platformUrl: settings.platform.url,
+    settings,
     log,
+    summary,
+    onVms: (vms) => decisions.setVms(vms),
   });
-  const peerServer = await startPeerServer({
-    address,
-    port: settings.daemon.peerPort,
-    handlers: { [RPC_PATH]: configuration.handleRpc },
-  });
-  const proxy = await startProxyServer({
-    address,
-    callerPort: settings.daemon.callerPort,
-    routingTable: () => configuration.routingTable(),
-  });
-  const operators = createServer((_request, response) => {
-    const held = configuration.stores.lists.held;
-    response.setHeader("content-type", "application/json");
-    response.end(JSON.stringify({
-      vm_id: settings.daemon.vmId,
-      zone: settings.daemon.zone,
-      revision: held?.revision,
-      hash: held?.hash,
-      refused: configuration.stores.lists.refused,
-    }));
+  const { distribution, membership, stores } = configuration;
+
+  function state(): DaemonState {
+    if (draining) return "draining";
+    return configuration.routingTable() === undefined ? "starting" : "serving";
+  }
+
+  function summary(): DaemonSummary {
+    const { vmId, zone, region, service } = settings.daemon;
+    return {
+      vm_id: vmId,
+      zone,
+      region,
+      service,
+      state: state(),
+      program_version: options.programVersion,
+      uptime_ms: Math.round(performance.now() - startedAtMs),
+      revision: stores.lists.held?.revision,
+      hash: stores.lists.held?.hash,
+      vms_revision: stores.vms.held?.revision,
+      confirmation_age_ms: distribution.confirmationAgeMs,
+      floor_unconfirmed: distribution.floorUnconfirmed,
+      refused: stores.lists.refused,
+    };
+  }
+
+  // Opened in this order, closed in the reverse one.
+  const components: Closable[] = [];
+  const operators = await startOperatorsServer({
+    ...settings.operators,
+    state: {
+      summary,
+      fleetStatus: () =>
+        gatherFleetStatus({
+          own: summary(),
+          vms: membership.vms,
+          ask: (vm) => configuration.askSummary(vm),
+        }),
+      dump: () => ({
+        summary: summary(),
+        lists: stores.lists.held?.texts,
+        vms: stores.vms.held?.texts.vms,
+        distribution: distribution.dump(),
+        control_bytes: configuration.controlBytes(),
+        requests: requestPath?.proxy.state(),
+      }),
+      metrics: () => metrics.read(),
+    },
   });
-  operators.listen(settings.operators.port, settings.operators.address);
+  if (operators.isErr) return Result.err(operators.error);
+  components.push(operators.value);
+
+  components.push(configuration);
+
+  const started = await listening(() =>
+    startRequestPath({
+      settings,
+      decisions,
+      routingTable: () => configuration.routingTable(),
+      whenFresh: () => distribution.whenFresh(),
+      leavingVms: () => membership.leavingVms(),
+      onUpstreamDraining: (upstreamDraining) => {
+        if (upstreamDraining) void distribution.announceLeaving();
+        else if (!draining) membership.stopLeaving();
+      },
+      handleRpc: (request, response) =>
+        void configuration.handleRpc(request, response),
+    })
+  );
+  if (started.isErr) {
+    await closeAll(components);
+    return Result.err(started.error);
+  }
+  requestPath = started.value;
+  const { drainTimeoutMs } = settings.daemon;
+  components.push({ close: () => started.value.close({ drainTimeoutMs }) });
   configuration.start();
-  log.info({ event: "daemon_started" });
+  logEvent(log, {
+    event: "daemon_started",
+    version: options.programVersion,
+    address: settings.daemon.address,
+    caller_port: settings.daemon.callerPort,
+    peer_port: settings.daemon.peerPort,
+    operators_port: operators.value.port,
+  });
 
-  return {
+  return Result.ok({
+    summary,
     async close() {
-      await proxy.close();
-      await configuration.close();
-      await peerServer.close();
-      operators.close();
-      operators.closeAllConnections();
-      log.info({ event: "daemon_stopped" });
+      draining = true;
+      void distribution.announceLeaving();
+      await closeAll(components);
     },
-  };
+  });
+}
+
+async function closeAll(components: readonly Closable[]): Promise<void> {
+  for (const component of components.toReversed()) await component.close();
+}
+
+/** Gives the error of a port that could not be opened as a value. */
+async function listening<T>(
+  open: () => Promise<T>,
+): Promise<Result<T, ListenError>> {
+  try {
+    return Result.ok(await open());
+  } catch (error) {
+    const listenError = listenErrorOf(error);
+    if (listenError === undefined) throw error;
+    return Result.err(listenError);
+  }
 }
--- a/packages/distribution/src/distribution.ts
+++ b/packages/distribution/src/distribution.ts
@@ -1,6 +1,7 @@
 import { Result } from "true-myth";
 import {
   type Clock,
+  type LeavingNotice,
   type Membership,
   type MembershipDump,
   type Peer,
@@ -8,6 +9,7 @@
   SYSTEM_CLOCK,
   SYSTEM_RANDOM,
 } from "@tanagercove/membership";
+import type { LogRecord } from "@tanagercove/logs";
 import type { PlatformPort } from "@tanagercove/platform";
 import {
   INVALID_PARAMS,
@@ -19,7 +21,6 @@
 import type { SnapshotId, SnapshotKind } from "@tanagercove/types";
 import type { OfferCounts, RefusedVersion } from "@tanagercove/versions";
 import { Confirmations } from "./confirmations.ts";
-import type { EventListener } from "./events.ts";
 import { join, type JoinOutcome } from "./joining.ts";
 import {
   type Digest,
@@ -46,7 +47,6 @@
   type ReplicationCounts,
   type SnapshotStores,
 } from "./replication.ts";
-import type { DaemonSummary } from "./summary.ts";
 
 /** Options of `Distribution`. */
 export interface DistributionOptions {
@@ -59,7 +59,9 @@
   readonly tuning?: Partial<DistributionTuning>;
   readonly clock?: Clock;
   readonly random?: Random;
-  readonly onEvent?: EventListener;
+  /** Answer to `status.summary`; plain JSON. */
+  readonly summary?: () => unknown;
+  readonly onEvent?: (record: LogRecord) => void;
 }
 
 /** State of one store for operators. */
@@ -144,6 +146,8 @@
     this.#gate = new PauseGate({
       clock,
       refresh: (pausedMs) => this.#refresh(pausedMs),
+      thresholdMs: tuning.pauseThresholdMs,
+      maxWaitMs: tuning.pauseGateMs,
     });
     this.handlers = this.#createHandlers();
   }
@@ -166,6 +170,16 @@
     this.#task = this.#run();
   }
 
+  /** Age of the youngest confirmation by the platform that this daemon knows of. */
+  get confirmationAgeMs(): number | undefined {
+    return this.#confirmations.knownAgeMs;
+  }
+
+  /** No other daemon could tell at the start which version is the newest. */
+  get floorUnconfirmed(): boolean {
+    return this.#floorUnconfirmed;
+  }
+
   /** Tells peers that this daemon is leaving; digests repeat it. */
   async announceLeaving(): Promise<void> {
     const { membership } = this.#options;
@@ -191,23 +205,6 @@
     await this.#replication.close();
   }
 
-  /** What `status.summary` answers. */
-  summary(): DaemonSummary {
-    const { membership, stores } = this.#options;
-    return {
-      vm_id: membership.vmId,
-      zone: membership.zone,
-      process_id: membership.processId,
-      ready: this.isReady,
-      floor_unconfirmed: this.#floorUnconfirmed,
-      role: this.#watch.role,
-      confirmation_age_ms: this.#confirmations.knownAgeMs ?? null,
-      lists: this.#held("lists") ?? null,
-      vms: this.#held("vms") ?? null,
-      refused: { lists: stores.lists.refused, vms: stores.vms.refused },
-    };
-  }
-
   dump(): DistributionDump {
     return {
       ready: this.isReady,
@@ -241,13 +238,18 @@
     });
     if (signal.aborted) return;
     this.#join = outcome;
-    const { holders, responses, tookMs } = outcome;
-    const details = { holders, responses, took_ms: Math.round(tookMs) };
-    this.#replication.event("join_completed", details);
-    if (holders === 0) {
-      this.#floorUnconfirmed = true;
-      this.#replication.event("floor_unconfirmed", details);
-    }
+    this.#floorUnconfirmed = outcome.holders === 0;
+    const elapsedMs = Math.round(outcome.tookMs);
+    this.#replication.event(
+      this.#floorUnconfirmed
+        ? { event: "floor_unconfirmed", elapsed_ms: elapsedMs }
+        : {
+          event: "joined",
+          revision: this.#options.stores.lists.floor,
+          responses: outcome.responses,
+          elapsed_ms: elapsedMs,
+        },
+    );
     this.#watch.start();
     await this.#exchangeDigests();
   }
@@ -256,6 +258,7 @@
   async #exchangeDigests(): Promise<void> {
     const { digestIntervalMs, remoteDigestEvery } = this.#tuning;
     const signal = this.#stop.signal;
+    if (digestIntervalMs === 0) return;
     for (let n = 1; !signal.aborted; n += 1) {
       const jitter = 0.75 + this.#random.next() / 2;
       await this.#clock.sleep(digestIntervalMs * jitter, signal);
@@ -318,10 +321,7 @@
     const { membership } = this.#options;
     const { sender, reader, confirmationAgeMs } = digest;
     membership.heardFrom(sender.vmId, sender.processId);
-    for (const notice of digest.notices) {
-      if (!membership.takeNotice(notice)) continue;
-      this.#replication.event("vm_leaving", { vm_id: notice.vmId });
-    }
+    for (const notice of digest.notices) this.#takeNotice(notice);
     if (confirmationAgeMs !== undefined) {
       this.#confirmations.takeAge(confirmationAgeMs + transitMs);
     }
@@ -334,6 +334,15 @@
     }
   }
 
+  #takeNotice(notice: LeavingNotice): void {
+    if (!this.#options.membership.takeNotice(notice)) return;
+    this.#replication.event({
+      event: "vm_leaving",
+      leaving_vm_id: notice.vmId,
+      source: "notice",
+    });
+  }
+
   async #askReaders(): Promise<void> {
     const { membership } = this.#options;
     const readers = membership.readersInZone().flatMap((vmId) =>
@@ -345,8 +354,8 @@
   /** After a pause: connections may be dead and versions old. Returns when one peer has answered. */
   async #refresh(pausedMs: number): Promise<void> {
     const { membership, rpc } = this.#options;
-    const details = { paused_ms: Math.round(pausedMs) };
-    this.#replication.event("pause_detected", details);
+    const pauseMs = Math.round(pausedMs);
+    this.#replication.event({ event: "pause_detected", pause_ms: pauseMs });
     rpc.closeIdle();
     const peers = [
       ...membership.pickInZone(REFRESH_PEERS_IN_ZONE),
@@ -387,13 +396,12 @@
       "membership.leaving": this.#handle("membership.leaving", {
         parse: parseNotice,
         handle: (notice) => {
-          if (membership.takeNotice(notice)) {
-            replication.event("vm_leaving", { vm_id: notice.vmId });
-          }
+          this.#takeNotice(notice);
           return {};
         },
       }),
-      "status.summary": () => Promise.resolve(Result.ok(this.summary())),
+      "status.summary": () =>
+        Promise.resolve(Result.ok(this.#options.summary?.() ?? {})),
     };
   }
 
--- a/packages/distribution/src/distribution_test.ts
+++ b/packages/distribution/src/distribution_test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import t, { type Test } from "tap";
 import { formatVms, parseVms, validateLists } from "@tanagercove/lists";
+import type { LogEvent } from "@tanagercove/logs";
 import { Membership } from "@tanagercove/membership";
 import type { RpcMethod } from "@tanagercove/rpc";
 import {
@@ -17,7 +18,6 @@
 } from "@tanagercove/versions";
 import {
   Distribution,
-  type DistributionEventName,
   type DistributionTuning,
   type SnapshotStores,
 } from "./index.ts";
@@ -91,7 +91,7 @@
       clock,
       random,
     });
-    const events: DistributionEventName[] = [];
+    const events: LogEvent[] = [];
     const taken: Snapshot<"lists">[] = [];
     const stores: SnapshotStores = {
       lists: new SnapshotStore<"lists">({
@@ -205,7 +205,7 @@
   await Promise.all(closing);
   const watching = () =>
     [...fleet.daemons].filter(([, { distribution }]) =>
-      distribution.summary().role !== "none"
+      distribution.dump().role !== "none"
     ).map(([id]) => id);
   t.strictSame(watching(), [ranked[2]]);
   const revision = fleet.platform.publish("plans", "f = p\n");
@@ -287,7 +287,7 @@
   await fleet.clock.advance(1_000);
   t.equal(only.stores.lists.held?.revision, fleet.platform.revision);
   t.ok(only.events.includes("floor_unconfirmed"));
-  t.ok(only.distribution.summary().floor_unconfirmed);
+  t.ok(only.distribution.floorUnconfirmed);
 });
 
 t.test("should never hold a mixture of two edits that cross a read", async (t) => {
--- a/packages/distribution/src/joining.ts
+++ b/packages/distribution/src/joining.ts
@@ -159,7 +159,12 @@
     store.raiseFloor(floor);
     const held = store.held?.revision;
     if (held === undefined ? floor > 0 : held < floor) {
-      replication.event("floor_not_reached", { kind, floor, held });
+      replication.event({
+        event: "floor_not_reached",
+        kind,
+        floor_revision: floor,
+        held_revision: held,
+      });
     }
   }
 }
--- a/packages/distribution/src/platform_watch.ts
+++ b/packages/distribution/src/platform_watch.ts
@@ -1,5 +1,5 @@
 import { Result } from "true-myth";
-import type { PlatformError } from "@tanagercove/errors";
+import { formatPlatformError, type PlatformError } from "@tanagercove/errors";
 import type { Clock, Membership, Random } from "@tanagercove/membership";
 import type { PlatformIndex, PlatformPort } from "@tanagercove/platform";
 import type { PlatformKey, Snapshot, SnapshotKind } from "@tanagercove/types";
@@ -37,7 +37,6 @@
 
 const KINDS: readonly SnapshotKind[] = ["lists", "vms"];
 const REPLACEMENT_STEP_MS = 500;
-const RANK_STEP_MS = 100;
 /** A replacement of a high rank would otherwise wait for longer than the 3 s allowed for a change. */
 const MAX_RANK_WAIT_MS = 500;
 const RETRY_MIN_MS = 250;
@@ -62,7 +61,7 @@
   #role: WatchRole = "none";
   #afterRevision = 0;
   #crossedInARow = 0;
-  #lost = false;
+  #lostAtMs: number | undefined;
   #stale = false;
   /** Revision last read from the platform, valid or not. */
   readonly #readRevision: Record<SnapshotKind, number> = { lists: -1, vms: -1 };
@@ -146,16 +145,17 @@
   }
 
   #setRole(role: WatchRole): void {
-    if (role === this.#role) return;
     const { replication, membership } = this.#options;
-    const before = this.#role;
+    const wasReading = this.#role !== "none";
+    const isReading = role !== "none";
     this.#role = role;
-    const event = role === "none" ? "watch_stopped" : "watch_started";
-    replication.event(event, { role, before, rank: membership.ownRank });
+    if (isReading === wasReading) return;
+    const event = isReading ? "reading_started" : "reading_stopped";
+    replication.event({ event, rank: membership.ownRank });
   }
 
   async #round(role: WatchRole): Promise<Round> {
-    const { platform, replication, confirmations, tuning } = this.#options;
+    const { platform, confirmations, tuning } = this.#options;
     this.#counts.calls += 1;
     const index = await platform.watchIndex({
       afterRevision: this.#afterRevision,
@@ -164,8 +164,7 @@
     });
     if (this.#stop.signal.aborted) return "failed";
     if (index.isErr) return this.#fail(index.error);
-    if (this.#lost) replication.event("platform_back", {});
-    this.#lost = false;
+    this.#noteAnswer();
     if (this.#noteStale(index.value)) return "stale";
     const read = await this.#readNewer(index.value);
     if (this.#stop.signal.aborted) return "failed";
@@ -181,13 +180,17 @@
     if (error.kind === "crossed") {
       this.#counts.crossedEdits += 1;
       this.#crossedInARow += 1;
-      replication.event("edits_crossed", { in_a_row: this.#crossedInARow });
+      const inARow = this.#crossedInARow;
+      replication.event({ event: "edits_crossed", in_a_row: inARow });
       return "crossed";
     }
     this.#counts.failures += 1;
-    if (!this.#lost) replication.event("platform_lost", { ...error });
-    const first = !this.#lost;
-    this.#lost = true;
+    const first = this.#lostAtMs === undefined;
+    if (first) {
+      const reason = formatPlatformError(error);
+      replication.event({ event: "platform_lost", reason });
+    }
+    this.#lostAtMs ??= this.#options.clock.nowMs();
     return error.kind === "timeout" && first ? "timeout" : "failed";
   }
 
@@ -199,19 +202,36 @@
     );
     const stale = older.length > 0;
     if (stale) this.#counts.staleIndexes += 1;
-    if (stale !== this.#stale) {
-      const details = older.map((kind) => ({
-        kind,
-        revision: revisionOf(kind, index),
-        floor: replication.store(kind).floor,
-      }));
-      const event = stale ? "platform_stale" : "platform_current";
-      replication.event(event, { older: details });
-    }
+    const changed = stale !== this.#stale;
     this.#stale = stale;
+    if (!changed) return stale;
+    const revisions = {
+      lists_revision: revisionOf("lists", index),
+      vms_revision: revisionOf("vms", index),
+    };
+    replication.event(
+      stale
+        ? {
+          event: "platform_stale",
+          ...revisions,
+          held_lists_revision: replication.store("lists").floor,
+          held_vms_revision: replication.store("vms").floor,
+        }
+        : { event: "platform_current", ...revisions },
+    );
     return stale;
   }
 
+  #noteAnswer(): void {
+    if (this.#lostAtMs === undefined) return;
+    const outageMs = Math.round(this.#options.clock.nowMs() - this.#lostAtMs);
+    this.#lostAtMs = undefined;
+    this.#options.replication.event({
+      event: "platform_back",
+      outage_ms: outageMs,
+    });
+  }
+
   /** Time until the next call. */
   #pauseAfter(round: Round, taken: {
     readonly role: WatchRole;
@@ -244,13 +264,13 @@
 
   /** Reads what is newer; a failure of one kind does not keep the other from being read. */
   async #readNewer(index: PlatformIndex): Promise<Result<void, ReadError>> {
-    const { clock, membership } = this.#options;
+    const { clock, membership, tuning } = this.#options;
     if (!KINDS.some((kind) => this.#isNewer(kind, index))) {
       return Result.ok(undefined);
     }
     const waitMs = Math.min(
       MAX_RANK_WAIT_MS,
-      membership.ownRank * RANK_STEP_MS,
+      membership.ownRank * tuning.readStaggerMs,
     );
     if (waitMs > 0) await clock.sleep(waitMs, this.#stop.signal);
     const lists = await this.#readLists(index);
--- a/packages/distribution/src/replication.ts
+++ b/packages/distribution/src/replication.ts
@@ -1,4 +1,6 @@
 import { Result } from "true-myth";
+import { formatRpcError } from "@tanagercove/errors";
+import type { LogRecord } from "@tanagercove/logs";
 import type { Clock, Membership, Peer } from "@tanagercove/membership";
 import type { RpcCaller, RpcMethod } from "@tanagercove/rpc";
 import type { Snapshot, SnapshotId, SnapshotKind } from "@tanagercove/types";
@@ -9,11 +11,6 @@
   type OfferVerdict,
   type SnapshotStore,
 } from "@tanagercove/versions";
-import type {
-  DistributionEvent,
-  DistributionEventName,
-  EventListener,
-} from "./events.ts";
 import {
   encodeFetchRequest,
   encodePush,
@@ -57,7 +54,7 @@
   readonly tuning: DistributionTuning;
   /** Tells whether this daemon watches the platform; it then pushes to other zones as well. */
   readonly isWatching: () => boolean;
-  readonly onEvent: EventListener;
+  readonly onEvent: (record: LogRecord) => void;
 }
 
 /** Fetches of one kind at once; more only queue. */
@@ -137,14 +134,13 @@
     const knownRefused = store.isRefused(snapshot);
     const verdict = store.offer(snapshot, { delta });
     const { kind, revision, hash } = snapshot;
-    const details = { kind, revision, hash, source };
     if (verdict === "taken") {
-      this.event("version_taken", { ...details, previous: previous?.revision });
+      this.event({ event: "version_taken", kind, revision, hash, source });
       this.inBackground(this.#push(kind, previous, source));
     }
     if (verdict === "refused" && !knownRefused) {
       const { reason } = store.refused.at(-1)!;
-      this.event("version_refused", { ...details, reason });
+      this.event({ event: "version_refused", kind, revision, hash, reason });
     }
     if (verdict === "conflict") this.#reportConflict(kind, snapshot);
     return verdict;
@@ -220,14 +216,15 @@
     const answer = await rpc.call(peer, { method, params });
     if (answer.isOk) {
       if (membership.exchangeSucceeded(peer.id)) {
-        this.event("peer_back", { peer: peer.id });
+        this.event({ event: "peer_back", peer_vm_id: peer.id });
       }
       return Result.ok(answer.value);
     }
     const { kind } = answer.error;
     const unanswered = kind === "timeout" || kind === "unreachable";
     if (unanswered && !this.#closed && membership.exchangeFailed(peer.id)) {
-      this.event("peer_suspected", { peer: peer.id, method, reason: kind });
+      const reason = `${method}: ${formatRpcError(answer.error)}`;
+      this.event({ event: "peer_suspected", peer_vm_id: peer.id, reason });
     }
     return Result.err(kind);
   }
@@ -238,12 +235,8 @@
     void task.finally(() => this.#background.delete(task));
   }
 
-  event(
-    event: DistributionEventName,
-    details: DistributionEvent["details"],
-    level: DistributionEvent["level"] = WARNINGS.has(event) ? "warn" : "info",
-  ): void {
-    this.#options.onEvent({ event, level, details });
+  event(record: LogRecord): void {
+    this.#options.onEvent(record);
   }
 
   async #push(
@@ -283,7 +276,12 @@
         : undefined;
       if (response === undefined) {
         const reason = answer.isOk ? "malformed" : answer.error;
-        this.event("fetch_failed", { kind, peer: peer.id, reason });
+        this.event({
+          event: "fetch_failed",
+          kind,
+          peer_vm_id: peer.id,
+          reason,
+        });
         return false;
       }
       if (response.type === "nothing_newer") return false;
@@ -310,8 +308,13 @@
       contentHash(snapshot.texts) === snapshot.hash;
     if (authentic) return snapshot as unknown as Snapshot<K>;
     this.#counts.snapshotMismatches += 1;
-    const { revision, hash } = snapshot;
-    this.event("snapshot_mismatch", { kind, revision, hash, peer: peer.id });
+    const { revision } = snapshot;
+    this.event({
+      event: "snapshot_mismatch",
+      kind,
+      revision,
+      peer_vm_id: peer.id,
+    });
     return undefined;
   }
 
@@ -329,8 +332,9 @@
       if (next.isErr) {
         if (next.error !== "base_differs") {
           this.#counts.deltaMismatches += 1;
+          const { revision } = delta.target;
           const reason = next.error;
-          this.event("delta_mismatch", { kind, ...delta.target, reason });
+          this.event({ event: "delta_mismatch", kind, revision, reason });
         }
         return Result.err(next.error);
       }
@@ -353,24 +357,12 @@
     if (this.#reportedConflicts.get(kind) === key) return;
     this.#reportedConflicts.set(kind, key);
     const { revision, hash } = theirs;
-    this.event("version_conflict", {
+    this.event({
+      event: "version_conflict",
       kind,
       revision,
-      hash,
-      held_hash: this.store(kind).held?.hash,
+      offered_hash: hash,
+      held_hash: this.store(kind).held?.hash ?? "",
     });
   }
 }
-
-const WARNINGS: ReadonlySet<DistributionEventName> = new Set([
-  "version_refused",
-  "version_stale",
-  "version_conflict",
-  "delta_mismatch",
-  "snapshot_mismatch",
-  "platform_lost",
-  "platform_stale",
-  "floor_unconfirmed",
-  "floor_not_reached",
-  "pause_detected",
-]);
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -213,6 +213,11 @@
     this.#leaving = true;
   }
 
+  /** Ends the notice about this daemon, which others keep until it expires. */
+  stopLeaving(): void {
+    this.#leaving = false;
+  }
+
   /** Notices to pass on, the own one included. */
   notices(): readonly LeavingNotice[] {
     const { vmId, processId } = this;
@@ -225,6 +230,13 @@
     return this.#leavingIds.has(vmId) || this.#notices.has(vmId);
   }
 
+  /** All VMs that are leaving, by the VM list or a notice. */
+  leavingVms(): ReadonlySet<string> {
+    const notices = this.#notices.list();
+    if (notices.length === 0) return this.#leavingIds;
+    return new Set([...this.#leavingIds, ...notices.map(({ vmId }) => vmId)]);
+  }
+
   dump(): MembershipDump {
     return {
       processId: this.processId,
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -1,1 +1,12 @@
-export * from "./socket_byte_counter.ts";
+export {
+  type Counter,
+  type Histogram,
+  type HistogramReading,
+  type HistogramSummary,
+  type MetricLabels,
+  Metrics,
+  type MetricsReading,
+  type NumberReading,
+} from "./metrics.ts";
+export { renderMetricsText } from "./render.ts";
+export { type ByteTotals, SocketByteCounter } from "./socket_byte_counter.ts";
--- a/packages/rpc/src/rpc_client.ts
+++ b/packages/rpc/src/rpc_client.ts
@@ -32,6 +32,7 @@
   /** Address that connections come from; the VM's own. */
   readonly localAddress?: string;
   readonly bytes?: SocketByteCounter;
+  readonly timeoutMsByMethod?: Readonly<Record<RpcMethod, number>>;
   /** Limit on a response body, before and after decompression. */
   readonly maxBodyBytes?: number;
   /** Calls to one peer that are open at once, the running one included. */
@@ -65,7 +66,8 @@
     peer: RpcPeer,
     call: RpcCall,
   ): Promise<Result<unknown, RpcError>> {
-    const timeoutMs = call.timeoutMs ?? TIMEOUT_MS_BY_METHOD[call.method];
+    const defaults = this.#options.timeoutMsByMethod ?? TIMEOUT_MS_BY_METHOD;
+    const timeoutMs = call.timeoutMs ?? defaults[call.method];
     return await this.#connectionTo(peer).call({ ...call, timeoutMs });
   }
 
--- a/packages/test_helpers/src/virtual_clock.ts
+++ b/packages/test_helpers/src/virtual_clock.ts
@@ -1,50 +1,103 @@
-import { setImmediate as nextTurn } from "node:timers/promises";
-import type { Clock } from "@tanagercove/membership";
+import { setImmediate } from "node:timers/promises";
 
-interface Timer {
+interface PendingTimer {
   readonly atMs: number;
-  readonly fire: () => void;
+  readonly sequence: number;
+  callback: (() => void) | undefined;
 }
 
-/** Clock whose time moves only when a test says so. */
-export class VirtualClock implements Clock {
+/** Clock and timers that move only when told to, for tests and simulations. */
+export class VirtualClock {
   #nowMs = 0;
-  readonly #timers = new Set<Timer>();
+  #sequence = 0;
+  readonly #heap: PendingTimer[] = [];
 
+  /** Virtual time in milliseconds since the clock was made. */
   nowMs(): number {
     return this.#nowMs;
   }
 
-  sleep(ms: number, signal?: AbortSignal): Promise<void> {
-    if (signal?.aborted) return Promise.resolve();
-    return new Promise((resolve) => {
-      const fire = () => {
-        this.#timers.delete(timer);
-        signal?.removeEventListener("abort", fire);
-        resolve();
-      };
-      const timer: Timer = { atMs: this.#nowMs + ms, fire };
-      this.#timers.add(timer);
-      signal?.addEventListener("abort", fire);
-    });
+  /** Calls back when the clock is moved past the delay. */
+  setTimer(callback: () => void, delayMs: number): { cancel(): void } {
+    const timer: PendingTimer = {
+      atMs: this.#nowMs + Math.max(0, delayMs),
+      sequence: this.#sequence++,
+      callback,
+    };
+    this.#push(timer);
+    return {
+      cancel() {
+        timer.callback = undefined;
+      },
+    };
   }
 
-  /** Moves the time and fires the timers on the way in their order. */
+  /** Moves the clock, fires due timers in order and lets promises settle after each. */
   async advance(ms: number): Promise<void> {
     const untilMs = this.#nowMs + ms;
+    await setImmediate();
     for (;;) {
-      await nextTurn();
-      const due = [...this.#timers].filter(({ atMs }) => atMs <= untilMs);
-      if (due.length === 0) break;
-      const next = due.reduce((a, b) => b.atMs < a.atMs ? b : a);
-      this.#nowMs = Math.max(this.#nowMs, next.atMs);
-      next.fire();
+      const timer = this.#heap[0];
+      if (timer === undefined || timer.atMs > untilMs) break;
+      this.#pop();
+      if (timer.callback === undefined) continue;
+      this.#nowMs = Math.max(this.#nowMs, timer.atMs);
+      timer.callback();
+      await setImmediate();
     }
-    this.#nowMs = untilMs;
+    this.#nowMs = Math.max(this.#nowMs, untilMs);
+  }
+
+  /** Resolves after a time, or earlier when the signal aborts. */
+  sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) return Promise.resolve();
+    return new Promise((resolve) => {
+      const end = () => {
+        timer.cancel();
+        signal?.removeEventListener("abort", end);
+        resolve();
+      };
+      const timer = this.setTimer(end, ms);
+      signal?.addEventListener("abort", end);
+    });
   }
 
   /** Moves the time without firing timers, as for a process that is paused. */
   pause(ms: number): void {
     this.#nowMs += ms;
   }
+
+  #push(timer: PendingTimer): void {
+    const heap = this.#heap;
+    let index = heap.length;
+    heap.push(timer);
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!isBefore(timer, heap[parent]!)) break;
+      heap[index] = heap[parent]!;
+      index = parent;
+    }
+    heap[index] = timer;
+  }
+
+  #pop(): void {
+    const heap = this.#heap;
+    const last = heap.pop();
+    if (last === undefined || heap.length === 0) return;
+    let index = 0;
+    for (;;) {
+      let child = 2 * index + 1;
+      if (child >= heap.length) break;
+      const right = heap[child + 1];
+      if (right !== undefined && isBefore(right, heap[child]!)) child += 1;
+      if (!isBefore(heap[child]!, last)) break;
+      heap[index] = heap[child]!;
+      index = child;
+    }
+    heap[index] = last;
+  }
+}
+
+function isBefore(a: PendingTimer, b: PendingTimer): boolean {
+  return a.atMs < b.atMs || (a.atMs === b.atMs && a.sequence < b.sequence);
 }
