--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -10,3 +10,4 @@
 } from "./metrics.ts";
 export { readState } from "./read_state.ts";
 export { renderMetricsText } from "./render.ts";
+export { type ByteTotals, SocketByteCounter } from "./socket_byte_counter.ts";
--- a/packages/test_helpers/src/virtual_clock.ts
+++ b/packages/test_helpers/src/virtual_clock.ts
@@ -41,11 +41,30 @@
       if (timer === undefined || timer.atMs > untilMs) break;
       this.#pop();
       if (timer.callback === undefined) continue;
-      this.#nowMs = timer.atMs;
+      this.#nowMs = Math.max(this.#nowMs, timer.atMs);
       timer.callback();
       await setImmediate();
     }
-    this.#nowMs = untilMs;
+    this.#nowMs = Math.max(this.#nowMs, untilMs);
+  }
+
+  /** Resolves after a time, or earlier when the signal aborts. */
+  sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) return Promise.resolve();
+    return new Promise((resolve) => {
+      const end = () => {
+        timer.cancel();
+        signal?.removeEventListener("abort", end);
+        resolve();
+      };
+      const timer = this.setTimer(end, ms);
+      signal?.addEventListener("abort", end);
+    });
+  }
+
+  /** Moves the time without firing timers, as for a process that is paused. */
+  pause(ms: number): void {
+    this.#nowMs += ms;
   }
 
   #push(timer: PendingTimer): void {
