--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,18 +1,9 @@
 import { Result } from "true-myth";
-import { PlatformReader } from "@tanagercove/distribution";
 import { type ListenError, listenErrorOf } from "@tanagercove/errors";
-import {
-  parseVms,
-  plansWithoutAllowance,
-  validateLists,
-} from "@tanagercove/lists";
-import { logEvent, type Logger } from "@tanagercove/logs";
-import { Metrics } from "@tanagercove/metrics";
-import { createHttpPlatform } from "@tanagercove/platform";
-import { computeRoutingTable, type RoutingTable } from "@tanagercove/routing";
+import { logEvent, type Logger, RefusalSummary } from "@tanagercove/logs";
+import { Metrics, readState } from "@tanagercove/metrics";
 import type { Settings } from "@tanagercove/settings";
-import type { ListProblem, Lists, Vm } from "@tanagercove/types";
-import { SnapshotStore } from "@tanagercove/versions";
+import { createConfiguration } from "./configuration.ts";
 import type { DaemonState, DaemonSummary } from "./daemon_summary.ts";
 import { gatherFleetStatus } from "./fleet_status.ts";
 import { startOperatorsServer } from "./operators_server.ts";
@@ -46,44 +37,19 @@
   const startedAtMs = performance.now();
   const metrics = new Metrics();
   let draining = false;
-  let table: RoutingTable | undefined;
-  let lists: Lists | undefined;
-  let vms: readonly Vm[] = [];
   let requestPath: RequestPath | undefined = undefined;
   const decisions = createRequestDecisions(settings);
-
-  const recompute = () => {
-    const revision = listsStore.held?.revision;
-    if (lists === undefined || revision === undefined) return;
-    table = computeRoutingTable({ revision, lists, vms });
-  };
-  const listsStore = new SnapshotStore<"lists">({
-    kind: "lists",
-    validate: ({ texts }) => reasonOf(validateLists(texts)),
-    onChange: ({ held }) => {
-      lists = validateLists(held.texts).unwrapOr(undefined as never);
-      recompute();
-      logVersionTaken(log, { ...held, lists });
-    },
-    onRefused: (refused) =>
-      logEvent(log, { event: "version_refused", kind: "lists", ...refused }),
-  });
-  const vmsStore = new SnapshotStore<"vms">({
-    kind: "vms",
-    validate: ({ texts }) => reasonOf(parseVms(texts.vms)),
-    onChange: ({ held }) => {
-      vms = parseVms(held.texts.vms).unwrapOr([]);
-      decisions.setVms(vms);
-      recompute();
-      logVersionTaken(log, held);
-    },
-    onRefused: (refused) =>
-      logEvent(log, { event: "version_refused", kind: "vms", ...refused }),
+  const configuration = createConfiguration({
+    settings,
+    log,
+    summary,
+    onVms: (vms) => decisions.setVms(vms),
   });
+  const { distribution, membership, stores } = configuration;
 
   function state(): DaemonState {
     if (draining) return "draining";
-    return table === undefined ? "starting" : "serving";
+    return configuration.routingTable() === undefined ? "starting" : "serving";
   }
 
   function summary(): DaemonSummary {
@@ -96,11 +62,12 @@
       state: state(),
       program_version: options.programVersion,
       uptime_ms: Math.round(performance.now() - startedAtMs),
-      revision: listsStore.held?.revision,
-      hash: listsStore.held?.hash,
-      vms_revision: vmsStore.held?.revision,
-      floor_unconfirmed: false,
-      refused: listsStore.refused,
+      revision: stores.lists.held?.revision,
+      hash: stores.lists.held?.hash,
+      vms_revision: stores.vms.held?.revision,
+      confirmation_age_ms: distribution.confirmationAgeMs,
+      floor_unconfirmed: distribution.floorUnconfirmed,
+      refused: stores.lists.refused,
     };
   }
 
@@ -110,53 +77,63 @@
     ...settings.operators,
     state: {
       summary,
-      // TODO: ask the other daemons once `rpc` has `status.summary`.
       fleetStatus: () =>
         gatherFleetStatus({
           own: summary(),
-          vms,
-          ask: () =>
-            Promise.resolve(
-              Result.err({ kind: "unreachable", message: "Not supported yet" }),
-            ),
+          vms: membership.vms,
+          ask: (vm) => configuration.askSummary(vm),
         }),
       dump: () => ({
         summary: summary(),
-        lists: listsStore.held?.texts,
-        vms: vmsStore.held?.texts.vms,
+        lists: stores.lists.held?.texts,
+        vms: stores.vms.held?.texts.vms,
+        distribution: distribution.dump(),
+        control_bytes: configuration.controlBytes(),
         requests: requestPath?.proxy.state(),
       }),
-      metrics: () => metrics.read(),
+      metrics: () => {
+        const reading = metrics.read();
+        const requests = readState("requests", requestPath?.proxy.state());
+        return { ...reading, gauges: [...reading.gauges, ...requests] };
+      },
     },
   });
   if (operators.isErr) return Result.err(operators.error);
   components.push(operators.value);
 
-  const platform = createHttpPlatform({
-    url: settings.platform.url,
-    localAddress: settings.daemon.address,
-    timeoutMs: settings.platform.timeoutMs,
-  });
-  components.push(platform);
-  const reader = new PlatformReader({
-    platform,
-    lists: listsStore,
-    vms: vmsStore,
-    waitMs: settings.platform.watchWaitMs,
-  });
-  components.push(reader);
+  components.push(configuration);
 
   const started = await listening(() =>
-    startRequestPath({ settings, decisions, routingTable: () => table })
+    startRequestPath({
+      settings,
+      decisions,
+      routingTable: () => configuration.routingTable(),
+      whenFresh: () => distribution.whenFresh(),
+      leavingVms: () => membership.leavingVms(),
+      onUpstreamDraining: (upstreamDraining) => {
+        logEvent(log, {
+          event: "upstream_state_changed",
+          state: upstreamDraining ? "draining" : "ready",
+        });
+        if (upstreamDraining) void distribution.announceLeaving();
+        else if (!draining) membership.stopLeaving();
+      },
+      handleRpc: (request, response) =>
+        void configuration.handleRpc(request, response),
+    })
   );
   if (started.isErr) {
     await closeAll(components);
     return Result.err(started.error);
   }
   requestPath = started.value;
+  const { proxy } = requestPath;
+  components.push(
+    new RefusalSummary({ log, counts: () => proxy.state().callers.reasons }),
+  );
   const { drainTimeoutMs } = settings.daemon;
   components.push({ close: () => started.value.close({ drainTimeoutMs }) });
-  reader.start();
+  configuration.start();
   logEvent(log, {
     event: "daemon_started",
     version: options.programVersion,
@@ -170,6 +147,7 @@
     summary,
     async close() {
       draining = true;
+      void distribution.announceLeaving();
       await closeAll(components);
     },
   });
@@ -191,36 +169,3 @@
     return Result.err(listenError);
   }
 }
-
-function logVersionTaken(
-  log: Logger,
-  version: {
-    readonly kind: "lists" | "vms";
-    readonly revision: number;
-    readonly hash: string;
-    readonly lists?: Lists;
-  },
-): void {
-  const { kind, revision, hash, lists } = version;
-  logEvent(log, { event: "version_taken", kind, revision, hash });
-  const plans = lists === undefined ? [] : plansWithoutAllowance(lists);
-  if (plans.length === 0) return;
-  logEvent(log, {
-    event: "plans_without_allowance",
-    revision,
-    plans: plans.join(", "),
-  });
-}
-
-function reasonOf(
-  verdict: {
-    readonly isErr: boolean;
-    readonly error?: readonly ListProblem[];
-  },
-): string | undefined {
-  if (!verdict.isErr) return undefined;
-  return verdict.error?.map(({ place, message }) =>
-    `${place.list}:${place.line}: ${message}`
-  )
-    .join("; ");
-}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,3 +1,8 @@
+export {
+  type Configuration,
+  createConfiguration,
+  type CreateConfigurationOptions,
+} from "./configuration.ts";
 export { type Daemon, startDaemon, type StartDaemonOptions } from "./daemon.ts";
 export {
   type DaemonState,
--- a/packages/errors/src/format_error.ts
+++ b/packages/errors/src/format_error.ts
@@ -19,6 +19,7 @@
 const RPC_MESSAGES: Handlers<RpcError> = {
   timeout: ({ timeoutMs }) => `No response within ${timeoutMs} ms`,
   unreachable: ({ message }) => `Unreachable: ${shorten(message)}`,
+  busy: ({ openCalls }) => `Not sent: ${openCalls} calls are open already`,
   refused: ({ code, message }) => `Refused (${code}): ${shorten(message)}`,
   malformed: ({ message }) => `Malformed response: ${shorten(message)}`,
 };
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -125,6 +125,36 @@
       "The same revision came with other content; the content held first stays",
     action: "publish any edit, which gives all daemons one newer revision",
   },
+  delta_mismatch: {
+    level: "warn",
+    fields: { kind: "text", revision: "number", reason: "text" },
+    meaning:
+      "A peer's delta did not lead to the version that it names; the whole version is fetched",
+    action: "if it repeats, report it with the versions of the program",
+  },
+  snapshot_mismatch: {
+    level: "warn",
+    fields: { kind: "text", revision: "number", peer_vm_id: "text" },
+    meaning: "The hash of a version that a peer sent is wrong; it is dropped",
+    action: "check what runs on the peer port of that VM",
+  },
+  fetch_failed: {
+    level: "info",
+    fields: { kind: "text", peer_vm_id: "text", reason: "text" },
+    meaning: "A newer version could not be fetched from a peer",
+    action: NOTHING,
+  },
+  floor_not_reached: {
+    level: "warn",
+    fields: {
+      kind: "text",
+      floor_revision: "number",
+      held_revision: "optional_number",
+    },
+    meaning:
+      "Peers hold a newer version that none of them delivered yet; nothing older is taken",
+    action: "if it lasts, check the daemons that hold the newest version",
+  },
   plans_without_allowance: {
     level: "warn",
     fields: { revision: "number", plans: "text" },
@@ -155,6 +185,35 @@
     meaning: "Calls to the platform succeed again",
     action: NOTHING,
   },
+  platform_stale: {
+    level: "warn",
+    fields: {
+      lists_revision: "number",
+      vms_revision: "number",
+      held_lists_revision: "number",
+      held_vms_revision: "number",
+    },
+    meaning: "The platform serves a state older than the one held here",
+    action: "if it lasts, check the replicas of the platform",
+  },
+  platform_current: {
+    level: "info",
+    fields: { lists_revision: "number", vms_revision: "number" },
+    meaning: "The platform no longer serves an old state",
+    action: NOTHING,
+  },
+  edits_crossed: {
+    level: "info",
+    fields: { in_a_row: "number" },
+    meaning: "A list was edited while it was read; it is read again",
+    action: NOTHING,
+  },
+  rpc_fault: {
+    level: "error",
+    fields: { message: "text" },
+    meaning: "A call of another daemon met a fault in this program",
+    action: "report the message",
+  },
   pause_detected: {
     level: "warn",
     fields: { pause_ms: "number" },
@@ -198,18 +257,20 @@
   },
   upstream_state_changed: {
     level: "info",
-    fields: { state: "text", former_state: "text" },
-    meaning: "The health of this VM's upstream changed",
-    action: "check the upstream if it stays unreachable",
+    fields: { state: "text" },
+    meaning:
+      "This VM's upstream began (`draining`) or ceased (`ready`) to report that it drains",
+    action: NOTHING,
   },
-  requests_refused: {
+  requests_not_answered: {
     level: "warn",
     fields: {
-      refused: "number",
+      requests: "number",
       by_reason: "counts",
       interval_ms: "number",
     },
-    meaning: "Requests that were not run, summed up over the interval",
+    meaning:
+      "Callers' requests that were refused or whose outcome is unknown, summed up over the interval",
     action: "see the reasons below",
   },
 } as const satisfies Record<string, EventDefinition>;
@@ -240,15 +301,14 @@
   readonly [E in LogEvent]: { readonly event: E } & FieldsOf<E>;
 }[LogEvent];
 
-/** Writes the events as a Markdown table for operators. */
+/** Writes the events as Markdown for operators, one heading for each. */
 export function eventsReference(): string {
   return Object.entries(LOG_EVENTS).map(([event, definition]) => {
     const fields = Object.keys(definition.fields).map((name) => `\`${name}\``);
     return [
       `### ${event}`,
       "",
-      `- Level: ${definition.level}`,
-      `- Fields: ${fields.join(", ")}`,
+      `- Level: ${definition.level}; fields: ${fields.join(", ")}`,
       `- Meaning: ${definition.meaning}.`,
       `- What to do: ${definition.action}.`,
       "",
