--- /dev/null
+++ b/packages/daemon/src/faults/isolation_test.ts
@@ -0,0 +1,36 @@
+import { faultTest } from "@tanagercove/test_helpers";
+
+faultTest(
+  "should reach a zone that is cut from the platform through the other zones",
+  async (_t, faultCase) => {
+    const relay = faultCase.mesh.relay!;
+    faultCase.cutFromPlatform("zone-a");
+    await faultCase.editInForce();
+    await faultCase.untilRefused("zone-a", "platform");
+    await faultCase.editInForce();
+    relay.clearRules();
+    await faultCase.editInForce();
+  },
+);
+
+faultTest(
+  "should serve with the version held in a zone that is cut from all, and catch up after it",
+  async (t, faultCase) => {
+    const { fleet } = faultCase.mesh;
+    const relay = faultCase.mesh.relay!;
+    const isolated = fleet.zone("zone-a");
+    const others = [...fleet.zone("zone-b"), ...fleet.zone("zone-c")];
+    const before = await faultCase.editInForce();
+    faultCase.cutFromZones("zone-a");
+    faultCase.cutFromPlatform("zone-a");
+    const revision = await faultCase.editInForce(others);
+    await faultCase.untilRefused("zone-a", "platform");
+    for (const daemon of isolated) {
+      t.equal((await daemon.status()).revision, before);
+      t.equal(await faultCase.ask(daemon, "edit-1"), "answered");
+    }
+    relay.clearRules();
+    await faultCase.inForce(revision);
+    await faultCase.editInForce();
+  },
+);
--- /dev/null
+++ b/packages/daemon/src/faults/kills_test.ts
@@ -0,0 +1,29 @@
+import { faultTest } from "@tanagercove/test_helpers";
+
+faultTest(
+  "should distribute an edit after the kill of each daemon in turn, a reader or not",
+  async (t, faultCase) => {
+    const { fleet } = faultCase.mesh;
+    for (const daemon of fleet.zone("zone-a")) {
+      await daemon.kill();
+      const revision = await faultCase.editInForce();
+      await daemon.start();
+      await faultCase.inForce(revision, [daemon]);
+    }
+    t.equal(fleet.active.length, 9);
+  },
+);
+
+faultTest(
+  "should bring a zone that was killed and returns at once to the newest version",
+  async (_t, faultCase) => {
+    const { fleet } = faultCase.mesh;
+    const zone = fleet.zone("zone-b");
+    await faultCase.editInForce();
+    await fleet.kill(zone);
+    const revision = await faultCase.editInForce();
+    await fleet.start(zone);
+    await faultCase.inForce(revision);
+    await faultCase.editInForce();
+  },
+);
--- /dev/null
+++ b/packages/daemon/src/faults/platform_faults_test.ts
@@ -0,0 +1,40 @@
+import { faultTest, waitFor } from "@tanagercove/test_helpers";
+
+faultTest(
+  "should keep its version in an outage, join from peers in it, and take up edits after it",
+  async (_t, faultCase) => {
+    const { fleet, platform } = faultCase.mesh;
+    const before = await faultCase.editInForce();
+    platform.setMode("outage");
+    const { unavailable } = platform.calls;
+    await waitFor(() => platform.calls.unavailable >= unavailable + 10);
+    const [restarted] = fleet.daemons;
+    await restarted!.kill();
+    await restarted!.start();
+    await faultCase.inForce(before, [restarted!]);
+    const revision = faultCase.edit();
+    platform.setMode("normal");
+    await faultCase.inForce(revision);
+  },
+);
+
+faultTest(
+  "should ignore a stale platform after a newer version was in force, a new process included",
+  async (t, faultCase) => {
+    const { fleet, platform } = faultCase.mesh;
+    const stale = await faultCase.editInForce();
+    const newer = await faultCase.editInForce();
+    platform.setMode("stale", { staleRevision: stale });
+    const { total } = platform.calls;
+    const [restarted] = fleet.zone("zone-b");
+    await restarted!.kill();
+    await restarted!.start();
+    await faultCase.inForce(newer);
+    await waitFor(() => platform.calls.total >= total + 10);
+    for (const daemon of fleet.daemons) {
+      t.equal((await daemon.status()).revision, newer);
+    }
+    platform.setMode("normal");
+    await faultCase.editInForce();
+  },
+);
--- /dev/null
+++ b/packages/daemon/src/faults/platform_pairs_test.ts
@@ -0,0 +1,33 @@
+import { faultTest } from "@tanagercove/test_helpers";
+
+faultTest(
+  "should return a killed zone to the fleet's version while the platform is out",
+  async (_t, faultCase) => {
+    const { fleet, platform } = faultCase.mesh;
+    const before = await faultCase.editInForce();
+    platform.setMode("outage");
+    await fleet.kill(fleet.zone("zone-a"));
+    await fleet.start(fleet.zone("zone-a"));
+    await faultCase.inForce(before);
+    const revision = faultCase.edit();
+    platform.setMode("normal");
+    await faultCase.inForce(revision);
+  },
+);
+
+faultTest(
+  "should keep a resumed zone at or above its version while the platform is stale",
+  async (t, faultCase) => {
+    const { fleet, platform } = faultCase.mesh;
+    const stale = await faultCase.editInForce();
+    const zone = fleet.zone("zone-b");
+    for (const daemon of zone) daemon.pause();
+    const newer = await faultCase.editInForce();
+    platform.setMode("stale", { staleRevision: stale });
+    for (const daemon of zone) daemon.resume();
+    await faultCase.inForce(newer);
+    platform.setMode("normal");
+    const revision = await faultCase.editInForce();
+    t.ok(revision > newer);
+  },
+);
--- a/packages/emulator/src/daemon_process.ts
+++ b/packages/emulator/src/daemon_process.ts
@@ -37,7 +37,9 @@
 }
 
 const PROGRAM = resolve("dist/tanagercove.cjs");
-const STATUS_INTERVAL_MS = 100;
+/** Logs report every change already; this is the check that `/status` agrees. */
+const STATUS_INTERVAL_MS = 250;
+const UP_POLL_MS = 50;
 const STATUS_TIMEOUT_MS = 1_000;
 const DUMP_TIMEOUT_MS = 5_000;
 const UP_TIMEOUT_MS = 20_000;
@@ -162,7 +164,7 @@
     while (performance.now() < deadlineMs) {
       if (await this.status().then(() => true, () => false)) return;
       if (!child.isRunning) break;
-      await sleep(STATUS_INTERVAL_MS / 4);
+      await sleep(UP_POLL_MS);
     }
     const tail = this.log.lines.slice(-20).join("\n");
     throw new Error(
--- /dev/null
+++ b/packages/test_helpers/src/fault_case.ts
@@ -0,0 +1,182 @@
+import t, { type Test } from "tap";
+import { request } from "undici";
+import type { DaemonProcess, Mesh } from "@tanagercove/emulator";
+import { HEADERS } from "@tanagercove/types";
+import { waitFor } from "./wait_for.ts";
+import { openMesh } from "./open_mesh.ts";
+
+/** Bound of docs/design.md: time from the end of the last fault until a version is in force. */
+export const IN_FORCE_BOUND_MS = 3_000;
+
+/** Zones of every fault case, with three daemons in each, of which two read the platform. */
+export const FAULT_ZONES = ["zone-a", "zone-b", "zone-c"] as const;
+
+const NOT_ROUTED: readonly string[] = ["customer_unknown", "starting"];
+/** A new fleet has no version to join, so each daemon first waits for `join_timeout_ms`. */
+const FIRST_VERSION_TIMEOUT_MS = 20_000;
+const ASK_DEADLINE_MS = 1_000;
+const SERVICES = ["swatches", "reservations", "fittings"];
+const CUSTOMERS = 200;
+
+/** A mesh under test and the usual steps of a test of its distribution. */
+export class FaultCase {
+  readonly mesh: Mesh;
+  readonly #t: Test;
+  #edits = 0;
+
+  constructor(t: Test, mesh: Mesh) {
+    this.#t = t;
+    this.mesh = mesh;
+  }
+
+  /** Publishes a valid edit of the plans and returns its revision. */
+  edit(): number {
+    this.#edits += 1;
+    return this.mesh.platform.publish("plans", plansOf(this.#edits));
+  }
+
+  /** Requires that a revision is in force on daemons (all active ones by default) within the bound from now. */
+  async inForce(
+    revision: number,
+    daemons: readonly DaemonProcess[] = this.mesh.fleet.active,
+  ): Promise<void> {
+    const startedAtMs = performance.now();
+    const elapsedMs = await this.mesh.fleet.waitInForce(revision, {
+      timeoutMs: IN_FORCE_BOUND_MS,
+      daemons,
+    });
+    const deadlineMs = startedAtMs + IN_FORCE_BOUND_MS;
+    await Promise.all(
+      daemons.map((daemon) => this.#requireRoutedBy(daemon, deadlineMs)),
+    );
+    this.#t.pass(
+      `revision ${revision} is in force on ${daemons.length} daemons after ${
+        Math.round(elapsedMs)
+      } ms`,
+    );
+  }
+
+  /** Publishes an edit and requires that it is in force within the bound. */
+  async editInForce(daemons?: readonly DaemonProcess[]): Promise<number> {
+    const revision = this.edit();
+    await this.inForce(revision, daemons);
+    return revision;
+  }
+
+  /** Reason or outcome that a daemon tells a caller for this customer. */
+  async ask(daemon: DaemonProcess, customer: string): Promise<string> {
+    const url = this.mesh.callerUrl(daemon.id);
+    const response = await request(`${url}/fault-case`, {
+      headers: {
+        [HEADERS.customer]: customer,
+        [HEADERS.service]: "swatches",
+        // Upstreams of stopped VMs do not answer, which is not the point of these tests.
+        [HEADERS.deadlineMs]: String(ASK_DEADLINE_MS),
+      },
+    });
+    await response.body.dump();
+    const { headers } = response;
+    return String(headers[HEADERS.reason] ?? headers[HEADERS.outcome]);
+  }
+
+  /** Cuts a zone from the others, in both directions, until the relay's rules are cleared. */
+  cutFromZones(zone: string): void {
+    for (const other of FAULT_ZONES) {
+      if (other === zone) continue;
+      this.mesh.relay!.addRule({
+        from: { zone },
+        to: { zone: other },
+        bothWays: true,
+        action: "cut",
+      });
+    }
+  }
+
+  /** Cuts a zone from the platform until the relay's rules are cleared. */
+  cutFromPlatform(zone: string): void {
+    this.mesh.relay!.addRule({
+      from: { zone },
+      to: { kind: "platform" },
+      action: "cut",
+    });
+  }
+
+  /** Waits until the relay has refused a connection of this zone, which proves that a cut took effect. */
+  async untilRefused(
+    fromZone: string,
+    to: { readonly zone: string } | "platform",
+  ): Promise<void> {
+    const { fleet, relay } = this.mesh;
+    const idsOf = (zone: string) => fleet.zone(zone).map(({ id }) => id);
+    const sources = idsOf(fromZone);
+    const targets = to === "platform" ? [to] : idsOf(to.zone);
+    await waitFor(
+      () =>
+        relay!.traffic.some((link) =>
+          sources.includes(link.from) && targets.includes(link.to) &&
+          link.refusedConnections > 0
+        ),
+      { what: `refused connection from ${fromZone}` },
+    );
+  }
+
+  /** The request path must know the customer of the newest edit by the same deadline. */
+  async #requireRoutedBy(
+    daemon: DaemonProcess,
+    deadlineMs: number,
+  ): Promise<void> {
+    if (this.#edits === 0) return;
+    let told: string;
+    do {
+      told = await this.ask(daemon, customerOf(this.#edits));
+      if (!NOT_ROUTED.includes(told)) return;
+    } while (performance.now() < deadlineMs);
+    this.#t.fail(`${daemon.id} holds the version and answers "${told}"`);
+  }
+}
+
+/** Runs a test with real daemons and checks every version that any of them reports meanwhile. */
+export function faultTest(
+  name: string,
+  body: (t: Test, faultCase: FaultCase) => Promise<void>,
+): void {
+  t.test(name, async (t) => {
+    const mesh = await openMesh(t, {
+      zones: FAULT_ZONES,
+      services: SERVICES,
+      plans: plansOf(0),
+      allowances: "basic = swatches\nfull = swatches, reservations, fittings\n",
+    });
+    const faultCase = new FaultCase(t, mesh);
+    const { history } = mesh.fleet;
+    await mesh.fleet.waitInForce(1, { timeoutMs: FIRST_VERSION_TIMEOUT_MS });
+    await waitFor(() => serves(mesh), { timeoutMs: FIRST_VERSION_TIMEOUT_MS });
+    await body(t, faultCase);
+    t.same(history.violations, [], "no version fell and none was partial");
+    t.ok(history.observationCount > mesh.vms.length);
+  });
+}
+
+async function serves({ fleet }: Mesh): Promise<boolean> {
+  const statuses = await Promise.all(
+    fleet.daemons.map((daemon) => daemon.status()),
+  );
+  return statuses.every(({ json }) => json.state === "serving");
+}
+
+/** Plans as of an edit; each edit adds a customer, so that no two texts are equal. */
+export function plansOf(edits: number): string {
+  const customers = Array.from(
+    { length: CUSTOMERS },
+    (_, index) => `customer-${index} = basic\n`,
+  );
+  const added = Array.from(
+    { length: edits },
+    (_, index) => `${customerOf(index + 1)} = full\n`,
+  );
+  return [...customers, ...added].join("");
+}
+
+function customerOf(edit: number): string {
+  return `edit-${edit}`;
+}
--- a/packages/test_helpers/src/index.ts
+++ b/packages/test_helpers/src/index.ts
@@ -1,4 +1,6 @@
 export * from "./fake_network.ts";
 export * from "./fake_platform.ts";
+export * from "./fault_case.ts";
+export * from "./open_mesh.ts";
 export * from "./virtual_clock.ts";
 export * from "./wait_for.ts";
