Close the configuration when a port is in use, and join at once when alone

Cause: a daemon whose operators' port was taken kept open handles and never ended; a daemon whose VM list names no other daemon waited the whole join timeout. Change: both ends are closed or skipped; lifecycle tests take an address block of their own, since parallel checkouts shared addresses.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -98,10 +98,11 @@
       },
     },
   });
-  if (operators.isErr) return Result.err(operators.error);
-  components.push(operators.value);
-
-  components.push(configuration);
+  if (operators.isErr) {
+    await configuration.close();
+    return Result.err(operators.error);
+  }
+  components.push(operators.value, configuration);
 
   const started = await listening(() =>
     startRequestPath({
--- a/packages/daemon/src/run_daemon_test.ts
+++ b/packages/daemon/src/run_daemon_test.ts
@@ -6,6 +6,7 @@
 import { join } from "node:path";
 import t, { type Test } from "tap";
 import { request } from "undici";
+import { claimAddressBlock } from "@tanagercove/emulator";
 import { formatVms } from "@tanagercove/lists";
 import { waitFor } from "@tanagercove/test_helpers";
 import { HEADERS } from "@tanagercove/types";
@@ -15,7 +16,9 @@
 const CALLER_PORT = 8080;
 /** Keeps watches, which the stand-in answers without change, from spinning. */
 const PLATFORM_DELAY_MS = 20;
-let lastAddress = 0;
+let lastVm = 0;
+const block = await claimAddressBlock();
+t.teardown(() => block.close());
 
 /** Runs the built program with a platform and an upstream of its own. */
 async function start(t: Test, options: {
@@ -24,7 +27,7 @@
   readonly nodeArgs?: readonly string[];
   readonly address?: string;
 } = {}) {
-  const address = options.address ?? `127.24.3.${++lastAddress}`;
+  const address = options.address ?? block.own({ zone: 0, vm: ++lastVm });
   const upstream = await listen(t, {
     address,
     handler: options.upstream ?? ((_, response) => response.end()),
@@ -193,7 +196,10 @@
 });
 
 t.test("should log a broken invariant and end with 70, since the state may be wrong", async (t) => {
-  const script = "setTimeout(() => { throw new Error('broken') }, 500)";
+  // Throws once the daemon has installed its handler.
+  const script = "setInterval(() => {" +
+    "if (process.listenerCount('uncaughtException') > 0) throw new Error('broken')" +
+    "}, 10)";
   const { ended, events } = await start(t, {
     nodeArgs: ["--import", `data:text/javascript,${script}`],
   });
--- a/packages/distribution/src/joining.ts
+++ b/packages/distribution/src/joining.ts
@@ -123,7 +123,9 @@
 ): boolean {
   if (holdersIn(membership, responses) >= HOLDERS_NEEDED) return true;
   const known = membership.peers();
-  return known.length > 0 && known.every(({ id }) => responses.has(id));
+  const isAlone = known.length === 0 && membership.vms.length > 0;
+  return isAlone ||
+    known.length > 0 && known.every(({ id }) => responses.has(id));
 }
 
 async function learnAddresses(
