Wait for the daemon's start in the test of a broken invariant

Change: a signal throws it once daemon_started is logged; the join timeout is 200 ms, because the test has no other daemon.

--- a/packages/daemon/src/run_daemon_test.ts
+++ b/packages/daemon/src/run_daemon_test.ts
@@ -66,7 +66,9 @@
       }\n` +
       `[platform]\nurl = http://${address}:${platform}\n` +
       `[upstream]\naddress = ${address}\nport = ${upstream}\n` +
-      `[operators]\naddress = ${address}\n`,
+      `[operators]\naddress = ${address}\n` +
+      // There is no other daemon that could answer.
+      `[peers]\njoin_timeout_ms = 200\n`,
   );
   const child = spawn(
     process.execPath,
@@ -193,10 +195,12 @@
 });
 
 t.test("should log a broken invariant and end with 70, since the state may be wrong", async (t) => {
-  const script = "setTimeout(() => { throw new Error('broken') }, 500)";
-  const { ended, events } = await start(t, {
+  const script = "process.on('SIGUSR2', () => { throw new Error('broken') })";
+  const { child, ended, events, until } = await start(t, {
     nodeArgs: ["--import", `data:text/javascript,${script}`],
   });
+  await until("daemon_started");
+  child.kill("SIGUSR2");
   t.equal(await ended, 70);
   t.match(events().at(-1), { event: "invariant_broken", message: "broken" });
 });
