Simulate the request policies and narrow the load hint

Cause: the defaults of balancing, admission and retries had no figures. Change: dist/policies.cjs runs the real packages in virtual time. A report changes a score by at most 1.19, not 2, which drew callers together.

--- a/packages/balancing/src/load_hint.ts
+++ b/packages/balancing/src/load_hint.ts
@@ -17,14 +17,21 @@
 const NEUTRAL_LOAD = 0.5;
 
 /**
- * Computes the factor, 0.5 to 2, by which a reported load changes an upstream's score.
- * Half load is neutral and the effect fades with the age of the report, because
- * reports lag and may be false.
+ * Largest factor between a full and a half-loaded upstream. With 2, reports
+ * that are a second old drew the callers together to the same upstreams, which
+ * made p99 worse even where all were true (docs/decisions/choice_of_upstream.md).
+ */
+export const LOAD_MAX_FACTOR = 2 ** 0.25;
+
+/**
+ * Computes the factor by which a reported load changes an upstream's score,
+ * between 1 / `LOAD_MAX_FACTOR` and `LOAD_MAX_FACTOR`. Half load is neutral and
+ * the effect fades with the age of the report.
  */
 export function loadHint({ reported, nowMs }: LoadHintOptions): number {
   if (reported === undefined) return 1;
   const ageMs = Math.max(0, nowMs - reported.atMs);
   const freshness = Math.max(0, 1 - ageMs / LOAD_MAX_AGE_MS);
   const load = Math.min(1, Math.max(0, reported.load));
-  return 2 ** ((load - NEUTRAL_LOAD) / NEUTRAL_LOAD * freshness);
+  return LOAD_MAX_FACTOR ** ((load - NEUTRAL_LOAD) / NEUTRAL_LOAD * freshness);
 }
--- /dev/null
+++ b/packages/bench/src/policies/queue_simulation.ts
@@ -0,0 +1,136 @@
+import {
+  AdmissionQueue,
+  type AdmissionQueueOptions,
+  type RequestClass,
+} from "@tanagercove/admission";
+import { VirtualClock } from "@tanagercove/test_helpers";
+import { Latencies, type LatencySummary, round } from "./latencies.ts";
+import { SeededRandom } from "./seeded_random.ts";
+
+/** Options of `simulateQueue`. */
+export interface QueueSimulationOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  /** Offered load of each class, as a multiple of the capacity of all slots. */
+  readonly load: Readonly<Record<RequestClass, number>>;
+  readonly queue: Omit<AdmissionQueueOptions, "clock">;
+  /** Time left of the requests, distributed uniformly. */
+  readonly deadlineMs: { readonly min: number; readonly max: number };
+  /** Length of a stall of the upstream every `STALL_EVERY_MS`; none by default. */
+  readonly stallMs?: number;
+}
+
+/** What became of the requests of one class. */
+export interface ClassFigures extends LatencySummary {
+  readonly offered: number;
+  /** Answered before the deadline; the percentiles are theirs. */
+  readonly answered: number;
+  /** Ran but reached the deadline before the answer. */
+  readonly late: number;
+  readonly refused: number;
+  /** Refused after some time in the queue. */
+  readonly refusedLater: number;
+}
+
+/** Figures of one run. */
+export interface QueueFigures {
+  /** Answers before the deadline, as a share of the capacity. */
+  readonly goodput: number;
+  readonly classes: Readonly<Record<RequestClass, ClassFigures>>;
+}
+
+const MIN_SERVICE_MS = 5;
+const MEAN_SERVICE_MS = 20;
+const STALL_EVERY_MS = 5_000;
+
+type Counts = {
+  offered: number;
+  answered: number;
+  late: number;
+  refused: number;
+  refusedLater: number;
+};
+
+interface ClassRecord {
+  readonly counts: Counts;
+  readonly latencies: Latencies;
+}
+
+/** Runs one admission queue in front of an upstream in virtual time. */
+export async function simulateQueue(
+  options: QueueSimulationOptions,
+): Promise<QueueFigures> {
+  const clock = new VirtualClock();
+  const random = new SeededRandom(options.seed);
+  const queue = new AdmissionQueue({ ...options.queue, clock });
+  const capacityPerMs = options.queue.slots / MEAN_SERVICE_MS;
+  const records = { idempotent: newRecord(), non_idempotent: newRecord() };
+  for (const requestClass of ["idempotent", "non_idempotent"] as const) {
+    const perMs = options.load[requestClass] * capacityPerMs;
+    if (perMs > 0) arriveAfter(requestClass, 1 / perMs);
+  }
+  await clock.advance(options.durationMs);
+  await clock.advance(options.deadlineMs.max);
+  await queue.close();
+  const answered = records.idempotent.counts.answered +
+    records.non_idempotent.counts.answered;
+  return {
+    goodput: round(answered / (options.durationMs * capacityPerMs)),
+    classes: {
+      idempotent: figuresOf(records.idempotent),
+      non_idempotent: figuresOf(records.non_idempotent),
+    },
+  };
+
+  function arriveAfter(requestClass: RequestClass, meanMs: number): void {
+    clock.setTimer(() => {
+      if (clock.nowMs() >= options.durationMs) return;
+      void send(requestClass);
+      arriveAfter(requestClass, meanMs);
+    }, random.exponential(meanMs));
+  }
+
+  async function send(requestClass: RequestClass): Promise<void> {
+    const { counts, latencies } = records[requestClass];
+    const { min, max } = options.deadlineMs;
+    const deadlineMs = random.between(min, max);
+    const serviceMs = MIN_SERVICE_MS +
+      random.exponential(MEAN_SERVICE_MS - MIN_SERVICE_MS);
+    const sentMs = clock.nowMs();
+    counts.offered += 1;
+    const verdict = await queue.admit({
+      idempotent: requestClass === "idempotent",
+      deadlineMs,
+    });
+    if (verdict.isErr) {
+      counts.refused += 1;
+      if (clock.nowMs() > sentMs) counts.refusedLater += 1;
+      return;
+    }
+    const neededMs = serviceMs + stallLeftMs(clock.nowMs());
+    const timeLeftMs = sentMs + deadlineMs - clock.nowMs();
+    clock.setTimer(() => {
+      verdict.value.release();
+      if (neededMs > timeLeftMs) counts.late += 1;
+      else {
+        counts.answered += 1;
+        latencies.record(clock.nowMs() - sentMs);
+      }
+    }, Math.min(neededMs, timeLeftMs));
+  }
+
+  function stallLeftMs(nowMs: number): number {
+    return Math.max(0, (options.stallMs ?? 0) - nowMs % STALL_EVERY_MS);
+  }
+}
+
+function newRecord(): ClassRecord {
+  return {
+    counts: { offered: 0, answered: 0, late: 0, refused: 0, refusedLater: 0 },
+    latencies: new Latencies(),
+  };
+}
+
+function figuresOf({ counts, latencies }: ClassRecord): ClassFigures {
+  return { ...counts, ...latencies.summary() };
+}
--- /dev/null
+++ b/packages/bench/src/policies/service_simulation.ts
@@ -0,0 +1,319 @@
+import { AdmissionQueue } from "@tanagercove/admission";
+import {
+  chooseUpstream,
+  UpstreamObservations,
+  type UpstreamResult,
+} from "@tanagercove/balancing";
+import { decideRetry, RetryBudget } from "@tanagercove/retries";
+import { VirtualClock } from "@tanagercove/test_helpers";
+import type { Outcome, Reason, Vm } from "@tanagercove/types";
+import { Latencies, type LatencySummary, round } from "./latencies.ts";
+import { SeededRandom } from "./seeded_random.ts";
+
+/** How callers choose an upstream. */
+export type Choice = "round_robin" | "random" | "two_choices";
+
+/** What upstreams report as their load. */
+export type Reports = "none" | "honest" | "slow_reports_idle" | "all_lie";
+
+/** What a failing upstream does with a request. */
+export type Failure = "refuses_connections" | "frozen";
+
+/** Options of `simulateService`. */
+export interface ServiceSimulationOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly upstreamCount: number;
+  readonly callerCount: number;
+  /** Offered load as a multiple of the capacity of all upstreams at normal speed. */
+  readonly load: number;
+  readonly choice: Choice;
+  readonly reports: Reports;
+  /** Factor on the service time of the first upstream. */
+  readonly slowness: number;
+  /** Upstreams, from the first, that fail from a third to two thirds of the run. */
+  readonly failingCount: number;
+  readonly failure: Failure;
+  readonly ejects: boolean;
+  /** Without a budget each request is retried twice. */
+  readonly hasBudget: boolean;
+}
+
+/** Figures of one phase of a run. */
+export interface PhaseFigures extends LatencySummary {
+  readonly requests: number;
+  readonly attemptsPerRequest: number;
+  /** Share of requests answered before the deadline. */
+  readonly answered: number;
+  /** Share of requests whose first attempt went to the first upstream. */
+  readonly toFirstUpstream: number;
+}
+
+/** Phases of a run: before, during and after the failure. */
+export type Phase = "before" | "during" | "after";
+
+const SLOTS = 10;
+const MIN_SERVICE_MS = 5;
+const MEAN_SERVICE_MS = 20;
+const DEADLINE_MS = 1_000;
+const HOP_MS = 0.5;
+const REPORT_EVERY_MS = 1_000;
+const ZONE = "zone-a";
+
+interface Attempt {
+  readonly outcome: Outcome;
+  readonly reason?: Reason;
+}
+
+interface Caller {
+  readonly observations: UpstreamObservations;
+  readonly budget: RetryBudget;
+  next: number;
+}
+
+/** Runs callers against the upstreams of one service in virtual time. */
+export async function simulateService(
+  options: ServiceSimulationOptions,
+): Promise<Readonly<Record<Phase, PhaseFigures>>> {
+  const clock = new VirtualClock();
+  const random = new SeededRandom(options.seed);
+  const vms = Array.from({ length: options.upstreamCount }, (_, i) => vmOf(i));
+  const queues = vms.map(() =>
+    new AdmissionQueue({
+      slots: SLOTS,
+      queueOrder: "oldest_first",
+      queueTimeoutMs: DEADLINE_MS,
+      clock,
+    })
+  );
+  const callers = Array.from(
+    { length: options.callerCount },
+    (_, i) => newCaller(clock, vms, i),
+  );
+  const phases = {
+    before: newPhase(),
+    during: newPhase(),
+    after: newPhase(),
+  };
+  const perMs = options.load * vms.length * SLOTS / MEAN_SERVICE_MS;
+  arrive();
+  report();
+  await clock.advance(options.durationMs);
+  await clock.advance(DEADLINE_MS + 1);
+  return {
+    before: figuresOf(phases.before),
+    during: figuresOf(phases.during),
+    after: figuresOf(phases.after),
+  };
+
+  function arrive(): void {
+    clock.setTimer(() => {
+      if (clock.nowMs() >= options.durationMs) return;
+      void send(callers[Math.floor(random.next() * callers.length)]!);
+      arrive();
+    }, random.exponential(1 / perMs));
+  }
+
+  function report(): void {
+    for (const [i, vm] of vms.entries()) {
+      const load = REPORTED[options.reports](
+        queues[i]!.runningCount / SLOTS,
+        i,
+      );
+      if (load === undefined) continue;
+      for (const { observations } of callers) {
+        observations.reportLoad(vm.id, load);
+      }
+    }
+    clock.setTimer(() => {
+      if (clock.nowMs() < options.durationMs) report();
+    }, REPORT_EVERY_MS);
+  }
+
+  async function send(caller: Caller): Promise<void> {
+    const sentMs = clock.nowMs();
+    const phase = phases[phaseAt(sentMs)];
+    const tried = new Set<string>();
+    phase.requests += 1;
+    caller.budget.recordFirstAttempt();
+    for (let attempt = 1;; attempt += 1) {
+      const vm = CHOICES[options.choice]({
+        vms,
+        caller,
+        exclude: tried,
+        nowMs: clock.nowMs(),
+        random: random.next,
+      });
+      if (vm === undefined) return;
+      if (attempt === 1 && vm === vms[0]) phase.toFirst += 1;
+      tried.add(vm.id);
+      phase.attempts += 1;
+      const timeLeftMs = () => sentMs + DEADLINE_MS - clock.nowMs();
+      const { outcome, reason } = await attemptAt(vm, caller, timeLeftMs());
+      if (outcome === "answered") {
+        phase.answered += 1;
+        phase.latencies.record(clock.nowMs() - sentMs);
+        return;
+      }
+      const verdict = decideRetry({
+        outcome,
+        reason,
+        idempotent: true,
+        attempt,
+        timeLeftMs: timeLeftMs(),
+        budget: options.hasBudget ? caller.budget : { tryTake: () => true },
+      });
+      if (verdict === "give_up") return;
+    }
+  }
+
+  async function attemptAt(
+    vm: Vm,
+    { observations }: Caller,
+    timeLeftMs: number,
+  ): Promise<Attempt> {
+    const startedMs = clock.nowMs();
+    observations.begin(vm.id);
+    const attempt = await run(vms.indexOf(vm), timeLeftMs);
+    const latencyMs = clock.nowMs() - startedMs;
+    const result = resultOf(attempt);
+    // Without ejection a failure is recorded as an answer of unknown latency.
+    observations.end(
+      vm.id,
+      result === "failed" && !options.ejects
+        ? { result: "ok", latencyMs: NaN }
+        : { result, latencyMs },
+    );
+    return attempt;
+  }
+
+  async function run(index: number, timeLeftMs: number): Promise<Attempt> {
+    await wait(HOP_MS);
+    const isFailing = index < options.failingCount &&
+      phaseAt(clock.nowMs()) === "during";
+    if (isFailing && options.failure === "refuses_connections") {
+      return { outcome: "not_run", reason: "connect_failed" };
+    }
+    if (isFailing) {
+      await wait(timeLeftMs - HOP_MS);
+      return { outcome: "unknown", reason: "deadline" };
+    }
+    const deadlineAtMs = clock.nowMs() - HOP_MS + timeLeftMs;
+    const verdict = await queues[index]!.admit({
+      idempotent: true,
+      deadlineMs: deadlineAtMs - clock.nowMs(),
+    });
+    if (verdict.isErr) return { outcome: "not_run", reason: verdict.error };
+    const slowness = index === 0 ? options.slowness : 1;
+    const serviceMs = slowness * (MIN_SERVICE_MS +
+      random.exponential(MEAN_SERVICE_MS - MIN_SERVICE_MS));
+    const leftMs = deadlineAtMs - clock.nowMs();
+    await wait(Math.min(serviceMs, leftMs));
+    verdict.value.release();
+    return serviceMs > leftMs
+      ? { outcome: "unknown", reason: "deadline" }
+      : { outcome: "answered" };
+  }
+
+  function wait(ms: number): Promise<void> {
+    return new Promise((resolve) => clock.setTimer(resolve, ms));
+  }
+
+  function phaseAt(nowMs: number): Phase {
+    const third = Math.floor(3 * nowMs / options.durationMs);
+    return (["before", "during"] as const)[third] ?? "after";
+  }
+
+  function newCaller(clock: VirtualClock, vms: readonly Vm[], next: number) {
+    const observations = new UpstreamObservations({ clock });
+    observations.setVms(vms);
+    return { observations, budget: new RetryBudget(), next };
+  }
+}
+
+interface ChoiceOptions {
+  readonly vms: readonly Vm[];
+  readonly caller: Caller;
+  readonly exclude: ReadonlySet<string>;
+  readonly nowMs: number;
+  readonly random: () => number;
+}
+
+const CHOICES: Readonly<
+  Record<Choice, (options: ChoiceOptions) => Vm | undefined>
+> = {
+  round_robin: ({ vms, caller }) => vms[caller.next++ % vms.length],
+  random: ({ vms, random }) => vms[Math.floor(random() * vms.length)],
+  two_choices: ({ vms, caller, ...rest }) =>
+    chooseUpstream({
+      ...rest,
+      candidates: vms,
+      observations: caller.observations,
+      ownZone: ZONE,
+    }),
+};
+
+/** Reported load by true load and index of the upstream. */
+const REPORTED: Readonly<
+  Record<Reports, (load: number, index: number) => number | undefined>
+> = {
+  none: () => undefined,
+  honest: (load) => load,
+  slow_reports_idle: (load, index) => index === 0 ? 0 : load,
+  all_lie: (_, index) => index === 0 ? 0 : 1,
+};
+
+const REFUSALS: ReadonlySet<Reason> = new Set<Reason>([
+  "queue_full",
+  "queue_timeout",
+  "shed",
+  "leaving",
+  "starting",
+]);
+
+function resultOf({ outcome, reason }: Attempt): UpstreamResult {
+  if (outcome === "answered") return "ok";
+  return reason !== undefined && REFUSALS.has(reason) ? "not_run" : "failed";
+}
+
+interface PhaseRecord {
+  requests: number;
+  attempts: number;
+  answered: number;
+  toFirst: number;
+  readonly latencies: Latencies;
+}
+
+function newPhase(): PhaseRecord {
+  return {
+    requests: 0,
+    attempts: 0,
+    answered: 0,
+    toFirst: 0,
+    latencies: new Latencies(),
+  };
+}
+
+function figuresOf(phase: PhaseRecord): PhaseFigures {
+  return {
+    requests: phase.requests,
+    attemptsPerRequest: round(phase.attempts / phase.requests),
+    answered: round(phase.answered / phase.requests),
+    toFirstUpstream: round(phase.toFirst / phase.requests),
+    ...phase.latencies.summary(),
+  };
+}
+
+function vmOf(index: number): Vm {
+  return {
+    id: `stockroom-${index}`,
+    service: "stockroom",
+    zone: ZONE,
+    region: "region-1",
+    address: `127.23.1.${index}`,
+    callerPort: 8080,
+    peerPort: 8081,
+    upstreamPort: 8082,
+    state: "live",
+  };
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,6 +9,7 @@
   tanagercove: "packages/cli/src/main.ts",
   emulator: "packages/emulator/src/main.ts",
   bench: "packages/bench/src/main.ts",
+  policies: "packages/bench/src/policies/main.ts",
 };
 
 await build({
