--- /dev/null
+++ b/packages/daemon/src/configuration.ts
@@ -0,0 +1,223 @@
+import type { Result } from "true-myth";
+import {
+  Distribution,
+  type DistributionTuning,
+  type SnapshotStores,
+} from "@tanagercove/distribution";
+import type { RpcError } from "@tanagercove/errors";
+import {
+  parseVms,
+  plansWithoutAllowance,
+  validateLists,
+} from "@tanagercove/lists";
+import { logEvent, type Logger } from "@tanagercove/logs";
+import { Membership } from "@tanagercove/membership";
+import { type ByteTotals, SocketByteCounter } from "@tanagercove/metrics";
+import { createHttpPlatform } from "@tanagercove/platform";
+import { computeRoutingTable, type RoutingTable } from "@tanagercove/routing";
+import {
+  createRpcRequestHandler,
+  RpcClient,
+  type RpcMethod,
+  type RpcRequestHandler,
+} from "@tanagercove/rpc";
+import type { Settings } from "@tanagercove/settings";
+import type { ListProblem, Lists, Vm } from "@tanagercove/types";
+import { SnapshotStore } from "@tanagercove/versions";
+
+/** Options of `createConfiguration`. */
+export interface CreateConfigurationOptions {
+  readonly settings: Settings;
+  readonly log: Logger;
+  /** What this daemon answers to `status.summary`. */
+  readonly summary: () => unknown;
+  /** Called with each new VM list. */
+  readonly onVms?: (vms: readonly Vm[]) => void;
+}
+
+/** The configuration side of a daemon: versions, other daemons and the platform. */
+export interface Configuration {
+  readonly distribution: Distribution;
+  readonly membership: Membership;
+  readonly stores: SnapshotStores;
+  /** Handles the requests for `/rpc` on the peer port. */
+  readonly handleRpc: RpcRequestHandler;
+  /** The table in force, or undefined until the daemon has joined and holds a version. */
+  routingTable(): RoutingTable | undefined;
+  /** Asks the daemon on a VM for its summary. */
+  askSummary(vm: Vm): Promise<Result<unknown, RpcError>>;
+  /** Bytes exchanged with other daemons and the platform. */
+  controlBytes(): ByteTotals;
+  /** Joins and keeps the versions up to date. The peer port must listen before. */
+  start(): void;
+  close(): Promise<void>;
+}
+
+/** Assembles stores, routing table, peers and platform of one daemon. */
+export function createConfiguration(
+  options: CreateConfigurationOptions,
+): Configuration {
+  const { settings, log } = options;
+  const { daemon, peers } = settings;
+  const bytes = new SocketByteCounter();
+  const membership = new Membership({
+    vmId: daemon.vmId,
+    zone: daemon.zone,
+    seeds: peers.seeds,
+    readersPerZone: settings.distribution.readersPerZone,
+  });
+  const { stores, routingTable } = createStores({
+    log,
+    onVms: (vms) => {
+      membership.setVms(vms);
+      options.onVms?.(vms);
+    },
+  });
+  const timeoutMsByMethod = timeoutsOf(settings);
+  const rpc = new RpcClient({
+    localAddress: daemon.address,
+    bytes,
+    timeoutMsByMethod,
+  });
+  const platform = createHttpPlatform({
+    url: settings.platform.url,
+    localAddress: daemon.address,
+    timeoutMs: settings.platform.timeoutMs,
+    onSocket: (socket) => bytes.track(socket),
+  });
+  const distribution = new Distribution({
+    membership,
+    stores,
+    rpc,
+    platform,
+    weight: settings.distribution.weight,
+    tuning: tuningOf(settings),
+    summary: options.summary,
+    onEvent: (record) => logEvent(log, record),
+  });
+  const handleRpc = createRpcRequestHandler({
+    handlers: distribution.handlers,
+    bytes,
+    timeoutMsByMethod,
+    onFault: (message, error) =>
+      logEvent(log, { event: "rpc_fault", message: `${message}: ${error}` }),
+  });
+  return {
+    distribution,
+    membership,
+    stores,
+    handleRpc,
+    routingTable: () => distribution.isReady ? routingTable() : undefined,
+    askSummary: ({ address, peerPort: port }) =>
+      rpc.call({ address, port }, { method: "status.summary", params: {} }),
+    controlBytes: () => bytes.totals(),
+    start: () => distribution.start(),
+    async close() {
+      await rpc.close();
+      await distribution.close();
+      await platform.close();
+    },
+  };
+}
+
+function timeoutsOf({ peers }: Settings): Readonly<Record<RpcMethod, number>> {
+  const { rpcTimeoutMs, fetchTimeoutMs } = peers;
+  return {
+    "digest.exchange": rpcTimeoutMs,
+    "versions.push": rpcTimeoutMs,
+    "versions.fetch": fetchTimeoutMs,
+    "membership.leaving": rpcTimeoutMs,
+    "status.summary": rpcTimeoutMs,
+  };
+}
+
+function tuningOf(settings: Settings): Partial<DistributionTuning> {
+  const { distribution, peers, platform } = settings;
+  return {
+    fanOut: distribution.fanOut,
+    zoneLinks: distribution.zoneLinks,
+    digestIntervalMs: distribution.digestIntervalMs,
+    remoteDigestEvery: distribution.remoteDigestEvery,
+    staleAfterMs: distribution.staleAfterMs,
+    readStaggerMs: distribution.readStaggerMs,
+    pauseThresholdMs: distribution.pauseThresholdMs,
+    pauseGateMs: distribution.pauseGateMs,
+    joinTimeoutMs: peers.joinTimeoutMs,
+    readsPerSecond: platform.readsPerSecond,
+    watchWaitMs: platform.watchWaitMs,
+  };
+}
+
+/** Creates the stores, whose changes replace the VM list and the routing table. */
+function createStores({ log, onVms }: {
+  readonly log: Logger;
+  readonly onVms: (vms: readonly Vm[]) => void;
+}) {
+  let table: RoutingTable | undefined;
+  let lists: { readonly revision: number; readonly content: Lists } | undefined;
+  let vms: readonly Vm[] = [];
+  // What was parsed to validate a snapshot is used when it is taken.
+  let parsedLists: Lists | undefined;
+  let parsedVms: readonly Vm[] = [];
+
+  const recompute = () => {
+    if (lists === undefined) return;
+    const { revision, content } = lists;
+    table = computeRoutingTable({ revision, lists: content, vms });
+  };
+  const stores: SnapshotStores = {
+    lists: new SnapshotStore<"lists">({
+      kind: "lists",
+      validate: ({ texts }) => {
+        const verdict = validateLists(texts);
+        if (verdict.isErr) return describe(verdict.error);
+        parsedLists = verdict.value;
+        return undefined;
+      },
+      onChange: ({ held }) => {
+        lists = { revision: held.revision, content: parsedLists! };
+        recompute();
+        warnOfPlans(log, lists);
+      },
+    }),
+    vms: new SnapshotStore<"vms">({
+      kind: "vms",
+      validate: ({ texts }) => {
+        const verdict = parseVms(texts.vms);
+        if (verdict.isErr) return describe(verdict.error);
+        parsedVms = verdict.value;
+        return undefined;
+      },
+      onChange: () => {
+        vms = parsedVms;
+        onVms(vms);
+        recompute();
+      },
+    }),
+  };
+  return { stores, routingTable: () => table };
+}
+
+function warnOfPlans(
+  log: Logger,
+  { revision, content }: {
+    readonly revision: number;
+    readonly content: Lists;
+  },
+): void {
+  const plans = plansWithoutAllowance(content).join(", ");
+  if (plans === "") return;
+  logEvent(log, { event: "plans_without_allowance", revision, plans });
+}
+
+const MAX_PROBLEMS_DESCRIBED = 10;
+
+/** Names list and line of each problem, up to a limit. */
+function describe(problems: readonly ListProblem[]): string {
+  const shown = problems.slice(0, MAX_PROBLEMS_DESCRIBED).map((problem) => {
+    const { place, message } = problem;
+    return `${place.list}:${place.line}: ${message}`;
+  });
+  const rest = problems.length - shown.length;
+  return [...shown, ...(rest > 0 ? [`${rest} more`] : [])].join("; ");
+}
--- /dev/null
+++ b/packages/logs/src/logs_test.ts
@@ -0,0 +1,93 @@
+import { readFileSync, writeFileSync } from "node:fs";
+import t from "tap";
+import { waitFor } from "@tanagercove/test_helpers";
+import {
+  createLogger,
+  eventsReference,
+  LOG_EVENTS,
+  logEvent,
+  RefusalSummary,
+} from "./index.ts";
+
+const OPERATORS_PAGE = "docs/operators.md";
+const REFERENCE_START = "<!-- deno-fmt-ignore-start -->\n\n";
+const REFERENCE_END = "\n<!-- deno-fmt-ignore-end -->";
+
+const UNITS = /_(ms|bytes|port)$/;
+
+function capture(level?: "warn") {
+  const lines: Record<string, unknown>[] = [];
+  const write = (line: string) => void lines.push(JSON.parse(line));
+  const log = createLogger({ vmId: "a-1", zone: "zone-a", level, write });
+  return { log, lines };
+}
+
+t.test("should write level, time, VM and fields under their fixed names", (t) => {
+  const { log, lines } = capture();
+  logEvent(log, { event: "platform_lost", reason: "timeout" });
+  const { time_ms, ...rest } = lines[0]!;
+  t.type(time_ms, "number");
+  t.same(rest, {
+    level: "warn",
+    vm_id: "a-1",
+    zone: "zone-a",
+    event: "platform_lost",
+    reason: "timeout",
+  });
+  t.end();
+});
+
+t.test("should leave out events below the level of the settings", (t) => {
+  const { log, lines } = capture("warn");
+  logEvent(log, { event: "peer_back", peer_vm_id: "b-1" });
+  t.same(lines, []);
+  t.end();
+});
+
+t.test("should keep names in snake case with a unit, since outside tools select by them", (t) => {
+  for (const [event, { fields }] of Object.entries(LOG_EVENTS)) {
+    for (const name of [event, ...Object.keys(fields)]) {
+      t.match(name, /^[a-z][a-z_]*[a-z]$/);
+      if (/time|elapsed|pause$|interval/.test(name) && name !== event) {
+        t.match(name, UNITS);
+      }
+    }
+  }
+  t.end();
+});
+
+t.test("should log one summary for many refusals, so that overload does not flood the log", async (t) => {
+  const { log, lines } = capture();
+  let counts: Readonly<Record<string, number>> = {};
+  const summary = new RefusalSummary({
+    log,
+    counts: () => counts,
+    intervalMs: 20,
+  });
+  counts = { queue_full: 1_000, deadline: 1 };
+  await waitFor(() => lines.length > 0, { what: "summary" });
+  t.match(lines, [{
+    event: "requests_not_answered",
+    requests: 1_001,
+    by_reason: { queue_full: 1_000, deadline: 1 },
+  }]);
+  counts = { queue_full: 1_000, deadline: 1, shed: 2 };
+  await summary.close();
+  await summary.close();
+  t.equal(lines.length, 2, "quiet without new refusals");
+  t.same(lines[1]!.by_reason, { shed: 2 }, "only what was added");
+});
+
+/** Run with TANAGERCOVE_WRITE_DOCS=1 after a change of the event table. */
+t.test("should agree with the events in the operators' page", (t) => {
+  const page = readFileSync(OPERATORS_PAGE, "utf8");
+  const [before, rest = ""] = page.split(REFERENCE_START);
+  const [, after] = rest.split(REFERENCE_END);
+  const expected =
+    `${before}${REFERENCE_START}${eventsReference()}${REFERENCE_END}${after}`;
+  if (process.env.TANAGERCOVE_WRITE_DOCS === "1") {
+    writeFileSync(OPERATORS_PAGE, expected);
+  }
+  t.equal(readFileSync(OPERATORS_PAGE, "utf8"), expected);
+  t.end();
+});
