--- a/packages/daemon/src/configuration.ts
+++ b/packages/daemon/src/configuration.ts
@@ -24,6 +24,7 @@
 import type { Settings } from "@tanagercove/settings";
 import type { ListProblem, Lists, Vm } from "@tanagercove/types";
 import { SnapshotStore } from "@tanagercove/versions";
+import { withWireNames } from "./wire_names.ts";
 
 /** Options of `createConfiguration`. */
 export interface CreateConfigurationOptions {
@@ -48,6 +49,8 @@
   askSummary(vm: Vm): Promise<Result<unknown, RpcError>>;
   /** Bytes exchanged with other daemons and the platform. */
   controlBytes(): ByteTotals;
+  /** State of distribution, versions and membership for operators; plain JSON. */
+  dump(): Readonly<Record<string, unknown>>;
   /** Joins and keeps the versions up to date. The peer port must listen before. */
   start(): void;
   close(): Promise<void>;
@@ -111,6 +114,11 @@
     askSummary: ({ address, peerPort: port }) =>
       rpc.call({ address, port }, { method: "status.summary", params: {} }),
     controlBytes: () => bytes.totals(),
+    dump: () => ({
+      distribution: withWireNames(distribution.dump()),
+      control_bytes: withWireNames(bytes.totals()),
+      peer_connections: rpc.connectionCount,
+    }),
     start: () => distribution.start(),
     async close() {
       await rpc.close();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -37,6 +37,7 @@
   const startedAtMs = performance.now();
   const metrics = new Metrics();
   let draining = false;
+  let announced = Promise.resolve();
   let requestPath: RequestPath | undefined = undefined;
   const decisions = createRequestDecisions(settings);
   const configuration = createConfiguration({
@@ -87,8 +88,7 @@
         summary: summary(),
         lists: stores.lists.held?.texts,
         vms: stores.vms.held?.texts.vms,
-        distribution: distribution.dump(),
-        control_bytes: configuration.controlBytes(),
+        ...configuration.dump(),
         requests: requestPath?.proxy.state(),
       }),
       metrics: () => metrics.read(),
@@ -97,7 +97,12 @@
   if (operators.isErr) return Result.err(operators.error);
   components.push(operators.value);
 
-  components.push(configuration);
+  components.push({
+    async close() {
+      await announced;
+      await configuration.close();
+    },
+  });
 
   const started = await listening(() =>
     startRequestPath({
@@ -135,7 +140,7 @@
     summary,
     async close() {
       draining = true;
-      void distribution.announceLeaving();
+      announced = distribution.announceLeaving();
       await closeAll(components);
     },
   });
--- a/packages/distribution/src/distribution.ts
+++ b/packages/distribution/src/distribution.ts
@@ -89,6 +89,7 @@
 }
 
 const KINDS: readonly SnapshotKind[] = ["lists", "vms"];
+const STALE_REMOTE_DIGEST_EVERY = 2;
 const REFRESH_PEERS_IN_ZONE = 2;
 const REFRESH_PEERS_ELSEWHERE = 1;
 
@@ -256,14 +257,19 @@
 
   /** Starts a digest exchange in each interval; a silent peer does not delay the next one. */
   async #exchangeDigests(): Promise<void> {
-    const { digestIntervalMs, remoteDigestEvery } = this.#tuning;
+    const { digestIntervalMs, remoteDigestEvery, staleAfterMs } = this.#tuning;
     const signal = this.#stop.signal;
     if (digestIntervalMs === 0) return;
     for (let n = 1; !signal.aborted; n += 1) {
       const jitter = 0.75 + this.#random.next() / 2;
       await this.#clock.sleep(digestIntervalMs * jitter, signal);
       if (signal.aborted) return;
-      const peer = this.#choosePartner(n % remoteDigestEvery === 0);
+      // A zone cut off from the platform learns of changes from other zones alone.
+      const isStale = this.#confirmations.ageMs > staleAfterMs;
+      const remoteEvery = isStale
+        ? Math.min(STALE_REMOTE_DIGEST_EVERY, remoteDigestEvery)
+        : remoteDigestEvery;
+      const peer = this.#choosePartner(n % remoteEvery === 0);
       if (peer === undefined) continue;
       this.#replication.inBackground(this.#synchronize(peer));
     }
--- a/packages/distribution/src/distribution_test.ts
+++ b/packages/distribution/src/distribution_test.ts
@@ -193,6 +193,41 @@
   t.equal(fleet.at(revision), 15);
 });
 
+t.test("should push a change within and between zones without digest exchanges", async (t) => {
+  const fleet = new Fleet(t, vmsOf("ab", 4));
+  fleet.startAll({ digestIntervalMs: 0 });
+  await fleet.clock.advance(4_000);
+  for (const { id } of vmsOf("a", 4)) fleet.cutOff.add(id);
+  const revision = fleet.platform.publish("plans", "e = p\n");
+  await fleet.clock.advance(500);
+  t.equal(fleet.at(revision), 8);
+});
+
+t.test("should learn from other zones soon after a partition from zones and platform", async (t) => {
+  const fleet = await startedFleet(t, "abc", 3);
+  const inA = new Set(vmsOf("a", 3).map(({ address }) => address));
+  for (const { id } of vmsOf("a", 3)) fleet.cutOff.add(id);
+  fleet.network.fault = ({ from, to }) =>
+    inA.has(from) === inA.has(to) ? undefined : "silent";
+  const revision = fleet.platform.publish("plans", "e = p\n");
+  await fleet.clock.advance(60_000);
+  t.equal(fleet.at(revision), 6);
+  fleet.network.fault = () => undefined;
+  await fleet.clock.advance(3_000);
+  t.equal(fleet.at(revision), 9);
+});
+
+t.test("should read newer lists though peers hold a VM list newer than the platform's", async (t) => {
+  const fleet = await startedFleet(t, "a", 3);
+  for (const { stores } of fleet.daemons.values()) {
+    const texts = { vms: stores.vms.held!.texts.vms };
+    stores.vms.offer(makeSnapshot({ kind: "vms", revision: 1_000, texts }));
+  }
+  const revision = fleet.platform.publish("plans", "e = p\n");
+  await fleet.clock.advance(3_000);
+  t.equal(fleet.at(revision), 3);
+});
+
 t.test("should replace dead readers one after the other and stop when they return", async (t) => {
   const fleet = await startedFleet(t, "a", 8);
   const ranked = [...fleet.daemons.keys()].sort((a, b) =>
@@ -290,6 +325,13 @@
   t.ok(only.distribution.floorUnconfirmed);
 });
 
+t.test("should not wait for others when the VM list names none", async (t) => {
+  const fleet = new Fleet(t, vmsOf("a", 1));
+  fleet.startAll();
+  await fleet.clock.advance(500);
+  t.ok(fleet.daemon("a1").distribution.isReady);
+});
+
 t.test("should never hold a mixture of two edits that cross a read", async (t) => {
   const fleet = new Fleet(t, vmsOf("a", 2));
   let edits = 0;
--- a/packages/distribution/src/joining.ts
+++ b/packages/distribution/src/joining.ts
@@ -37,7 +37,8 @@
 /** Time after which the addresses of the VM list on the platform are used beside the seeds. */
 const SEEDS_ALONE_MS = 1_000;
 const ADDRESSES_RETRY_MS = 500;
-const KINDS: readonly SnapshotKind[] = ["lists", "vms"];
+/** Routes need VMs, so these come first. */
+const KINDS: readonly SnapshotKind[] = ["vms", "lists"];
 
 /**
  * Learns from peers the highest versions held anywhere, fetches them and lets the stores take nothing
@@ -123,7 +124,9 @@
 ): boolean {
   if (holdersIn(membership, responses) >= HOLDERS_NEEDED) return true;
   const known = membership.peers();
-  return known.length > 0 && known.every(({ id }) => responses.has(id));
+  // Without a VM list other daemons can exist that this one does not know.
+  if (known.length === 0) return membership.vms.length > 0;
+  return known.every(({ id }) => responses.has(id));
 }
 
 async function learnAddresses(
--- a/packages/distribution/src/platform_watch.ts
+++ b/packages/distribution/src/platform_watch.ts
@@ -165,12 +165,14 @@
     if (this.#stop.signal.aborted) return "failed";
     if (index.isErr) return this.#fail(index.error);
     this.#noteAnswer();
-    if (this.#noteStale(index.value)) return "stale";
+    const stale = this.#noteStale(index.value);
+    // A list newer than the one held counts though the other kind is older here.
     const read = await this.#readNewer(index.value);
     if (this.#stop.signal.aborted) return "failed";
     if (read.isErr) return this.#fail(read.error);
     this.#crossedInARow = 0;
     this.#afterRevision = index.value.revision;
+    if (stale) return "stale";
     confirmations.confirm();
     return "confirmed";
   }
@@ -273,8 +275,9 @@
       membership.ownRank * tuning.readStaggerMs,
     );
     if (waitMs > 0) await clock.sleep(waitMs, this.#stop.signal);
-    const lists = await this.#readLists(index);
+    // Routes need VMs, so these are read first.
     const vms = await this.#readVms(index);
+    const lists = await this.#readLists(index);
     return lists.isErr ? lists : vms;
   }
 
