Let the distribution's tests see six faults that they passed over

Removing the push, the ranks' order, the check of text names, the memory of refused versions, the wait for joining or the fallback to a whole version left every test green. Each of these changes to the code now fails a test. Conclusion: the promises are guarded one by one.

--- a/packages/distribution/src/distribution_test.ts
+++ b/packages/distribution/src/distribution_test.ts
@@ -1,5 +1,6 @@
 import fc from "fast-check";
 import t, { type Test } from "tap";
+import { Result } from "true-myth";
 import { formatVms, parseVms, validateLists } from "@tanagercove/lists";
 import type { LogEvent } from "@tanagercove/logs";
 import { Membership } from "@tanagercove/membership";
@@ -243,6 +244,8 @@
       distribution.dump().role !== "none"
     ).map(([id]) => id);
   t.strictSame(watching(), [ranked[2]]);
+  const others = ranked.slice(3).map((id) => fleet.daemon(id).events);
+  t.notOk(others.flat().includes("reading_started"), "no other even started");
   const revision = fleet.platform.publish("plans", "f = p\n");
   await fleet.clock.advance(3_000);
   t.equal(fleet.at(revision), 6);
@@ -317,8 +320,11 @@
 t.test("should report an unconfirmed floor when no other daemon answers", async (t) => {
   const fleet = new Fleet(t, vmsOf("a", 3));
   const only = fleet.start(vmOf("a", 1), {}, [vmOf("a", 2)]);
-  await fleet.clock.advance(2_900);
-  t.equal(only.stores.lists.held, undefined, "the platform is not yet trusted");
+  await fleet.clock.advance(1_000);
+  t.equal(only.stores.lists.offer(lists(1, "c = p")), "taken", "from a push");
+  t.notOk(only.distribution.isReady, "not before joining is over");
+  await fleet.clock.advance(1_900);
+  t.equal(only.stores.lists.held?.revision, 1, "no platform while joining");
   await fleet.clock.advance(1_000);
   t.equal(only.stores.lists.held?.revision, fleet.platform.revision);
   t.ok(only.events.includes("floor_unconfirmed"));
@@ -421,6 +427,16 @@
   const wrong = computeDelta(held, lists(held.revision + 1, "c = forged"))!;
   fleet.cutOff.add("a1").add("a2").add("a3");
   fleet.daemon("a2").stores.lists.offer(target);
+  const { address } = fleet.daemon("a2").vm;
+  const { handlers } = fleet.daemon("a2").distribution;
+  const deltas = [{ ...wrong, target: { revision: 99, hash: target.hash } }];
+  fleet.network.listen(address, {
+    ...handlers,
+    "versions.fetch": (params) =>
+      (params as { have?: unknown }).have === undefined
+        ? handlers["versions.fetch"](params)
+        : Promise.resolve(Result.ok({ type: "deltas", deltas })),
+  });
   const id = { revision: target.revision, hash: target.hash };
   const answer = await fleet.call("a1", "versions.push", {
     sender: { vm_id: "a2", process_id: "p" },
@@ -434,10 +450,28 @@
   t.equal(fleet.daemon("a1").stores.lists.held!.hash, target.hash);
   t.equal(
     fleet.daemon("a1").distribution.dump().replication.deltaMismatches,
-    1,
+    2,
   );
 });
 
+t.test("should refuse a delta that adds a text of another name", async (t) => {
+  const fleet = await startedFleet(t, "a", 2);
+  const held = fleet.daemon("a1").stores.lists.held!;
+  const texts = { ...held.texts, q: "c = p" };
+  const target = { revision: held.revision + 1, hash: contentHash(texts) };
+  const edits = {
+    q: [{ op: "drop", count: 1 }, { op: "insert", lines: ["c = p"] }],
+  };
+  const answer = await fleet.call("a1", "versions.push", {
+    sender: SENDER,
+    kind: "lists",
+    target,
+    delta: { kind: "lists", base: held, target, edits },
+  });
+  t.ok(answer.isErr);
+  t.equal(fleet.daemon("a1").stores.lists.held, held);
+});
+
 t.test("should stay in step while a third of the peers is silent", async (t) => {
   const fleet = await startedFleet(t, "ab", 6);
   const silent = new Set(
@@ -587,4 +621,10 @@
   );
   t.ok(distribution.dump().replication.snapshotMismatches > 0);
   t.strictSame(stores.lists.refused.map(({ revision }) => revision), [51]);
+  const again = await fleet.call("a1", "versions.push", {
+    sender: SENDER,
+    kind: "lists",
+    target: { revision: 51, hash: invalid.hash },
+  });
+  t.strictSame(again.unwrapOr(undefined), { verdict: "refused" }, "no fetch");
 });
