--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,7 +1,7 @@
 import { Result } from "true-myth";
 import { type ListenError, listenErrorOf } from "@tanagercove/errors";
-import { logEvent, type Logger } from "@tanagercove/logs";
-import { Metrics } from "@tanagercove/metrics";
+import { logEvent, type Logger, RefusalSummary } from "@tanagercove/logs";
+import { Metrics, readState } from "@tanagercove/metrics";
 import type { Settings } from "@tanagercove/settings";
 import { createConfiguration } from "./configuration.ts";
 import type { DaemonState, DaemonSummary } from "./daemon_summary.ts";
@@ -91,7 +91,11 @@
         ...configuration.dump(),
         requests: requestPath?.proxy.state(),
       }),
-      metrics: () => metrics.read(),
+      metrics: () => {
+        const reading = metrics.read();
+        const requests = readState("requests", requestPath?.proxy.state());
+        return { ...reading, gauges: [...reading.gauges, ...requests] };
+      },
     },
   });
   if (operators.isErr) return Result.err(operators.error);
@@ -112,6 +116,10 @@
       whenFresh: () => distribution.whenFresh(),
       leavingVms: () => membership.leavingVms(),
       onUpstreamDraining: (upstreamDraining) => {
+        logEvent(log, {
+          event: "upstream_state_changed",
+          state: upstreamDraining ? "draining" : "ready",
+        });
         if (upstreamDraining) void distribution.announceLeaving();
         else if (!draining) membership.stopLeaving();
       },
@@ -124,6 +132,10 @@
     return Result.err(started.error);
   }
   requestPath = started.value;
+  const { proxy } = requestPath;
+  components.push(
+    new RefusalSummary({ log, counts: () => proxy.state().callers.reasons }),
+  );
   const { drainTimeoutMs } = settings.daemon;
   components.push({ close: () => started.value.close({ drainTimeoutMs }) });
   configuration.start();
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -257,18 +257,20 @@
   },
   upstream_state_changed: {
     level: "info",
-    fields: { state: "text", former_state: "text" },
-    meaning: "The health of this VM's upstream changed",
-    action: "check the upstream if it stays unreachable",
+    fields: { state: "text" },
+    meaning:
+      "This VM's upstream began (`draining`) or ceased (`ready`) to report that it drains",
+    action: NOTHING,
   },
-  requests_refused: {
+  requests_not_answered: {
     level: "warn",
     fields: {
-      refused: "number",
+      requests: "number",
       by_reason: "counts",
       interval_ms: "number",
     },
-    meaning: "Requests that were not run, summed up over the interval",
+    meaning:
+      "Callers' requests that were refused or whose outcome is unknown, summed up over the interval",
     action: "see the reasons below",
   },
 } as const satisfies Record<string, EventDefinition>;
@@ -299,15 +301,14 @@
   readonly [E in LogEvent]: { readonly event: E } & FieldsOf<E>;
 }[LogEvent];
 
-/** Writes the events as a Markdown table for operators. */
+/** Writes the events as Markdown for operators, one heading for each. */
 export function eventsReference(): string {
   return Object.entries(LOG_EVENTS).map(([event, definition]) => {
     const fields = Object.keys(definition.fields).map((name) => `\`${name}\``);
     return [
       `### ${event}`,
       "",
-      `- Level: ${definition.level}`,
-      `- Fields: ${fields.join(", ")}`,
+      `- Level: ${definition.level}; fields: ${fields.join(", ")}`,
       `- Meaning: ${definition.meaning}.`,
       `- What to do: ${definition.action}.`,
       "",
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -8,5 +8,6 @@
   type MetricsReading,
   type NumberReading,
 } from "./metrics.ts";
+export { readState } from "./read_state.ts";
 export { renderMetricsText } from "./render.ts";
 export { type ByteTotals, SocketByteCounter } from "./socket_byte_counter.ts";
