--- a/packages/daemon/src/run_daemon_test.ts
+++ b/packages/daemon/src/run_daemon_test.ts
@@ -6,6 +6,7 @@
 import { join } from "node:path";
 import t, { type Test } from "tap";
 import { request } from "undici";
+import { claimAddressBlock } from "@tanagercove/emulator";
 import { formatVms } from "@tanagercove/lists";
 import { waitFor } from "@tanagercove/test_helpers";
 import { HEADERS } from "@tanagercove/types";
@@ -15,7 +16,9 @@
 const CALLER_PORT = 8080;
 /** Keeps watches, which the stand-in answers without change, from spinning. */
 const PLATFORM_DELAY_MS = 20;
-let lastAddress = 0;
+let lastVm = 0;
+const block = await claimAddressBlock();
+t.teardown(() => block.close());
 
 /** Runs the built program with a platform and an upstream of its own. */
 async function start(t: Test, options: {
@@ -24,7 +27,7 @@
   readonly nodeArgs?: readonly string[];
   readonly address?: string;
 } = {}) {
-  const address = options.address ?? `127.24.3.${++lastAddress}`;
+  const address = options.address ?? block.own({ zone: 0, vm: ++lastVm });
   const upstream = await listen(t, {
     address,
     handler: options.upstream ?? ((_, response) => response.end()),
@@ -66,7 +69,9 @@
       }\n` +
       `[platform]\nurl = http://${address}:${platform}\n` +
       `[upstream]\naddress = ${address}\nport = ${upstream}\n` +
-      `[operators]\naddress = ${address}\n`,
+      `[operators]\naddress = ${address}\n` +
+      // There is no other daemon that could answer.
+      `[peers]\njoin_timeout_ms = 200\n`,
   );
   const child = spawn(
     process.execPath,
@@ -193,10 +198,12 @@
 });
 
 t.test("should log a broken invariant and end with 70, since the state may be wrong", async (t) => {
-  const script = "setTimeout(() => { throw new Error('broken') }, 500)";
-  const { ended, events } = await start(t, {
+  const script = "process.on('SIGUSR2', () => { throw new Error('broken') })";
+  const { child, ended, events, until } = await start(t, {
     nodeArgs: ["--import", `data:text/javascript,${script}`],
   });
+  await until("daemon_started");
+  child.kill("SIGUSR2");
   t.equal(await ended, 70);
   t.match(events().at(-1), { event: "invariant_broken", message: "broken" });
 });
--- a/packages/distribution/src/distribution_test.ts
+++ b/packages/distribution/src/distribution_test.ts
@@ -1,5 +1,6 @@
 import fc from "fast-check";
 import t, { type Test } from "tap";
+import { Result } from "true-myth";
 import { formatVms, parseVms, validateLists } from "@tanagercove/lists";
 import type { LogEvent } from "@tanagercove/logs";
 import { Membership } from "@tanagercove/membership";
@@ -162,16 +163,20 @@
   return daemon.taken.map(({ revision }) => revision);
 }
 
-async function startedFleet(t: Test, zones: string, perZone: number) {
+async function startedFleet(t: Test, { zones, perZone, tuning }: {
+  readonly zones: string;
+  readonly perZone: number;
+  readonly tuning?: Partial<DistributionTuning>;
+}) {
   const fleet = new Fleet(t, vmsOf(zones, perZone));
-  fleet.startAll();
+  fleet.startAll(tuning);
   await fleet.clock.advance(4_000);
   t.equal(fleet.at(fleet.platform.revision), zones.length * perZone);
   return fleet;
 }
 
 t.test("should bring a change to every daemon within 3 s with a bounded number of platform calls", async (t) => {
-  const fleet = await startedFleet(t, "abc", 10);
+  const fleet = await startedFleet(t, { zones: "abc", perZone: 10 });
   const callsStart = fleet.platform.calls;
   await fleet.clock.advance(3_000);
   const atRest = fleet.platform.calls - callsStart;
@@ -186,15 +191,54 @@
 });
 
 t.test("should bring changes to a zone that is cut off from the platform", async (t) => {
-  const fleet = await startedFleet(t, "abc", 5);
+  const fleet = await startedFleet(t, { zones: "abc", perZone: 5 });
   for (const { id } of vmsOf("a", 5)) fleet.cutOff.add(id);
   const revision = fleet.platform.publish("plans", "e = p\n");
   await fleet.clock.advance(3_000);
   t.equal(fleet.at(revision), 15);
 });
 
+t.test("should push a change within and between zones without digest exchanges", async (t) => {
+  const fleet = new Fleet(t, vmsOf("ab", 4));
+  fleet.startAll({ digestIntervalMs: 0 });
+  await fleet.clock.advance(4_000);
+  for (const { id } of vmsOf("a", 4)) fleet.cutOff.add(id);
+  const revision = fleet.platform.publish("plans", "e = p\n");
+  await fleet.clock.advance(500);
+  t.equal(fleet.at(revision), 8);
+});
+
+t.test("should learn from other zones soon after a partition from zones and platform", async (t) => {
+  const fleet = await startedFleet(t, {
+    zones: "abc",
+    perZone: 3,
+    tuning: { remoteDigestEvery: 100 },
+  });
+  const inA = new Set(vmsOf("a", 3).map(({ address }) => address));
+  for (const { id } of vmsOf("a", 3)) fleet.cutOff.add(id);
+  fleet.network.fault = ({ from, to }) =>
+    inA.has(from) === inA.has(to) ? undefined : "silent";
+  const revision = fleet.platform.publish("plans", "e = p\n");
+  await fleet.clock.advance(60_000);
+  t.equal(fleet.at(revision), 6);
+  fleet.network.fault = () => undefined;
+  await fleet.clock.advance(3_000);
+  t.equal(fleet.at(revision), 9);
+});
+
+t.test("should read newer lists though peers hold a VM list newer than the platform's", async (t) => {
+  const fleet = await startedFleet(t, { zones: "a", perZone: 3 });
+  for (const { stores } of fleet.daemons.values()) {
+    const texts = { vms: stores.vms.held!.texts.vms };
+    stores.vms.offer(makeSnapshot({ kind: "vms", revision: 1_000, texts }));
+  }
+  const revision = fleet.platform.publish("plans", "e = p\n");
+  await fleet.clock.advance(3_000);
+  t.equal(fleet.at(revision), 3);
+});
+
 t.test("should replace dead readers one after the other and stop when they return", async (t) => {
-  const fleet = await startedFleet(t, "a", 8);
+  const fleet = await startedFleet(t, { zones: "a", perZone: 8 });
   const ranked = [...fleet.daemons.keys()].sort((a, b) =>
     fleet.daemon(a).membership.ownRank - fleet.daemon(b).membership.ownRank
   );
@@ -208,6 +252,8 @@
       distribution.dump().role !== "none"
     ).map(([id]) => id);
   t.strictSame(watching(), [ranked[2]]);
+  const others = ranked.slice(3).map((id) => fleet.daemon(id).events);
+  t.notOk(others.flat().includes("reading_started"), "no other even started");
   const revision = fleet.platform.publish("plans", "f = p\n");
   await fleet.clock.advance(3_000);
   t.equal(fleet.at(revision), 6);
@@ -234,7 +280,7 @@
 });
 
 t.test("should join at the fleet's version though the platform is stale", async (t) => {
-  const fleet = await startedFleet(t, "ab", 4);
+  const fleet = await startedFleet(t, { zones: "ab", perZone: 4 });
   fleet.platform.setMode("stale");
   for (const { id } of vmsOf("ab", 4)) fleet.cutOff.add(id);
   const newer = lists(fleet.platform.revision + 5, "c = p\nz = p");
@@ -250,7 +296,7 @@
 });
 
 t.test("should take nothing older than the floor though its holder cannot deliver it", async (t) => {
-  const fleet = await startedFleet(t, "a", 3);
+  const fleet = await startedFleet(t, { zones: "a", perZone: 3 });
   fleet.network.fault = ({ method }) =>
     method === "versions.fetch" ? "refused" : undefined;
   const target = lists(fleet.platform.revision + 5, "z = p");
@@ -268,7 +314,7 @@
 });
 
 t.test("should ask the VMs of the platform's list when the seeds are gone", async (t) => {
-  const fleet = await startedFleet(t, "a", 4);
+  const fleet = await startedFleet(t, { zones: "a", perZone: 4 });
   const newer = lists(fleet.platform.revision + 5, "z = p");
   for (const id of ["a1", "a2", "a3", "a4"]) {
     fleet.cutOff.add(id);
@@ -282,14 +328,24 @@
 t.test("should report an unconfirmed floor when no other daemon answers", async (t) => {
   const fleet = new Fleet(t, vmsOf("a", 3));
   const only = fleet.start(vmOf("a", 1), {}, [vmOf("a", 2)]);
-  await fleet.clock.advance(2_900);
-  t.equal(only.stores.lists.held, undefined, "the platform is not yet trusted");
+  await fleet.clock.advance(1_000);
+  t.equal(only.stores.lists.offer(lists(1, "c = p")), "taken", "from a push");
+  t.notOk(only.distribution.isReady, "not before joining is over");
+  await fleet.clock.advance(1_900);
+  t.equal(only.stores.lists.held?.revision, 1, "no platform while joining");
   await fleet.clock.advance(1_000);
   t.equal(only.stores.lists.held?.revision, fleet.platform.revision);
   t.ok(only.events.includes("floor_unconfirmed"));
   t.ok(only.distribution.floorUnconfirmed);
 });
 
+t.test("should not wait for others when the VM list names none", async (t) => {
+  const fleet = new Fleet(t, vmsOf("a", 1));
+  fleet.startAll();
+  await fleet.clock.advance(500);
+  t.ok(fleet.daemon("a1").distribution.isReady);
+});
+
 t.test("should never hold a mixture of two edits that cross a read", async (t) => {
   const fleet = new Fleet(t, vmsOf("a", 2));
   let edits = 0;
@@ -315,7 +371,7 @@
 });
 
 t.test("should neither take nor push an invalid version, and take the next valid one", async (t) => {
-  const fleet = await startedFleet(t, "ab", 5);
+  const fleet = await startedFleet(t, { zones: "ab", perZone: 5 });
   const before = fleet.platform.revision;
   const invalid = fleet.platform.publish("plans", "c = p\nno entry\n");
   const callsBefore = fleet.platform.calls;
@@ -335,7 +391,7 @@
 });
 
 t.test("should distribute lists while the VM list is bad", async (t) => {
-  const fleet = await startedFleet(t, "ab", 5);
+  const fleet = await startedFleet(t, { zones: "ab", perZone: 5 });
   fleet.platform.publish("vms", "a1 = nonsense\n");
   const revision = fleet.platform.publish("plans", "c = p\nd = p\n");
   await fleet.clock.advance(3_000);
@@ -344,7 +400,7 @@
 });
 
 t.test("should keep the content held first when a peer has the same revision with other content", async (t) => {
-  const fleet = await startedFleet(t, "a", 4);
+  const fleet = await startedFleet(t, { zones: "a", perZone: 4 });
   const { revision } = fleet.platform;
   const other = lists(revision, "c = q");
   const sender = { ...SENDER, vm_id: "a2" };
@@ -373,12 +429,22 @@
 });
 
 t.test("should fetch the whole version when a delta leads to another hash", async (t) => {
-  const fleet = await startedFleet(t, "a", 3);
+  const fleet = await startedFleet(t, { zones: "a", perZone: 3 });
   const held = fleet.daemon("a1").stores.lists.held!;
   const target = lists(held.revision + 1, "c = p\nx = p");
   const wrong = computeDelta(held, lists(held.revision + 1, "c = forged"))!;
   fleet.cutOff.add("a1").add("a2").add("a3");
   fleet.daemon("a2").stores.lists.offer(target);
+  const { address } = fleet.daemon("a2").vm;
+  const { handlers } = fleet.daemon("a2").distribution;
+  const deltas = [{ ...wrong, target: { revision: 99, hash: target.hash } }];
+  fleet.network.listen(address, {
+    ...handlers,
+    "versions.fetch": (params) =>
+      (params as { have?: unknown }).have === undefined
+        ? handlers["versions.fetch"](params)
+        : Promise.resolve(Result.ok({ type: "deltas", deltas })),
+  });
   const id = { revision: target.revision, hash: target.hash };
   const answer = await fleet.call("a1", "versions.push", {
     sender: { vm_id: "a2", process_id: "p" },
@@ -392,12 +458,30 @@
   t.equal(fleet.daemon("a1").stores.lists.held!.hash, target.hash);
   t.equal(
     fleet.daemon("a1").distribution.dump().replication.deltaMismatches,
-    1,
+    2,
   );
 });
 
+t.test("should refuse a delta that adds a text of another name", async (t) => {
+  const fleet = await startedFleet(t, { zones: "a", perZone: 2 });
+  const held = fleet.daemon("a1").stores.lists.held!;
+  const texts = { ...held.texts, q: "c = p" };
+  const target = { revision: held.revision + 1, hash: contentHash(texts) };
+  const edits = {
+    q: [{ op: "drop", count: 1 }, { op: "insert", lines: ["c = p"] }],
+  };
+  const answer = await fleet.call("a1", "versions.push", {
+    sender: SENDER,
+    kind: "lists",
+    target,
+    delta: { kind: "lists", base: held, target, edits },
+  });
+  t.ok(answer.isErr);
+  t.equal(fleet.daemon("a1").stores.lists.held, held);
+});
+
 t.test("should stay in step while a third of the peers is silent", async (t) => {
-  const fleet = await startedFleet(t, "ab", 6);
+  const fleet = await startedFleet(t, { zones: "ab", perZone: 6 });
   const silent = new Set(
     ["a1", "a2", "b1", "b2"].map((id) => fleet.daemon(id).vm.address),
   );
@@ -414,7 +498,7 @@
 });
 
 t.test("should hold requests after a pause until a peer has answered, at most 500 ms", async (t) => {
-  const fleet = await startedFleet(t, "a", 4);
+  const fleet = await startedFleet(t, { zones: "a", perZone: 4 });
   const { distribution, stores } = fleet.daemon("a1");
   const newer = lists(fleet.platform.revision + 5, "z = p");
   for (const id of ["a2", "a3", "a4"]) {
@@ -440,7 +524,7 @@
 });
 
 t.test("should survive hostile requests without a step back or a forged content", async (t) => {
-  const fleet = await startedFleet(t, "ab", 3);
+  const fleet = await startedFleet(t, { zones: "ab", perZone: 3 });
   const held = fleet.daemon("a1").stores.lists.held!;
   const hash = fc.constantFrom(held.hash, NO_HASH, "x");
   const revision = fc.constantFrom(0, 1, 3, 4, 5, 99, -1, 1.5, 2 ** 53);
@@ -502,7 +586,7 @@
 });
 
 t.test("should survive hostile answers without a step back or a forged content", async (t) => {
-  const fleet = await startedFleet(t, "ab", 3);
+  const fleet = await startedFleet(t, { zones: "ab", perZone: 3 });
   const forged = { ...lists(50, "c = forged"), hash: NO_HASH };
   const invalid = lists(51, "no entry");
   const valid = lists(52, "c = p");
@@ -545,4 +629,10 @@
   );
   t.ok(distribution.dump().replication.snapshotMismatches > 0);
   t.strictSame(stores.lists.refused.map(({ revision }) => revision), [51]);
+  const again = await fleet.call("a1", "versions.push", {
+    sender: SENDER,
+    kind: "lists",
+    target: { revision: 51, hash: invalid.hash },
+  });
+  t.strictSame(again.unwrapOr(undefined), { verdict: "refused" }, "no fetch");
 });
