--- a/packages/cli/src/status/judge_status.ts
+++ b/packages/cli/src/status/judge_status.ts
@@ -46,6 +46,7 @@
   const { daemons, missing } = status;
   const newest = newestOf(daemons);
   const findings = daemons.flatMap((daemon) => findingsOf(daemon, newest));
+  findings.push(...findUnconfirmed(daemons));
   const refused = groupRefused(daemons, newest?.revision ?? 0);
   return {
     asked_by: status.asked_by,
@@ -90,12 +91,29 @@
       `It holds other content of revision ${revision} than ${newest?.vm_id}`,
     );
   }
-  if (daemon.floor_unconfirmed) {
-    reasons.push("No other daemon confirmed its version when it started");
-  }
   return reasons.map((reason) => ({ vm_id, zone, reason }));
 }
 
+/** A confirmed daemon that holds no older version confirms the others afterwards. */
+function findUnconfirmed(
+  daemons: readonly DaemonSummary[],
+): readonly Finding[] {
+  const confirmed = Math.max(
+    -1,
+    ...daemons.filter(({ floor_unconfirmed }) => !floor_unconfirmed)
+      .map(({ revision }) => revision ?? -1),
+  );
+  return daemons
+    .filter(({ floor_unconfirmed, revision }) =>
+      floor_unconfirmed && (revision ?? 0) > confirmed
+    )
+    .map(({ vm_id, zone }) => ({
+      vm_id,
+      zone,
+      reason: "No other daemon confirmed its version",
+    }));
+}
+
 function groupVersions(
   daemons: readonly DaemonSummary[],
 ): readonly VersionGroup[] {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -99,8 +99,13 @@
       }),
       metrics: () => {
         const reading = metrics.read();
-        const requests = readState("requests", requestPath?.proxy.state());
-        return { ...reading, gauges: [...reading.gauges, ...requests] };
+        const gauges = [
+          ...reading.gauges,
+          ...readState("requests", requestPath?.proxy.state()),
+          ...readState("distribution", distribution.dump()),
+          ...readState("control_bytes", configuration.controlBytes()),
+        ];
+        return { ...reading, gauges };
       },
     },
   });
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -107,12 +107,6 @@
     meaning: "An invalid version; the one held before stays in force",
     action: "correct the line that `reason` names",
   },
-  version_stale: {
-    level: "warn",
-    fields: { kind: "text", revision: "number", held_revision: "number" },
-    meaning: "The platform or a peer offered an older version; it is ignored",
-    action: "if it repeats, check the replicas of the platform",
-  },
   version_conflict: {
     level: "error",
     fields: {
@@ -239,22 +233,6 @@
     meaning: "A VM gets no new work",
     action: NOTHING,
   },
-  upstream_ejected: {
-    level: "warn",
-    fields: {
-      upstream_vm_id: "text",
-      failures: "number",
-      ejection_ms: "number",
-    },
-    meaning: "An upstream failed repeatedly and gets no requests for a while",
-    action: "check that upstream",
-  },
-  upstream_returned: {
-    level: "info",
-    fields: { upstream_vm_id: "text" },
-    meaning: "The ejection of an upstream has ended",
-    action: NOTHING,
-  },
   upstream_state_changed: {
     level: "info",
     fields: { state: "text" },
