--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -38,6 +38,7 @@
   const metrics = new Metrics();
   let draining = false;
   let listedLeaving = false;
+  let announced = Promise.resolve();
   let requestPath: RequestPath | undefined = undefined;
   const decisions = createRequestDecisions(settings);
   const configuration = createConfiguration({
@@ -93,8 +94,7 @@
         summary: summary(),
         lists: stores.lists.held?.texts,
         vms: stores.vms.held?.texts.vms,
-        distribution: distribution.dump(),
-        control_bytes: configuration.controlBytes(),
+        ...configuration.dump(),
         requests: requestPath?.proxy.state(),
       }),
       metrics: () => {
@@ -113,7 +113,12 @@
     await configuration.close();
     return Result.err(operators.error);
   }
-  components.push(operators.value, configuration);
+  components.push(operators.value, {
+    async close() {
+      await announced;
+      await configuration.close();
+    },
+  });
 
   const started = await listening(() =>
     startRequestPath({
@@ -160,7 +165,7 @@
     summary,
     async close() {
       draining = true;
-      void distribution.announceLeaving();
+      announced = distribution.announceLeaving();
       await closeAll(components);
     },
   });
