Add the distribution bench

Cause: no figure showed what distribution costs against daemons that each read the platform. Change: bench distribution runs real daemons at several sizes and variants and writes JSON lines; reads of a status in tests wait 10 s, since 1 s was exceeded on a busy machine.

--- /dev/null
+++ b/packages/bench/src/distribution/run_distribution.ts
@@ -0,0 +1,253 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { type IniSections, type Mesh, startMesh } from "@tanagercove/emulator";
+import { createRandom, type Random } from "../common/random.ts";
+import { writeProgress, writeResult } from "../common/report.ts";
+import { percentilesOf, round } from "../common/statistics.ts";
+import {
+  measureRest,
+  type MeshUse,
+  sampleMesh,
+  useBetween,
+} from "./measure.ts";
+import {
+  BENCH_ALLOWANCES,
+  BENCH_SERVICES,
+  makeListedVms,
+  PlansWorkload,
+} from "./workload.ts";
+
+/** Ways of distribution that the bench compares. */
+export type Variant = "convergence" | "balanced" | "bytes" | "baseline";
+
+/** Options of `runDistribution`. */
+export interface RunDistributionOptions {
+  /** Numbers of daemons; multiples of 12. */
+  readonly sizes: readonly number[];
+  readonly variants: readonly Variant[];
+  readonly seed: number;
+  readonly changes: number;
+  readonly restMs: number;
+  /** Entries of the list of plans, 27 bytes each. */
+  readonly customers: number;
+  /** VMs that are only listed, beside those of the daemons. */
+  readonly listedVms: number;
+  readonly herd: boolean;
+}
+
+const ZONES = ["zone-a", "zone-b", "zone-c"];
+const VMS_PER_INSTANCE = ZONES.length * BENCH_SERVICES.length;
+
+/** Calls a second that the platform serves to a fleet of 3,000. */
+const PLATFORM_CALLS_PER_SECOND = 2_000;
+const FLEET_SIZE = 3_000;
+
+/** A change that is not in force by then counts with this time. */
+const IN_FORCE_TIMEOUT_MS = 30_000;
+const MIN_PAUSE_MS = 500;
+const MAX_PAUSE_MS = 1_500;
+
+/** Time for joins, first digests and the compiler to settle before the rest is measured. */
+const SETTLE_MS = 10_000;
+
+/** The bounds that the figures are held against; see docs/design.md. */
+const BARS = {
+  inForceP99Ms: 3_000,
+  bytesPerSecond: 7_000,
+  cpuShare: 0.012,
+  residentBytes: 256 * 1024 * 1024,
+} as const;
+
+const SETTINGS_BY_VARIANT: Readonly<Record<Variant, IniSections>> = {
+  convergence: { distribution: { weight: "convergence" } },
+  balanced: { distribution: { weight: "balanced" } },
+  bytes: { distribution: { weight: "bytes" } },
+  // Every daemon watches and reads the platform itself and tells nobody.
+  baseline: {
+    distribution: {
+      readers_per_zone: 1_000,
+      fan_out: 0,
+      zone_links: 0,
+      digest_interval_ms: 0,
+      read_stagger_ms: 0,
+    },
+  },
+};
+
+/** Runs all sizes and variants one after the other and writes a result line for each. */
+export async function runDistribution(
+  options: RunDistributionOptions,
+): Promise<void> {
+  for (const size of options.sizes) {
+    for (const variant of options.variants) {
+      await runOne({ ...options, size, variant });
+    }
+  }
+}
+
+interface RunOneOptions extends RunDistributionOptions {
+  readonly size: number;
+  readonly variant: Variant;
+}
+
+async function runOne(options: RunOneOptions): Promise<void> {
+  const { size, variant, seed } = options;
+  writeProgress(`${variant} at ${size} daemons`);
+  const random = createRandom(seed);
+  const plans = new PlansWorkload(options.customers, random);
+  const callsPerSecond = PLATFORM_CALLS_PER_SECOND * size / FLEET_SIZE;
+  const mesh = await startMesh({
+    zones: ZONES,
+    services: BENCH_SERVICES,
+    instances: size / VMS_PER_INSTANCE,
+    relay: false,
+    upstreams: "none",
+    platform: { callsPerSecond },
+    plans: plans.text(),
+    allowances: BENCH_ALLOWANCES,
+    extraVms: makeListedVms(options.listedVms),
+    statusIntervalMs: 0,
+    settings: {
+      ...SETTINGS_BY_VARIANT[variant],
+      platform: { reads_per_second: Math.max(1, Math.round(callsPerSecond)) },
+    },
+  });
+  try {
+    await mesh.fleet.waitInForce(mesh.platform.revision, {
+      timeoutMs: 60_000,
+    });
+    await sleep(SETTLE_MS);
+    const rest = await measureRest(mesh, options.restMs);
+    const changes = await measureChanges(mesh, { ...options, plans, random });
+    const herd = options.herd ? await measureHerd(mesh) : undefined;
+    writeResult({
+      bench: "distribution",
+      seed,
+      variant,
+      daemons: size,
+      customers: options.customers,
+      listBytes: plans.text().length,
+      listedVms: size + options.listedVms,
+      platformCallsPerSecondLimit: round(callsPerSecond),
+      rest: summarizeUse(rest),
+      change: changes,
+      herd,
+      violations: mesh.fleet.history.violations,
+      bars: judge(rest, changes),
+    });
+  } finally {
+    await mesh.close();
+  }
+}
+
+interface MeasureChangesOptions {
+  readonly changes: number;
+  readonly plans: PlansWorkload;
+  readonly random: Random;
+}
+
+async function measureChanges(mesh: Mesh, options: MeasureChangesOptions) {
+  const { plans, random } = options;
+  const inForceMs: number[] = [];
+  const before = await sampleMesh(mesh, "first");
+  for (let n = 0; n < options.changes; n += 1) {
+    plans.changeOne();
+    const publishedAtMs = performance.now();
+    const revision = mesh.platform.publish("plans", plans.text());
+    await mesh.fleet.waitInForce(revision, { timeoutMs: IN_FORCE_TIMEOUT_MS })
+      .catch((error) => writeProgress(String(error)));
+    for (const { id, processNumber } of mesh.fleet.active) {
+      const atMs = mesh.fleet.history.heldAtMs(id, { processNumber, revision });
+      inForceMs.push(
+        atMs === undefined ? IN_FORCE_TIMEOUT_MS : atMs - publishedAtMs,
+      );
+    }
+    await sleep(MIN_PAUSE_MS + random() * (MAX_PAUSE_MS - MIN_PAUSE_MS));
+  }
+  const use = useBetween(before, await sampleMesh(mesh, "last"));
+  return {
+    count: options.changes,
+    inForceMs: percentilesOf(inForceMs),
+    ...summarizeUse(use),
+    platformCallsPerChange: round(use.platformCalls / options.changes),
+  };
+}
+
+/** Kills the daemons of one zone and starts them all at once. */
+async function measureHerd(mesh: Mesh) {
+  const zone = mesh.fleet.zone(ZONES[0]!);
+  const before = await sampleMesh(mesh, "first");
+  await mesh.fleet.kill(zone);
+  const startedAtMs = performance.now();
+  await mesh.fleet.start(zone, zone.length);
+  const revision = mesh.platform.versions.at(-1)!.revision;
+  await mesh.fleet.waitInForce(revision, {
+    timeoutMs: IN_FORCE_TIMEOUT_MS,
+    daemons: zone,
+  });
+  const inForceMs = zone.map(({ id, processNumber }) =>
+    mesh.fleet.history.heldAtMs(id, { processNumber, revision })! - startedAtMs
+  );
+  const use = useBetween(before, await sampleMesh(mesh, "last"));
+  const received = await receivedBytesOf(mesh, zone.map(({ id }) => id));
+  return {
+    daemons: zone.length,
+    inForceMs: percentilesOf(inForceMs),
+    platformCalls: use.platformCalls,
+    rateLimitedCalls: use.rateLimitedCalls,
+    receivedBytesPerDaemon: percentilesOf(received),
+  };
+}
+
+async function receivedBytesOf(
+  mesh: Mesh,
+  ids: readonly string[],
+): Promise<readonly number[]> {
+  const sample = await sampleMesh(mesh, "last");
+  return ids.map((id) => sample.daemons.get(id)!.receivedBytes);
+}
+
+function summarizeUse(use: MeshUse) {
+  const { daemons, seconds } = use;
+  return {
+    seconds: round(seconds),
+    platformCallsPerSecond: round(use.platformCalls / seconds),
+    rateLimitedCalls: use.rateLimitedCalls,
+    sentBytesPerSecond: percentilesOf(
+      daemons.map((daemon) => daemon.sentBytesPerSecond),
+    ),
+    receivedBytesPerSecond: percentilesOf(
+      daemons.map((daemon) => daemon.receivedBytesPerSecond),
+    ),
+    controlBytesPerSecond: percentilesOf(daemons.map(bytesPerSecondOf)),
+    cpuShare: percentilesOf(daemons.map((daemon) => daemon.cpuShare)),
+    residentBytes: percentilesOf(daemons.map((daemon) => daemon.residentBytes)),
+  };
+}
+
+function bytesPerSecondOf(
+  daemon: {
+    readonly sentBytesPerSecond: number;
+    readonly receivedBytesPerSecond: number;
+  },
+): number {
+  return daemon.sentBytesPerSecond + daemon.receivedBytesPerSecond;
+}
+
+function judge(
+  rest: MeshUse,
+  changes: { readonly inForceMs: { readonly p99: number } },
+) {
+  const worst = (value: (daemon: MeshUse["daemons"][number]) => number) =>
+    Math.max(...rest.daemons.map(value));
+  const verdict = (value: number, bar: number) =>
+    value <= bar ? "met" : "missed";
+  return {
+    inForceP99: verdict(changes.inForceMs.p99, BARS.inForceP99Ms),
+    controlBytes: verdict(worst(bytesPerSecondOf), BARS.bytesPerSecond),
+    cpuShare: verdict(worst(({ cpuShare }) => cpuShare), BARS.cpuShare),
+    residentBytes: verdict(
+      worst(({ residentBytes }) => residentBytes),
+      BARS.residentBytes,
+    ),
+  };
+}
--- a/packages/emulator/src/daemon_process.ts
+++ b/packages/emulator/src/daemon_process.ts
@@ -34,13 +34,18 @@
   /** Called before a process starts and after one has ended. */
   readonly onListening?: (listening: boolean) => Promise<void>;
   readonly ownProcessGroup?: boolean;
+  /** Time between two reads of the status; 0 leaves the log as the only source. */
+  readonly statusIntervalMs?: number;
 }
 
 const PROGRAM = resolve("dist/tanagercove.cjs");
 /** Logs report every change already; this is the check that `/status` agrees. */
 const STATUS_INTERVAL_MS = 250;
 const UP_POLL_MS = 50;
-const STATUS_TIMEOUT_MS = 1_000;
+/** Of the observation, which asks again soon. */
+const POLL_TIMEOUT_MS = 1_000;
+/** No bound of the product: a busy test machine may answer late. */
+const STATUS_TIMEOUT_MS = 10_000;
 const DUMP_TIMEOUT_MS = 5_000;
 const UP_TIMEOUT_MS = 20_000;
 
@@ -72,6 +77,10 @@
     return this.#processNumber;
   }
 
+  get pid(): number | undefined {
+    return this.#process?.pid;
+  }
+
   get isRunning(): boolean {
     return this.#process?.isRunning ?? false;
   }
@@ -129,8 +138,8 @@
     await this.start();
   }
 
-  async status(): Promise<DaemonStatus> {
-    const json = await this.#get("/status", STATUS_TIMEOUT_MS);
+  async status(timeoutMs = STATUS_TIMEOUT_MS): Promise<DaemonStatus> {
+    const json = await this.#get("/status", timeoutMs);
     const fields = json as Readonly<Record<string, unknown>>;
     const lists = (fields.lists ?? fields) as Readonly<Record<string, unknown>>;
     const revision = fields.revision ?? lists.revision;
@@ -185,10 +194,12 @@
     child: ManagedProcess,
     processNumber: number,
   ): Promise<void> {
+    const intervalMs = this.#options.statusIntervalMs ?? STATUS_INTERVAL_MS;
+    if (intervalMs === 0) return;
     while (child.isRunning && !this.#closed) {
-      await sleep(STATUS_INTERVAL_MS);
+      await sleep(intervalMs);
       if (this.#paused) continue;
-      const status = await this.status().catch(() => undefined);
+      const status = await this.status(POLL_TIMEOUT_MS).catch(() => undefined);
       const { revision, hash } = status ?? {};
       if (revision === undefined || hash === undefined) continue;
       // An answer that arrives after a restart may come from the next process.
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -25,6 +25,8 @@
   readonly ownProcessGroup?: boolean;
   /** Daemons that start at the same time. */
   readonly startsAtOnce?: number;
+  /** Time between two reads of a daemon's status; 0 leaves its log as the only source. */
+  readonly statusIntervalMs?: number;
 }
 
 /** Options of `Fleet.waitInForce`. */
@@ -61,6 +63,7 @@
           else await options.relay?.refuse(id, ports);
         },
         ownProcessGroup: options.ownProcessGroup,
+        statusIntervalMs: options.statusIntervalMs,
       })
     );
   }
--- a/packages/emulator/src/mesh.ts
+++ b/packages/emulator/src/mesh.ts
@@ -41,6 +41,10 @@
   readonly allowances: string;
   readonly settings?: IniSections | ((fleetVm: FleetVm) => IniSections);
   readonly ownProcessGroup?: boolean;
+  /** Time between two reads of a daemon's status; 0 leaves its log as the only source. */
+  readonly statusIntervalMs?: number;
+  /** VMs without processes that the VM list names as leaving, for figures at the size of a large fleet. */
+  readonly extraVms?: readonly Vm[];
 }
 
 /** A platform, upstreams and daemons with a network between them. */
@@ -81,7 +85,7 @@
       values: {
         plans: options.plans,
         allowances: options.allowances,
-        vms: formatVms(vms),
+        vms: formatVms([...vms, ...options.extraVms ?? []]),
       },
     });
     opened.push(() => platform.close());
@@ -101,6 +105,7 @@
       settings: options.settings,
       relay,
       ownProcessGroup: options.ownProcessGroup,
+      statusIntervalMs: options.statusIntervalMs,
     });
     opened.push(() => fleet.close());
 
@@ -115,7 +120,10 @@
         const listed = vms
           .filter(({ id }) => states[id] !== null)
           .map((vm) => ({ ...vm, state: states[vm.id] ?? vm.state }));
-        return platform.publish("vms", formatVms(listed));
+        return platform.publish(
+          "vms",
+          formatVms([...listed, ...options.extraVms ?? []]),
+        );
       },
       close,
     };
