Let the zones take turns in reading a change from the platform

Cause: one reader in every zone read the whole list for each change; with a 98 KB list it received 84 KB/s while changes came every second, and the reads grew with the zones. Change: a reader waits by its rank plus its zone's place in an order that differs by revision, and reads only what no push brought.

--- a/packages/bench/src/distribution/run_distribution.ts
+++ b/packages/bench/src/distribution/run_distribution.ts
@@ -61,10 +61,12 @@
   convergence: { distribution: { weight: "convergence" } },
   balanced: { distribution: { weight: "balanced" } },
   bytes: { distribution: { weight: "bytes" } },
-  // Every daemon watches and reads the platform itself and tells nobody.
+  // Every daemon watches and reads the platform itself and tells nobody. Its watches wait long,
+  // since at 1.5 s the watches alone would use up the platform's rate.
   baseline: {
+    platform: { watch_wait_ms: 30_000 },
     distribution: {
-      readers_per_zone: 1_000,
+      readers_per_zone: 100,
       fan_out: 0,
       zone_links: 0,
       digest_interval_ms: 0,
@@ -108,7 +110,10 @@
     statusIntervalMs: 0,
     settings: {
       ...SETTINGS_BY_VARIANT[variant],
-      platform: { reads_per_second: Math.max(1, Math.round(callsPerSecond)) },
+      platform: {
+        ...SETTINGS_BY_VARIANT[variant].platform,
+        reads_per_second: Math.max(1, Math.round(callsPerSecond)),
+      },
     },
   });
   try {
--- a/packages/distribution/src/options.ts
+++ b/packages/distribution/src/options.ts
@@ -17,7 +17,7 @@
   readonly readsPerSecond: number;
   /** Time that the platform holds a watch without a change. */
   readonly watchWaitMs: number;
-  /** A reader of rank k waits k times this long for a push before it reads. */
+  /** A reader waits this long for a push, times its rank plus its zone's position, before it reads. */
   readonly readStaggerMs: number;
   /** Lateness of a timer that counts as a pause. */
   readonly pauseThresholdMs: number;
--- a/packages/distribution/src/platform_watch.ts
+++ b/packages/distribution/src/platform_watch.ts
@@ -37,8 +37,8 @@
 
 const KINDS: readonly SnapshotKind[] = ["lists", "vms"];
 const REPLACEMENT_STEP_MS = 500;
-/** A replacement of a high rank would otherwise wait for longer than the 3 s allowed for a change. */
-const MAX_RANK_WAIT_MS = 500;
+/** A daemon of a high rank would otherwise wait for longer than the 3 s allowed for a change. */
+const MAX_READ_WAIT_MS = 500;
 const RETRY_MIN_MS = 250;
 const RETRY_MAX_MS = 1_000;
 const CROSSED_RETRY_MS = 20;
@@ -270,9 +270,11 @@
     if (!KINDS.some((kind) => this.#isNewer(kind, index))) {
       return Result.ok(undefined);
     }
+    const position = membership.ownRank +
+      membership.zonePosition(index.revision);
     const waitMs = Math.min(
-      MAX_RANK_WAIT_MS,
-      membership.ownRank * tuning.readStaggerMs,
+      MAX_READ_WAIT_MS,
+      position * tuning.readStaggerMs,
     );
     if (waitMs > 0) await clock.sleep(waitMs, this.#stop.signal);
     // Routes need VMs, so these are read first.
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -63,6 +63,8 @@
   #peerById: ReadonlyMap<string, Peer> = new Map();
   #peersByZone: ReadonlyMap<string, readonly Peer[]> = new Map();
   #ranks: readonly string[] = [];
+  /** Zones with a live VM, and this one. */
+  #liveZones: readonly string[];
   /** VMs that the VM list says are leaving. */
   #leavingIds: ReadonlySet<string> = new Set();
   #leaving = false;
@@ -79,6 +81,7 @@
       port,
       zone: undefined,
     }));
+    this.#liveZones = [options.zone];
     this.processId = options.processId ?? randomUUID();
   }
 
@@ -121,6 +124,10 @@
     this.#peerById = new Map(others.map((peer) => [peer.id, peer]));
     this.#peersByZone = byZone;
     this.#ranks = rankByRendezvous(this.zone, live.map(({ id }) => id));
+    const liveZones = vms.flatMap(({ zone, state }) =>
+      state === "live" ? [zone] : []
+    );
+    this.#liveZones = [...new Set([this.zone, ...liveZones])];
     this.#leavingIds = new Set(
       vms.filter(({ state }) => state === "leaving").map(({ id }) => id),
     );
@@ -158,6 +165,15 @@
     return this.ownRank < this.readersPerZone;
   }
 
+  /**
+   * Place of this zone in the order in which zones read a revision, from 0. The order differs from
+   * one revision to the next, so that reading whole values is shared between the zones.
+   */
+  zonePosition(revision: number): number {
+    return rankByRendezvous(String(revision), this.#liveZones)
+      .indexOf(this.zone);
+  }
+
   /** The readers of this zone by rank, this daemon included if it is one. */
   readersInZone(): readonly string[] {
     return this.#ranks.slice(0, this.readersPerZone);
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -57,6 +57,19 @@
   t.end();
 });
 
+t.test("should share the reading of revisions between the zones, so that none reads every list", (t) => {
+  const { membership } = open();
+  membership.setVms(VMS);
+  const revisions = Array.from({ length: 600 }, (_, index) => index + 1);
+  const positions = revisions.map((n) => membership.zonePosition(n));
+  t.strictSame([...new Set(positions)].sort(), [0, 1, 2, 3, 4, 5]);
+  const first = positions.filter((position) => position === 0).length;
+  t.ok(first > 50 && first < 200, `first for ${first} of 600 revisions`);
+  membership.setVms(VMS.filter(({ zone }) => zone === "a"));
+  t.equal(membership.zonePosition(1), 0);
+  t.end();
+});
+
 t.test("should give two of a zone's live VMs the role of reader", (t) => {
   const withLeaving = VMS.map((v) =>
     v.id === "a3" ? vm("a3", "a", "leaving") : v
--- a/packages/membership/src/rendezvous.ts
+++ b/packages/membership/src/rendezvous.ts
@@ -1,15 +1,15 @@
 import { createHash } from "node:crypto";
 
-/** Orders VM ids of a zone by rendezvous hash. Every daemon with the same VMs gets the same order. */
+/** Orders ids by rendezvous hash for a key. Every daemon with the same ids gets the same order. */
 export function rankByRendezvous(
-  zone: string,
-  vmIds: readonly string[],
+  key: string,
+  ids: readonly string[],
 ): readonly string[] {
-  const scored = vmIds.map((id) => ({ id, score: scoreOf(zone, id) }));
+  const scored = ids.map((id) => ({ id, score: scoreOf(key, id) }));
   scored.sort((a, b) => Buffer.compare(a.score, b.score));
   return scored.map(({ id }) => id);
 }
 
-function scoreOf(zone: string, id: string): Buffer {
-  return createHash("sha256").update(`${zone}\n${id}`).digest();
+function scoreOf(key: string, id: string): Buffer {
+  return createHash("sha256").update(`${key}\n${id}`).digest();
 }
