--- a/packages/daemon/src/request_decisions.ts
+++ b/packages/daemon/src/request_decisions.ts
@@ -22,12 +22,19 @@
 export function createRequestDecisions(settings: Settings): RequestDecisions {
   const { slowStartMs, ...upstream } = settings.upstream;
   const observations = new UpstreamObservations();
+  // Upstreams of a deployment have the same slots; the list of VMs does not tell.
+  const saturatedInFlight = upstream.slots;
   const budget = new RetryBudget();
   return {
     balancing: {
       observations,
       choose: (input) =>
-        chooseUpstream({ ...input, observations, slowStartMs }),
+        chooseUpstream({
+          ...input,
+          observations,
+          slowStartMs,
+          saturatedInFlight,
+        }),
     },
     admission: new AdmissionQueue(upstream),
     retries: {
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -120,6 +120,9 @@
 /** Above the idle time of the daemons' connections, so that the client closes first. */
 const PEER_KEEP_ALIVE_MS = 5_000;
 
+/** A daemon has its caller's request whole before it forwards it, so only a broken sender is slower. */
+const PEER_REQUEST_TIMEOUT_MS = 10_000;
+
 /** Share of the request timeout after which overdue requests are looked for. */
 const CHECKS_PER_TIMEOUT = 20;
 
@@ -129,6 +132,8 @@
 export const PEER_SERVER_OPTIONS: ServerOptions = {
   maxHeaderSize: PEER_MAX_HEADER_BYTES,
   keepAliveTimeout: PEER_KEEP_ALIVE_MS,
+  requestTimeout: PEER_REQUEST_TIMEOUT_MS,
+  headersTimeout: PEER_REQUEST_TIMEOUT_MS,
 };
 
 /** Starts the request path of one daemon. */
--- a/packages/settings/src/key_table.ts
+++ b/packages/settings/src/key_table.ts
@@ -260,7 +260,7 @@
       doc: "Longest wait for a slot.",
     }),
     queue_order: choice(["newest_first", "oldest_first"], {
-      presence: defaultTo("newest_first"),
+      presence: defaultTo("oldest_first"),
       doc: "Which waiting request of a priority class gets the next slot.",
     }),
     health_interval_ms: wholeNumber({ min: 10, max: MAX_MS }, {
