--- /dev/null
+++ b/packages/bench/src/capacity/fit_results_test.ts
@@ -0,0 +1,22 @@
+import t from "tap";
+import { fitResults } from "./fit_results.ts";
+
+function result(daemons: number, platformCallsPerSecond: number) {
+  return { variant: "balanced", daemons, rest: { platformCallsPerSecond } };
+}
+
+t.test("should find slope and residual, and leave out figures of fewer than four sizes", (t) => {
+  const results = [
+    result(12, 10),
+    result(24, 16),
+    result(48, 28),
+    result(96, 53),
+  ];
+  const [fitted, ...others] = fitResults(results);
+  t.equal(others.length, 0);
+  t.equal(fitted?.figure.name, "platform calls/s at rest");
+  t.ok(Math.abs(fitted!.fit.slope - 0.51) < 0.01, `${fitted!.fit.slope}`);
+  t.ok(fitted!.fit.maxResidual < 0.5);
+  t.strictSame(fitResults(results.slice(1)), []);
+  t.end();
+});
