--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -37,13 +37,20 @@
   const startedAtMs = performance.now();
   const metrics = new Metrics();
   let draining = false;
+  let listedLeaving = false;
+  let announced = Promise.resolve();
   let requestPath: RequestPath | undefined = undefined;
   const decisions = createRequestDecisions(settings);
   const configuration = createConfiguration({
     settings,
     log,
     summary,
-    onVms: (vms) => decisions.setVms(vms),
+    onVms: (vms) => {
+      decisions.setVms(vms);
+      listedLeaving = vms.some(({ id, state }) =>
+        id === settings.daemon.vmId && state === "leaving"
+      );
+    },
   });
   const { distribution, membership, stores } = configuration;
 
@@ -87,14 +94,18 @@
         summary: summary(),
         lists: stores.lists.held?.texts,
         vms: stores.vms.held?.texts.vms,
-        distribution: distribution.dump(),
-        control_bytes: configuration.controlBytes(),
+        ...configuration.dump(),
         requests: requestPath?.proxy.state(),
       }),
       metrics: () => {
         const reading = metrics.read();
-        const requests = readState("requests", requestPath?.proxy.state());
-        return { ...reading, gauges: [...reading.gauges, ...requests] };
+        const gauges = [
+          ...reading.gauges,
+          ...readState("requests", requestPath?.proxy.state()),
+          ...readState("distribution", distribution.dump()),
+          ...readState("control_bytes", configuration.controlBytes()),
+        ];
+        return { ...reading, gauges };
       },
     },
   });
@@ -102,7 +113,12 @@
     await configuration.close();
     return Result.err(operators.error);
   }
-  components.push(operators.value, configuration);
+  components.push(operators.value, {
+    async close() {
+      await announced;
+      await configuration.close();
+    },
+  });
 
   const started = await listening(() =>
     startRequestPath({
@@ -111,6 +127,7 @@
       routingTable: () => configuration.routingTable(),
       whenFresh: () => distribution.whenFresh(),
       leavingVms: () => membership.leavingVms(),
+      isLeaving: () => listedLeaving,
       onUpstreamDraining: (upstreamDraining) => {
         logEvent(log, {
           event: "upstream_state_changed",
@@ -148,7 +165,7 @@
     summary,
     async close() {
       draining = true;
-      void distribution.announceLeaving();
+      announced = distribution.announceLeaving();
       await closeAll(components);
     },
   });
--- a/packages/distribution/src/platform_watch.ts
+++ b/packages/distribution/src/platform_watch.ts
@@ -37,8 +37,8 @@
 
 const KINDS: readonly SnapshotKind[] = ["lists", "vms"];
 const REPLACEMENT_STEP_MS = 500;
-/** A replacement of a high rank would otherwise wait for longer than the 3 s allowed for a change. */
-const MAX_RANK_WAIT_MS = 500;
+/** A daemon of a high rank would otherwise wait for longer than the 3 s allowed for a change. */
+const MAX_READ_WAIT_MS = 500;
 const RETRY_MIN_MS = 250;
 const RETRY_MAX_MS = 1_000;
 const CROSSED_RETRY_MS = 20;
@@ -165,12 +165,14 @@
     if (this.#stop.signal.aborted) return "failed";
     if (index.isErr) return this.#fail(index.error);
     this.#noteAnswer();
-    if (this.#noteStale(index.value)) return "stale";
+    const stale = this.#noteStale(index.value);
+    // A list newer than the one held counts though the other kind is older here.
     const read = await this.#readNewer(index.value);
     if (this.#stop.signal.aborted) return "failed";
     if (read.isErr) return this.#fail(read.error);
     this.#crossedInARow = 0;
     this.#afterRevision = index.value.revision;
+    if (stale) return "stale";
     confirmations.confirm();
     return "confirmed";
   }
@@ -268,13 +270,16 @@
     if (!KINDS.some((kind) => this.#isNewer(kind, index))) {
       return Result.ok(undefined);
     }
+    const position = membership.ownRank +
+      membership.zonePosition(index.revision);
     const waitMs = Math.min(
-      MAX_RANK_WAIT_MS,
-      membership.ownRank * tuning.readStaggerMs,
+      MAX_READ_WAIT_MS,
+      position * tuning.readStaggerMs,
     );
     if (waitMs > 0) await clock.sleep(waitMs, this.#stop.signal);
-    const lists = await this.#readLists(index);
+    // Routes need VMs, so these are read first.
     const vms = await this.#readVms(index);
+    const lists = await this.#readLists(index);
     return lists.isErr ? lists : vms;
   }
 
--- a/packages/emulator/src/fleet_test.ts
+++ b/packages/emulator/src/fleet_test.ts
@@ -24,7 +24,7 @@
   const daemon = fleet.daemons[0]!;
   await fleet.waitInForce(1, { timeoutMs: UPDATE_TIMEOUT_MS });
   daemon.pause();
-  await t.rejects(daemon.status());
+  await t.rejects(daemon.status(500));
   t.same(fleet.active, []);
   daemon.resume();
   t.equal((await daemon.status()).revision, 1);
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -53,6 +53,8 @@
   readonly whenFresh?: () => Promise<void> | undefined;
   /** Ids of VMs known to leave or suspected dead; they get no new work. */
   readonly leavingVms?: () => ReadonlySet<string>;
+  /** Whether this VM leaves according to the VM list; it then refuses forwarded work. */
+  readonly isLeaving?: () => boolean;
   /** Called when the upstream starts or stops reporting `draining`. */
   readonly onUpstreamDraining?: (draining: boolean) => void;
   readonly balancing?: BalancingPort;
@@ -118,6 +120,9 @@
 /** Above the idle time of the daemons' connections, so that the client closes first. */
 const PEER_KEEP_ALIVE_MS = 5_000;
 
+/** A daemon has its caller's request whole before it forwards it, so only a broken sender is slower. */
+const PEER_REQUEST_TIMEOUT_MS = 10_000;
+
 /** Share of the request timeout after which overdue requests are looked for. */
 const CHECKS_PER_TIMEOUT = 20;
 
@@ -127,6 +132,8 @@
 export const PEER_SERVER_OPTIONS: ServerOptions = {
   maxHeaderSize: PEER_MAX_HEADER_BYTES,
   keepAliveTimeout: PEER_KEEP_ALIVE_MS,
+  requestTimeout: PEER_REQUEST_TIMEOUT_MS,
+  headersTimeout: PEER_REQUEST_TIMEOUT_MS,
 };
 
 /** Starts the request path of one daemon. */
@@ -154,6 +161,8 @@
   let peerTracker: ConnectionTracker | undefined;
 
   const identity = createIdentityCheck(options.identity ?? { kind: "trusted" });
+  const isLeaving = () =>
+    leaving || health?.state === "draining" || options.isLeaving?.() === true;
   const shared = {
     defaultDeadlineMs: options.defaultDeadlineMs ?? 5_000,
     maxBodyBytes: options.maxBodyBytes ?? 1_048_576,
@@ -179,7 +188,7 @@
     ...shared,
     service: options.service,
     upstream,
-    isLeaving: () => leaving || health?.state === "draining",
+    isLeaving,
     load: () => health?.load,
     pools: upstreamPools,
     admission,
@@ -251,7 +260,7 @@
     state() {
       return {
         division,
-        leaving: leaving || health?.state === "draining",
+        leaving: isLeaving(),
         upstream: health,
         upstreamHealthFailures: watch.failures,
         callers: callers.counts(),
