Replace lost readers early enough for the bound of 3 s

Change: stale_after_ms is 2,000 by default, and a daemon that is about to start asks the two ranks below it as well as the readers, since with 2,000 a second replacement started too.

--- a/packages/distribution/src/distribution.ts
+++ b/packages/distribution/src/distribution.ts
@@ -92,6 +92,7 @@
 const STALE_REMOTE_DIGEST_EVERY = 2;
 const REFRESH_PEERS_IN_ZONE = 2;
 const REFRESH_PEERS_ELSEWHERE = 1;
+const REPLACEMENTS_ASKED = 2;
 
 /** Keeps the stores at the newest version that the platform or any reachable daemon has. */
 export class Distribution {
@@ -349,12 +350,15 @@
     });
   }
 
+  /** Asks who should confirm before this daemon does: the readers and those that replace them first. */
   async #askReaders(): Promise<void> {
     const { membership } = this.#options;
-    const readers = membership.readersInZone().flatMap((vmId) =>
-      membership.peer(vmId) ?? []
-    );
-    await Promise.all(readers.map((peer) => this.#synchronize(peer)));
+    const asked = new Set([
+      ...membership.readersInZone(),
+      ...membership.nextLowerRanks(REPLACEMENTS_ASKED),
+    ]);
+    const peers = [...asked].flatMap((vmId) => membership.peer(vmId) ?? []);
+    await Promise.all(peers.map((peer) => this.#synchronize(peer)));
   }
 
   /** After a pause: connections may be dead and versions old. Returns when one peer has answered. */
--- a/packages/distribution/src/options.ts
+++ b/packages/distribution/src/options.ts
@@ -47,7 +47,7 @@
   return {
     ...TUNING_BY_WEIGHT[weight],
     remoteDigestEvery: 4,
-    staleAfterMs: 3_000,
+    staleAfterMs: 2_000,
     readsPerSecond: 2_000,
     watchWaitMs: 1_500,
     readStaggerMs: 100,
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -179,6 +179,12 @@
     return this.#ranks.slice(0, this.readersPerZone);
   }
 
+  /** VMs of this zone whose rank is next below this daemon's, at most `count`. */
+  nextLowerRanks(count: number): readonly string[] {
+    const rank = this.ownRank;
+    return this.#ranks.slice(Math.max(0, rank - count), rank);
+  }
+
   /** Different random peers in this zone; seeds while the VM list names no peer at all. */
   pickInZone(count: number): readonly Peer[] {
     const candidates = this.#peerById.size === 0
--- a/packages/settings/src/key_table.ts
+++ b/packages/settings/src/key_table.ts
@@ -160,7 +160,7 @@
       doc: "Each so-many-th digest exchange is with a daemon in another zone.",
     }),
     stale_after_ms: wholeNumber({ min: 100, max: MAX_MS }, {
-      presence: defaultTo("3000"),
+      presence: defaultTo("2000"),
       doc:
         "Age of the youngest confirmation by the platform at which the next daemon in rank starts to watch.",
     }),
