--- /dev/null
+++ b/packages/bench/src/requests/baseline_proxy.ts
@@ -0,0 +1,110 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import { Agent, request as sendRequest } from "undici";
+import { HEADERS } from "@tanagercove/types";
+
+/** An upstream of the baseline proxy. */
+export interface BaselineUpstream {
+  readonly service: string;
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Options of `startBaselineProxy`. */
+export interface StartBaselineProxyOptions {
+  readonly address: string;
+  readonly port: number;
+  readonly upstreams: readonly BaselineUpstream[];
+  readonly maxAttempts?: number;
+  readonly timeoutMs?: number;
+}
+
+/** A running baseline proxy. */
+export interface BaselineProxy {
+  close(): Promise<void>;
+}
+
+const DEFAULT_MAX_ATTEMPTS = 3;
+const DEFAULT_TIMEOUT_MS = 5_000;
+
+/**
+ * Starts the plain proxy that the requests bench compares against: round robin, no limits, and a retry
+ * on every failure whatever the method.
+ */
+export async function startBaselineProxy(
+  options: StartBaselineProxyOptions,
+): Promise<BaselineProxy> {
+  const agent = new Agent({ pipelining: 1 });
+  const nextByService = new Map<string, number>();
+
+  function nextUpstream(service: string): BaselineUpstream | undefined {
+    const known = options.upstreams.filter((upstream) =>
+      upstream.service === service
+    );
+    const next = nextByService.get(service) ?? 0;
+    nextByService.set(service, next + 1);
+    return known[next % known.length];
+  }
+
+  async function attempt(
+    request: IncomingMessage,
+    body: Buffer,
+  ): Promise<{ readonly status: number; readonly body: Buffer }> {
+    const service = String(request.headers[HEADERS.service] ?? "");
+    const upstream = nextUpstream(service);
+    if (upstream === undefined) return { status: 404, body: Buffer.alloc(0) };
+    const timeLeftMs = Number(
+      request.headers[HEADERS.deadlineMs] ??
+        options.timeoutMs ?? DEFAULT_TIMEOUT_MS,
+    );
+    const answer = await sendRequest(
+      `http://${upstream.address}:${upstream.port}${request.url}`,
+      {
+        method: request.method as "GET" | "POST",
+        headers: { [HEADERS.deadlineMs]: String(timeLeftMs) },
+        body: body.length > 0 ? body : null,
+        dispatcher: agent,
+        signal: AbortSignal.timeout(timeLeftMs),
+      },
+    );
+    const bytes = Buffer.from(await answer.body.arrayBuffer());
+    return { status: answer.statusCode, body: bytes };
+  }
+
+  async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const body = Buffer.concat(chunks);
+    const maxAttempts = options.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
+    for (let tried = 1; tried <= maxAttempts; tried += 1) {
+      const answer = await attempt(request, body).catch(() => undefined);
+      if (answer !== undefined && answer.status < 500) {
+        response.writeHead(answer.status, { [HEADERS.outcome]: "answered" });
+        response.end(answer.body);
+        return;
+      }
+    }
+    response.writeHead(502, { [HEADERS.outcome]: "unknown" }).end();
+  }
+
+  const server = createServer((request, response) => {
+    handle(request, response).catch(() => response.destroy());
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(options.port, options.address, resolve);
+  });
+  return {
+    async close() {
+      server.closeAllConnections();
+      await new Promise((resolve) => server.close(resolve));
+      await agent.destroy();
+    },
+  };
+}
