--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,108 +1,184 @@
-import { createServer } from "node:http";
-import { PlatformReader } from "@tanagercove/distribution";
-import { parseVms, validateLists } from "@tanagercove/lists";
-import type { Logger } from "@tanagercove/logs";
-import { createHttpPlatform } from "@tanagercove/platform";
-import { startProxyServer } from "@tanagercove/proxy";
-import { computeRoutingTable, type RoutingTable } from "@tanagercove/routing";
+import { Result } from "true-myth";
+import { type ListenError, listenErrorOf } from "@tanagercove/errors";
+import { logEvent, type Logger, RefusalSummary } from "@tanagercove/logs";
+import { Metrics, readState } from "@tanagercove/metrics";
 import type { Settings } from "@tanagercove/settings";
-import type { ListProblem, Lists, Vm } from "@tanagercove/types";
-import { SnapshotStore } from "@tanagercove/versions";
+import { createConfiguration } from "./configuration.ts";
+import type { DaemonState, DaemonSummary } from "./daemon_summary.ts";
+import { gatherFleetStatus } from "./fleet_status.ts";
+import { startOperatorsServer } from "./operators_server.ts";
+import { createRequestDecisions } from "./request_decisions.ts";
+import { type RequestPath, startRequestPath } from "./request_path.ts";
 
 /** Options of `startDaemon`. */
 export interface StartDaemonOptions {
   readonly settings: Settings;
   readonly log: Logger;
+  /** Version of the program, shown in status and log. */
+  readonly programVersion: string;
 }
 
 /** A running daemon. */
 export interface Daemon {
+  summary(): DaemonSummary;
   /** Stops taking requests, lets those in flight end and releases everything. */
   close(): Promise<void>;
 }
 
-/** Starts one daemon. */
-export async function startDaemon(
-  { settings, log }: StartDaemonOptions,
-): Promise<Daemon> {
-  let table: RoutingTable | undefined;
-  let lists: Lists | undefined;
-  let vms: readonly Vm[] = [];
+interface Closable {
+  close(): Promise<void>;
+}
 
-  const recompute = () => {
-    const revision = listsStore.held?.revision;
-    if (lists === undefined || revision === undefined) return;
-    table = computeRoutingTable({ revision, lists, vms });
-  };
-  const listsStore = new SnapshotStore<"lists">({
-    kind: "lists",
-    validate: ({ texts }) => reasonOf(validateLists(texts)),
-    onChange: ({ held }) => {
-      lists = validateLists(held.texts).unwrapOr(undefined as never);
-      recompute();
-      log.info({
-        event: "version_taken",
-        revision: held.revision,
-        hash: held.hash,
-      });
+/** Starts one daemon: first the operators' port, then the configuration, then the request path. */
+export async function startDaemon(
+  options: StartDaemonOptions,
+): Promise<Result<Daemon, ListenError>> {
+  const { settings, log } = options;
+  const startedAtMs = performance.now();
+  const metrics = new Metrics();
+  let draining = false;
+  let listedLeaving = false;
+  let announced = Promise.resolve();
+  let requestPath: RequestPath | undefined = undefined;
+  const decisions = createRequestDecisions(settings);
+  const configuration = createConfiguration({
+    settings,
+    log,
+    summary,
+    onVms: (vms) => {
+      decisions.setVms(vms);
+      listedLeaving = vms.some(({ id, state }) =>
+        id === settings.daemon.vmId && state === "leaving"
+      );
     },
-    onRefused: (refused) => log.warn({ event: "version_refused", ...refused }),
   });
-  const vmsStore = new SnapshotStore<"vms">({
-    kind: "vms",
-    validate: ({ texts }) => reasonOf(parseVms(texts.vms)),
-    onChange: ({ held }) => {
-      vms = parseVms(held.texts.vms).unwrapOr([]);
-      recompute();
+  const { distribution, membership, stores } = configuration;
+
+  function state(): DaemonState {
+    if (draining) return "draining";
+    return configuration.routingTable() === undefined ? "starting" : "serving";
+  }
+
+  function summary(): DaemonSummary {
+    const { vmId, zone, region, service } = settings.daemon;
+    return {
+      vm_id: vmId,
+      zone,
+      region,
+      service,
+      state: state(),
+      program_version: options.programVersion,
+      uptime_ms: Math.round(performance.now() - startedAtMs),
+      revision: stores.lists.held?.revision,
+      hash: stores.lists.held?.hash,
+      vms_revision: stores.vms.held?.revision,
+      confirmation_age_ms: distribution.confirmationAgeMs,
+      floor_unconfirmed: distribution.floorUnconfirmed,
+      refused: stores.lists.refused,
+    };
+  }
+
+  // Opened in this order, closed in the reverse one.
+  const components: Closable[] = [];
+  const operators = await startOperatorsServer({
+    ...settings.operators,
+    state: {
+      summary,
+      fleetStatus: () =>
+        gatherFleetStatus({
+          own: summary(),
+          vms: membership.vms,
+          ask: (vm) => configuration.askSummary(vm),
+        }),
+      dump: () => ({
+        summary: summary(),
+        lists: stores.lists.held?.texts,
+        vms: stores.vms.held?.texts.vms,
+        ...configuration.dump(),
+        requests: requestPath?.proxy.state(),
+      }),
+      metrics: () => {
+        const reading = metrics.read();
+        const requests = readState("requests", requestPath?.proxy.state());
+        return { ...reading, gauges: [...reading.gauges, ...requests] };
+      },
     },
   });
-  const platform = createHttpPlatform({ url: settings.platform.url });
-  const reader = new PlatformReader({
-    platform,
-    lists: listsStore,
-    vms: vmsStore,
+  if (operators.isErr) {
+    await configuration.close();
+    return Result.err(operators.error);
+  }
+  components.push(operators.value, {
+    async close() {
+      await announced;
+      await configuration.close();
+    },
   });
-  const proxy = await startProxyServer({
+
+  const started = await listening(() =>
+    startRequestPath({
+      settings,
+      decisions,
+      routingTable: () => configuration.routingTable(),
+      whenFresh: () => distribution.whenFresh(),
+      leavingVms: () => membership.leavingVms(),
+      isLeaving: () => listedLeaving,
+      onUpstreamDraining: (upstreamDraining) => {
+        logEvent(log, {
+          event: "upstream_state_changed",
+          state: upstreamDraining ? "draining" : "ready",
+        });
+        if (upstreamDraining) void distribution.announceLeaving();
+        else if (!draining) membership.stopLeaving();
+      },
+      handleRpc: (request, response) =>
+        void configuration.handleRpc(request, response),
+    })
+  );
+  if (started.isErr) {
+    await closeAll(components);
+    return Result.err(started.error);
+  }
+  requestPath = started.value;
+  const { proxy } = requestPath;
+  components.push(
+    new RefusalSummary({ log, counts: () => proxy.state().callers.reasons }),
+  );
+  const { drainTimeoutMs } = settings.daemon;
+  components.push({ close: () => started.value.close({ drainTimeoutMs }) });
+  configuration.start();
+  logEvent(log, {
+    event: "daemon_started",
+    version: options.programVersion,
     address: settings.daemon.address,
-    callerPort: settings.daemon.callerPort,
-    routingTable: () => table,
-  });
-  const operators = createServer((_request, response) => {
-    const held = listsStore.held;
-    response.setHeader("content-type", "application/json");
-    response.end(JSON.stringify({
-      vm_id: settings.daemon.vmId,
-      zone: settings.daemon.zone,
-      revision: held?.revision,
-      hash: held?.hash,
-      refused: listsStore.refused,
-    }));
+    caller_port: settings.daemon.callerPort,
+    peer_port: settings.daemon.peerPort,
+    operators_port: operators.value.port,
   });
-  operators.listen(settings.operators.port, settings.operators.address);
-  reader.start();
-  log.info({ event: "daemon_started" });
 
-  return {
+  return Result.ok({
+    summary,
     async close() {
-      await proxy.close();
-      await reader.close();
-      await platform.close();
-      operators.close();
-      operators.closeAllConnections();
-      log.info({ event: "daemon_stopped" });
+      draining = true;
+      announced = distribution.announceLeaving();
+      await closeAll(components);
     },
-  };
+  });
+}
+
+async function closeAll(components: readonly Closable[]): Promise<void> {
+  for (const component of components.toReversed()) await component.close();
 }
 
-function reasonOf(
-  verdict: {
-    readonly isErr: boolean;
-    readonly error?: readonly ListProblem[];
-  },
-): string | undefined {
-  if (!verdict.isErr) return undefined;
-  return verdict.error?.map(({ place, message }) =>
-    `${place.list}:${place.line}: ${message}`
-  )
-    .join("; ");
+/** Gives the error of a port that could not be opened as a value. */
+async function listening<T>(
+  open: () => Promise<T>,
+): Promise<Result<T, ListenError>> {
+  try {
+    return Result.ok(await open());
+  } catch (error) {
+    const listenError = listenErrorOf(error);
+    if (listenError === undefined) throw error;
+    return Result.err(listenError);
+  }
 }
