--- a/packages/emulator/src/daemon_process.ts
+++ b/packages/emulator/src/daemon_process.ts
@@ -34,11 +34,13 @@
   /** Called before a process starts and after one has ended. */
   readonly onListening?: (listening: boolean) => Promise<void>;
   readonly ownProcessGroup?: boolean;
+  /** Time between two reads of `/status`; 0 turns them off. Default 250. */
+  readonly statusIntervalMs?: number;
 }
 
 const PROGRAM = resolve("dist/tanagercove.cjs");
 /** Logs report every change already; this is the check that `/status` agrees. */
-const STATUS_INTERVAL_MS = 250;
+const DEFAULT_STATUS_INTERVAL_MS = 250;
 const UP_POLL_MS = 50;
 const STATUS_TIMEOUT_MS = 1_000;
 const DUMP_TIMEOUT_MS = 5_000;
@@ -76,6 +78,11 @@
     return this.#process?.isRunning ?? false;
   }
 
+  /** Undefined before the first start. */
+  get pid(): number | undefined {
+    return this.#process?.pid;
+  }
+
   get isPaused(): boolean {
     return this.#paused;
   }
@@ -185,8 +192,11 @@
     child: ManagedProcess,
     processNumber: number,
   ): Promise<void> {
+    const intervalMs = this.#options.statusIntervalMs ??
+      DEFAULT_STATUS_INTERVAL_MS;
+    if (intervalMs === 0) return;
     while (child.isRunning && !this.#closed) {
-      await sleep(STATUS_INTERVAL_MS);
+      await sleep(intervalMs);
       if (this.#paused) continue;
       const status = await this.status().catch(() => undefined);
       const { revision, hash } = status ?? {};
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -23,6 +23,8 @@
   readonly relay?: Relay;
   /** Keeps a terminal's ctrl-C away from the daemons. */
   readonly ownProcessGroup?: boolean;
+  /** Time between two reads of each daemon's `/status`; 0 turns them off. */
+  readonly statusIntervalMs?: number;
   /** Daemons that start at the same time. */
   readonly startsAtOnce?: number;
 }
@@ -61,6 +63,7 @@
           else await options.relay?.refuse(id, ports);
         },
         ownProcessGroup: options.ownProcessGroup,
+        statusIntervalMs: options.statusIntervalMs,
       })
     );
   }
--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./fleet.ts";
 export * from "./listen.ts";
 export * from "./load.ts";
+export * from "./load_process.ts";
 export * from "./load_report.ts";
 export * from "./log_buffer.ts";
 export * from "./managed_process.ts";
--- a/packages/emulator/src/load.ts
+++ b/packages/emulator/src/load.ts
@@ -22,6 +22,8 @@
   readonly seed: number;
   /** Share of GET requests; the others are POST. Default 0.8. */
   readonly idempotentShare?: number;
+  /** Share of GET requests of single services, instead of `idempotentShare`. */
+  readonly idempotentShareByService?: Readonly<Record<string, number>>;
   readonly deadlineMs?: number;
   /** Size of the answers that are asked for; default small ones. */
   readonly answerBytes?: number;
@@ -123,12 +125,16 @@
     readonly dueAtMs: number;
   },
 ): PlannedCall {
-  const share = options.idempotentShare ?? DEFAULT_IDEMPOTENT_SHARE;
+  const target = pickOne(options.targets, random);
+  const customer = pickOne(options.customers, random);
+  const service = pickOne(options.services, random);
+  const share = options.idempotentShareByService?.[service] ??
+    options.idempotentShare ?? DEFAULT_IDEMPOTENT_SHARE;
   return {
     id,
-    target: pickOne(options.targets, random),
-    customer: pickOne(options.customers, random),
-    service: pickOne(options.services, random),
+    target,
+    customer,
+    service,
     idempotent: random() < share,
     dueAtMs,
   };
--- a/packages/emulator/src/load_command.ts
+++ b/packages/emulator/src/load_command.ts
@@ -1,5 +1,10 @@
 import { command, number, option, string } from "cmd-ts";
 import { runLoad } from "./load.ts";
+import type { CallRecord } from "./load_report.ts";
+import type { LoadProcessLine, LoadProcessOptions } from "./load_process.ts";
+
+/** Records in one line of output, which bounds the length of a line. */
+const CALLS_PER_LINE = 200;
 
 const listOf = (text: string) => text.split(",").map((word) => word.trim());
 
@@ -8,13 +13,21 @@
   name: "load",
   description: "Send open-loop load to the caller ports of daemons",
   args: {
+    optionsJson: option({
+      type: string,
+      long: "options",
+      description:
+        "All options as JSON instead of the others; writes every call as JSON Lines",
+      defaultValue: () => "",
+    }),
     targets: option({
       type: string,
       long: "targets",
+      defaultValue: () => "",
       description: "URLs of caller ports, separated by commas",
     }),
-    customers: option({ type: string, long: "customers" }),
-    services: option({ type: string, long: "services" }),
+    customers: option({ type: string, long: "customers", defaultValue: () => "" }),
+    services: option({ type: string, long: "services", defaultValue: () => "" }),
     ratePerSecond: option({
       type: number,
       long: "rate-per-second",
@@ -42,7 +55,12 @@
       defaultValue: () => 0,
     }),
   },
-  handler: async ({ targets, customers, services, ...options }) => {
+  handler: async (
+    { optionsJson, targets, customers, services, ...options },
+  ) => {
+    if (optionsJson !== "") {
+      return await recordLoad(JSON.parse(optionsJson) as LoadProcessOptions);
+    }
     const stop = new AbortController();
     process.once("SIGINT", () => stop.abort());
     const report = await runLoad({
@@ -55,3 +73,19 @@
     console.log(JSON.stringify(report, undefined, 2));
   },
 });
+
+async function recordLoad(options: LoadProcessOptions): Promise<void> {
+  const calls: CallRecord[] = [];
+  const { notSent } = await runLoad({
+    ...options,
+    onCall: (call) => calls.push(call),
+  });
+  while (calls.length > 0) {
+    writeLine({ event: "calls", calls: calls.splice(0, CALLS_PER_LINE) });
+  }
+  writeLine({ event: "load_done", notSent });
+}
+
+function writeLine(line: LoadProcessLine): void {
+  console.log(JSON.stringify(line));
+}
--- /dev/null
+++ b/packages/emulator/src/load_process.ts
@@ -0,0 +1,72 @@
+import { resolve } from "node:path";
+import type { RunLoadOptions } from "./load.ts";
+import type { CallRecord } from "./load_report.ts";
+import { ManagedProcess } from "./managed_process.ts";
+
+/** Options of `runLoad` that can be handed to another process. */
+export type LoadProcessOptions = Omit<
+  RunLoadOptions,
+  "signal" | "onCall" | "executions"
+>;
+
+/** What load processes together have sent. */
+export interface LoadProcessesResult {
+  readonly calls: readonly CallRecord[];
+  /** Due requests that were not sent because too many were in flight. */
+  readonly notSent: number;
+}
+
+/** Lines that `emulator load --options` writes. */
+export type LoadProcessLine =
+  | { readonly event: "calls"; readonly calls: readonly CallRecord[] }
+  | { readonly event: "load_done"; readonly notSent: number };
+
+const PROGRAM = resolve("dist/emulator.cjs");
+/** Requests that are still in flight at the end have their deadline and the caller's patience. */
+const END_MARGIN_MS = 15_000;
+
+/** Shares a load out among processes, so that one process does not bound the rate. */
+export async function runLoadProcesses(
+  options: LoadProcessOptions,
+  processes: number,
+): Promise<LoadProcessesResult> {
+  const results = await Promise.all(
+    Array.from({ length: processes }, (_, index) =>
+      runLoadProcess({
+        ...options,
+        ratePerSecond: options.ratePerSecond / processes,
+        // Seeds are part of request ids, so two processes must not share one.
+        seed: options.seed * processes + index,
+      })),
+  );
+  return {
+    calls: results.flatMap(({ calls }) => calls),
+    notSent: results.reduce((sum, { notSent }) => sum + notSent, 0),
+  };
+}
+
+async function runLoadProcess(
+  options: LoadProcessOptions,
+): Promise<LoadProcessesResult> {
+  const calls: CallRecord[] = [];
+  const process = await new Promise<
+    { readonly child: ManagedProcess; readonly notSent: number }
+  >((resolve, reject) => {
+    const timer = setTimeout(() => {
+      void child.kill();
+      reject(new Error(`A load process did not end:\n${child.log.lines}`));
+    }, options.durationMs + (options.deadlineMs ?? 0) + END_MARGIN_MS);
+    const child = new ManagedProcess({
+      args: [PROGRAM, "load", "--options", JSON.stringify(options)],
+      endWithThisProcess: true,
+      onLine: (text) => {
+        const line = JSON.parse(text) as LoadProcessLine;
+        if (line.event === "calls") return void calls.push(...line.calls);
+        clearTimeout(timer);
+        resolve({ child, notSent: line.notSent });
+      },
+    });
+  });
+  await process.child.stop();
+  return { calls, notSent: process.notSent };
+}
--- a/packages/emulator/src/mesh.ts
+++ b/packages/emulator/src/mesh.ts
@@ -21,12 +21,15 @@
 /** Where the upstreams of a mesh run: in this process, as processes of their own, or not at all. */
 export type UpstreamPlace = "inside" | "processes" | "none";
 
+/** Gives the number of VMs of a service in a zone; zones count from 0. */
+export type InstanceCounts = (service: string, zoneIndex: number) => number;
+
 /** Options of `startMesh`. */
 export interface StartMeshOptions {
   readonly zones: readonly string[];
   readonly services: readonly string[];
-  /** VMs of each service in each zone; default 1. */
-  readonly instances?: number;
+  /** VMs of each service in each zone, for all or by place; default 1. */
+  readonly instances?: number | InstanceCounts;
   /** Puts a relay between all processes; default true. */
   readonly relay?: boolean;
   /** Default `inside`. */
@@ -41,6 +44,8 @@
   readonly allowances: string;
   readonly settings?: IniSections | ((fleetVm: FleetVm) => IniSections);
   readonly ownProcessGroup?: boolean;
+  /** Time between two reads of each daemon's `/status`; 0 turns them off. */
+  readonly statusIntervalMs?: number;
 }
 
 /** A platform, upstreams and daemons with a network between them. */
@@ -101,6 +106,7 @@
       settings: options.settings,
       relay,
       ownProcessGroup: options.ownProcessGroup,
+      statusIntervalMs: options.statusIntervalMs,
     });
     opened.push(() => fleet.close());
 
@@ -139,13 +145,14 @@
   { zones, services, instances = 1, relay = true }: StartMeshOptions,
   block: AddressBlock,
 ): readonly FleetVm[] {
-  return zones.flatMap((zone, zoneIndex) =>
-    services.flatMap((service, serviceIndex) =>
-      Array.from({ length: instances }, (_, instance): FleetVm => {
-        const place = {
-          zone: zoneIndex,
-          vm: serviceIndex * instances + instance + 1,
-        };
+  const countOf: InstanceCounts = typeof instances === "number"
+    ? () => instances
+    : instances;
+  return zones.flatMap((zone, zoneIndex) => {
+    let lastVm = 0;
+    return services.flatMap((service) =>
+      Array.from({ length: countOf(service, zoneIndex) }, (_, instance) => {
+        const place = { zone: zoneIndex, vm: lastVm += 1 };
         const vm: Vm = {
           id: `${service}-${zoneIndex + 1}-${instance + 1}`,
           service,
@@ -159,8 +166,8 @@
         };
         return { vm, address: block.own(place) };
       })
-    )
-  );
+    );
+  });
 }
 
 interface AddTargetsOptions {
--- a/packages/emulator/src/upstream_command.ts
+++ b/packages/emulator/src/upstream_command.ts
@@ -3,9 +3,10 @@
 import { command, flag, number, oneOf, option, string } from "cmd-ts";
 import type { UpstreamControl, UpstreamState } from "./upstream_control.ts";
 import type { UpstreamProcessLine } from "./upstream_process.ts";
-import { startUpstreamStandIn } from "./upstream_stand_in.ts";
+import { type OverloadMode, startUpstreamStandIn } from "./upstream_stand_in.ts";
 
 const SHAPES = ["fixed", "uniform", "exponential"] as const;
+const OVERLOAD_MODES: readonly OverloadMode[] = ["shed", "wait"];
 const STATES: readonly UpstreamState[] = ["starting", "ready", "draining"];
 
 /**
@@ -35,6 +36,11 @@
       defaultValue: () => 0,
     }),
     slots: option({ type: number, long: "slots", defaultValue: () => 10 }),
+    overload: option({
+      type: oneOf(OVERLOAD_MODES),
+      long: "overload",
+      defaultValue: (): OverloadMode => "shed",
+    }),
     connectionLimit: option({
       type: number,
       long: "connection-limit",
--- a/packages/emulator/src/upstream_process.ts
+++ b/packages/emulator/src/upstream_process.ts
@@ -46,6 +46,11 @@
     return this.#options.port;
   }
 
+  /** Undefined before the first start. */
+  get pid(): number | undefined {
+    return this.#process?.pid;
+  }
+
   get isRunning(): boolean {
     return this.#process?.isRunning ?? false;
   }
@@ -121,6 +126,7 @@
     "service-time-shape": shape,
     "service-time-ms": meanMs,
     "slots": options.slots,
+    "overload": options.overload,
     "connection-limit": options.connectionLimit,
     "cold-ms": options.coldMs,
     "cold-factor": options.coldFactor,
--- a/packages/emulator/src/upstream_stand_in.ts
+++ b/packages/emulator/src/upstream_stand_in.ts
@@ -24,6 +24,12 @@
   UpstreamState,
 } from "./upstream_control.ts";
 
+/**
+ * What happens to requests beyond the slots: refused as not started, or kept waiting in the order of
+ * arrival, as a server that only limits its connections does.
+ */
+export type OverloadMode = "shed" | "wait";
+
 /** Options of `startUpstreamStandIn`. */
 export interface StartUpstreamStandInOptions {
   readonly name: string;
@@ -34,8 +40,10 @@
   readonly serviceTime?: DurationDistribution;
   /** Seed of the service times. */
   readonly seed?: number;
-  /** Requests that run at once; above it the upstream sheds load. */
+  /** Requests that run at once. */
   readonly slots?: number;
+  /** Default `shed`. */
+  readonly overload?: OverloadMode;
   /** Connections beyond this are reset and counted; default no limit. */
   readonly connectionLimit?: number;
   /** For this long after the start, requests take up to `coldFactor` times as long. */
@@ -66,6 +74,12 @@
   ) => void;
 };
 
+interface WaitingRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly deadlineAtMs: number;
+}
+
 interface PlannedFailure {
   readonly step: ExchangeStep;
   readonly scope: DeathScope;
@@ -95,6 +109,7 @@
   let healthMode: HealthMode = "normal";
   let frozen: (() => void)[] | undefined;
   let failures: PlannedFailure[] = [];
+  const waiting: WaitingRequest[] = [];
   let running = 0;
   let lastNumber = 0;
 
@@ -132,8 +147,33 @@
     response.writeHead(503, { [HEADERS.notStarted]: "true" }).end();
   }
 
-  function execute(request: IncomingMessage, response: ServerResponse): void {
-    if (running >= slots || state === "starting") return shed(response);
+  function accept(request: IncomingMessage, response: ServerResponse): void {
+    if (state === "starting") return shed(response);
+    if (running < slots) return execute(request, response);
+    if (options.overload !== "wait") return shed(response);
+    waiting.push({
+      request,
+      response,
+      deadlineAtMs: performance.now() + deadlineMsOf(request),
+    });
+  }
+
+  function startWaiting(): void {
+    while (running < slots) {
+      const next = waiting.shift();
+      if (next === undefined) return;
+      // A caller that has gone away left its request in the queue.
+      if (next.response.destroyed) continue;
+      if (performance.now() >= next.deadlineAtMs) shed(next.response);
+      else execute(next.request, next.response, next.deadlineAtMs);
+    }
+  }
+
+  function execute(
+    request: IncomingMessage,
+    response: ServerResponse,
+    deadlineAtMs: number = performance.now() + deadlineMsOf(request),
+  ): void {
     const number = lastNumber += 1;
     const url = new URL(request.url ?? "/", "http://upstream");
     const id = url.searchParams.get("id") ?? "";
@@ -158,6 +198,7 @@
       running -= 1;
       clearTimeout(timer);
       tell({ event: "execution_ended", number, end: how, atMs: epochMs() });
+      startWaiting();
     };
     const finish = (how: "answered" | "deadline") => {
       if (ended) return;
@@ -175,9 +216,7 @@
       else end("broken");
     };
     const workMs = nextServiceTimeMs();
-    const deadlineMs = Number(
-      headerOf(request, HEADERS.deadlineMs) || Infinity,
-    );
+    const deadlineMs = deadlineAtMs - performance.now();
     const late = workMs > deadlineMs;
     const timer = setTimeout(
       () => finish(late ? "deadline" : "answered"),
@@ -231,7 +270,7 @@
           failsAt("request_read", request.socket);
           return;
         }
-        execute(request, response);
+        accept(request, response);
       });
     };
     if (frozen === undefined) run();
@@ -306,6 +345,11 @@
   return String(request.headers[name] ?? "");
 }
 
+/** Time left for a request; no end without the header. */
+function deadlineMsOf(request: IncomingMessage): number {
+  return Number(headerOf(request, HEADERS.deadlineMs) || Infinity);
+}
+
 function epochMs(): number {
   return performance.timeOrigin + performance.now();
 }
