--- a/packages/bench/src/requests/baseline_proxy.ts
+++ b/packages/bench/src/requests/baseline_proxy.ts
@@ -22,11 +22,19 @@
   readonly timeoutMs?: number;
 }
 
-/** A running baseline proxy. */
+/** What a baseline proxy has done so far. */
+export interface BaselineCounts {
+  readonly requests: number;
+  readonly attempts: number;
+}
+
+/** A running baseline proxy; it answers its counts at `BASELINE_COUNTS_PATH`. */
 export interface BaselineProxy {
   close(): Promise<void>;
 }
 
+/** Path at which a baseline proxy answers `BaselineCounts` as JSON. */
+export const BASELINE_COUNTS_PATH = "/baseline/counts";
 const DEFAULT_MAX_ATTEMPTS = 3;
 const DEFAULT_TIMEOUT_MS = 5_000;
 
@@ -38,6 +46,7 @@
   options: StartBaselineProxyOptions,
 ): Promise<BaselineProxy> {
   const agent = new Agent({ pipelining: 1 });
+  const counts = { requests: 0, attempts: 0 };
   const nextByService = new Map<string, number>();
 
   function nextUpstream(service: string): BaselineUpstream | undefined {
@@ -78,11 +87,16 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (request.url === BASELINE_COUNTS_PATH) {
+      return void response.end(JSON.stringify(counts));
+    }
+    counts.requests += 1;
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const body = Buffer.concat(chunks);
     const maxAttempts = options.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
     for (let tried = 1; tried <= maxAttempts; tried += 1) {
+      counts.attempts += 1;
       const answer = await attempt(request, body).catch(() => undefined);
       if (answer !== undefined && answer.status < 500) {
         response.writeHead(answer.status, { [HEADERS.outcome]: "answered" });
--- /dev/null
+++ b/packages/bench/src/requests/index.ts
@@ -0,0 +1,1 @@
+export { requestsCommand } from "./requests_command.ts";
--- /dev/null
+++ b/packages/bench/src/requests/measure_goodput.ts
@@ -0,0 +1,107 @@
+import type { CallRecord } from "@tanagercove/emulator";
+import { percentilesOf, round } from "../common/statistics.ts";
+import { type BarResult, judge, OVERLOAD_GOODPUT_MIN_SHARE } from "./bars.ts";
+import { measureMachineLoad } from "./machine_load.ts";
+import type { BenchPlan } from "./plan.ts";
+import type { SystemUnderTest } from "./system.ts";
+
+/** Loads as multiples of capacity. */
+export const LOAD_FACTORS = [0.5, 1, 2, 4] as const;
+/** Time before the measured one, in which queues fill; without it their content counts as goodput. */
+const WARM_UP_MS = 1_500;
+
+/** Result of one load point. */
+export interface GoodputPoint extends GoodputSummary {
+  readonly factor: number;
+  readonly offeredPerSecond: number;
+  /** Share of all processors' time, by everything that runs on the machine. */
+  readonly machineBusyShare: number;
+}
+
+/** What the calls of a load point show. */
+export interface GoodputSummary {
+  /** Answered within the deadline, per second of the measured time. */
+  readonly goodputPerSecond: number;
+  readonly refusedShare: number;
+  readonly unknownShare: number;
+  readonly answeredLateShare: number;
+  readonly requests: number;
+  /** Delay of the generators; the point says little about the system where it is large. */
+  readonly sentLateMs: ReturnType<typeof percentilesOf>;
+  readonly latencyMs: {
+    readonly idempotent: ReturnType<typeof percentilesOf>;
+    readonly nonIdempotent: ReturnType<typeof percentilesOf>;
+  };
+}
+
+/** Measures one load point. */
+export async function measureGoodput(
+  system: SystemUnderTest,
+  factor: number,
+): Promise<GoodputPoint> {
+  const { plan } = system;
+  const offeredPerSecond = plan.capacityPerSecond * factor;
+  const machineLoad = measureMachineLoad();
+  const calls = await system.load({
+    ratePerSecond: offeredPerSecond,
+    durationMs: WARM_UP_MS + plan.measuredMs,
+  });
+  const machineBusyShare = round(machineLoad());
+  return {
+    factor,
+    offeredPerSecond,
+    machineBusyShare,
+    ...summarizeGoodput(calls, plan),
+  };
+}
+
+/** Sums up the calls that were due, and the answers that came, in the measured time. */
+export function summarizeGoodput(
+  calls: readonly CallRecord[],
+  plan: BenchPlan,
+): GoodputSummary {
+  const endMs = WARM_UP_MS + plan.measuredMs;
+  const within = (atMs: number) => atMs >= WARM_UP_MS && atMs < endMs;
+  const good = calls.filter((call) =>
+    isAnswered(call) && call.latencyMs <= plan.deadlineMs &&
+    within(call.dueAfterMs + call.latencyMs)
+  );
+  const due = calls.filter(({ dueAfterMs }) => within(dueAfterMs));
+  const shareOf = (matching: (call: CallRecord) => boolean) =>
+    round(due.filter(matching).length / Math.max(1, due.length));
+  const latencyOf = (idempotent: boolean) =>
+    percentilesOf(
+      due.filter((call) => isAnswered(call) && call.idempotent === idempotent)
+        .map(({ latencyMs }) => latencyMs),
+    );
+  return {
+    goodputPerSecond: round(good.length * 1_000 / plan.measuredMs),
+    refusedShare: shareOf(({ outcome }) => outcome === "not_run"),
+    unknownShare: shareOf(({ outcome }) =>
+      outcome === "unknown" || outcome === "none"
+    ),
+    answeredLateShare: shareOf((call) =>
+      isAnswered(call) && call.latencyMs > plan.deadlineMs
+    ),
+    requests: due.length,
+    sentLateMs: percentilesOf(due.map(({ sentLateMs }) => sentLateMs)),
+    latencyMs: { idempotent: latencyOf(true), nonIdempotent: latencyOf(false) },
+  };
+}
+
+/** Judges the goodput of a system under overload. */
+export function judgeGoodput(points: readonly GoodputPoint[]): BarResult {
+  const goodputAt = (factor: number) =>
+    points.find((point) => point.factor === factor)?.goodputPerSecond ?? 0;
+  const share = goodputAt(4) / Math.max(1, goodputAt(1));
+  return judge(
+    `goodput at 4 times capacity >= ${
+      OVERLOAD_GOODPUT_MIN_SHARE * 100
+    } % of that at capacity; measured ${round(share * 100)} %`,
+    share >= OVERLOAD_GOODPUT_MIN_SHARE,
+  );
+}
+
+function isAnswered({ outcome, status }: CallRecord): boolean {
+  return outcome === "answered" && status === 200;
+}
--- /dev/null
+++ b/packages/bench/src/requests/measure_latency.ts
@@ -0,0 +1,75 @@
+import { percentilesOf, round } from "../common/statistics.ts";
+import { ADDED_P99_MAX_MS, judge, notJudged } from "./bars.ts";
+import { measureMachineLoad } from "./machine_load.ts";
+import type { PairTarget } from "./probe_pairs.ts";
+import { CUSTOMER, type SystemUnderTest } from "./system.ts";
+import { probePairsInProcess } from "./worker.ts";
+
+const PAIRS_PER_SECOND = 100;
+/** Fewer pairs put less than 5 values beyond the 99th percentile. */
+const MIN_PAIRS = 500;
+const MIN_DURATION_MS = 8_000;
+
+/** Measures what the daemons add at half capacity, in pairs with direct calls. */
+export async function measureLatency(
+  system: SystemUnderTest,
+): Promise<Readonly<Record<string, unknown>>> {
+  const { plan } = system;
+  const durationMs = Math.max(MIN_DURATION_MS, plan.measuredMs);
+  const halfCapacity = plan.capacityPerSecond / 2;
+  const machineLoad = measureMachineLoad();
+  const [pairs] = await Promise.all([
+    probePairsInProcess({
+      targets: pairTargets(system),
+      customer: CUSTOMER,
+      pairsPerSecond: PAIRS_PER_SECOND,
+      durationMs,
+      deadlineMs: plan.deadlineMs,
+      seed: plan.seed,
+    }),
+    system.load({
+      ratePerSecond: halfCapacity - 2 * PAIRS_PER_SECOND,
+      durationMs,
+    }),
+  ]);
+  const machineBusyShare = round(machineLoad());
+  const complete = pairs.flatMap(({ directMs, daemonMs }) =>
+    directMs === undefined || daemonMs === undefined
+      ? []
+      : [{ directMs, daemonMs }]
+  );
+  const direct = percentilesOf(complete.map(({ directMs }) => directMs));
+  const daemon = percentilesOf(complete.map(({ daemonMs }) => daemonMs));
+  const addedP99Ms = round(daemon.p99 - direct.p99);
+  const bar = `p99 added at half capacity <= ${ADDED_P99_MAX_MS} ms`;
+  return {
+    ratePerSecond: halfCapacity,
+    pairs: pairs.length,
+    machineBusyShare,
+    pairsNotAnswered: pairs.length - complete.length,
+    directMs: direct,
+    daemonMs: daemon,
+    addedP50Ms: round(daemon.p50 - direct.p50),
+    addedP99Ms,
+    pairwiseDifferenceMs: percentilesOf(
+      complete.map(({ directMs, daemonMs }) => daemonMs - directMs),
+    ),
+    bars: [
+      complete.length < MIN_PAIRS
+        ? notJudged(bar, `${complete.length} pairs`)
+        : judge(bar, addedP99Ms <= ADDED_P99_MAX_MS),
+    ],
+  };
+}
+
+/**
+ * Pairs each upstream with the daemon on its VM. That daemon prefers upstreams of its own zone, so both
+ * calls of a pair go to the same upstream or to one of the same service and zone.
+ */
+function pairTargets(system: SystemUnderTest): readonly PairTarget[] {
+  return system.mesh.vms.map((vm) => ({
+    service: vm.service,
+    daemonUrl: system.callerUrl(vm),
+    upstreamUrl: `http://${vm.address}:${vm.upstreamPort}`,
+  }));
+}
--- /dev/null
+++ b/packages/bench/src/requests/measure_leaving.ts
@@ -0,0 +1,106 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Vm } from "@tanagercove/types";
+import { round } from "../common/statistics.ts";
+import { judge, LAST_NEW_WORK_MAX_MS, notJudged } from "./bars.ts";
+import type { SystemUnderTest } from "./system.ts";
+
+/** How an upstream's leaving becomes known. */
+export type LeavingSignal = "sigterm" | "health" | "vm_list";
+
+const SIGNALS: readonly LeavingSignal[] = ["sigterm", "health", "vm_list"];
+const BEFORE_MS = 1_500;
+/** Beyond the bar, so that late work is seen. */
+const AFTER_MS = 5_000;
+const RECOVERY_MS = 2_000;
+
+interface Leaving {
+  readonly signal: LeavingSignal;
+  readonly vm: Vm;
+}
+
+/** Lets three upstreams of different services leave under load and finds their last new work. */
+export async function measureLeaving(
+  system: SystemUnderTest,
+): Promise<readonly Readonly<Record<string, unknown>>[]> {
+  const { mesh, plan } = system;
+  const leaving = chooseLeaving(mesh.vms);
+  const vmOf = (signal: LeavingSignal) =>
+    leaving.find((one) => one.signal === signal)!.vm;
+  const stays = (vm: Vm) => leaving.every((one) => one.vm.id !== vm.id);
+  const load = system.load({
+    ratePerSecond: plan.capacityPerSecond / 2,
+    durationMs: BEFORE_MS + AFTER_MS,
+    callers: mesh.vms.filter(stays),
+  });
+  await sleep(BEFORE_MS);
+  const leftAtMs = performance.timeOrigin + performance.now();
+  const daemonEnded = mesh.fleet.daemon(vmOf("sigterm").id).stop(AFTER_MS);
+  void system.upstream(vmOf("health")).control({
+    action: "set_state",
+    state: "draining",
+  });
+  mesh.publishVms({ [vmOf("vm_list").id]: "leaving" });
+  await load;
+  await daemonEnded;
+  await system.compare();
+  const results = leaving.map((one) => lastNewWork(system, one, leftAtMs));
+  await restore(system, leaving);
+  return results;
+}
+
+function chooseLeaving(vms: readonly Vm[]): readonly Leaving[] {
+  const services = [...new Set(vms.map(({ service }) => service))];
+  return SIGNALS.map((signal, index) => ({
+    signal,
+    vm: vms.filter(({ service }) => service === services[index])[index]!,
+  }));
+}
+
+function lastNewWork(
+  system: SystemUnderTest,
+  { signal, vm }: Leaving,
+  leftAtMs: number,
+): Readonly<Record<string, unknown>> {
+  const startsMs = system.upstream(vm).logs
+    .flatMap((log) => log.all)
+    .map(({ startedAtMs }) => startedAtMs - leftAtMs);
+  const after = startsMs.filter((startMs) => startMs > 0);
+  const lastMs = after.reduce((last, startMs) => Math.max(last, startMs), 0);
+  // An upstream without work before the signal would meet the bar without a proof.
+  const before =
+    startsMs.filter((startMs) => startMs <= 0 && startMs > -BEFORE_MS).length;
+  const bar = `last new work within ${LAST_NEW_WORK_MAX_MS} ms of leaving`;
+  return {
+    signal,
+    vm: vm.id,
+    startsBefore: before,
+    startsAfter: after.length,
+    lastNewWorkMs: round(lastMs),
+    observedForMs: AFTER_MS,
+    bars: [
+      before === 0
+        ? notJudged(bar, "no work before it left")
+        : judge(bar, lastMs <= LAST_NEW_WORK_MAX_MS),
+    ],
+  };
+}
+
+async function restore(
+  system: SystemUnderTest,
+  leaving: readonly Leaving[],
+): Promise<void> {
+  const { mesh } = system;
+  mesh.publishVms();
+  for (const { signal, vm } of leaving) {
+    if (signal === "health") {
+      await system.upstream(vm).control({
+        action: "set_state",
+        state: "ready",
+      });
+    }
+    // A daemon that left by the VM list may have ended as well.
+    const daemon = mesh.fleet.daemon(vm.id);
+    if (!daemon.isRunning) await daemon.start();
+  }
+  await sleep(RECOVERY_MS);
+}
--- /dev/null
+++ b/packages/bench/src/requests/measurements_test.ts
@@ -0,0 +1,79 @@
+import { type CallRecord, startUpstreamStandIn } from "@tanagercove/emulator";
+import t from "tap";
+import { HEADERS } from "@tanagercove/types";
+import { request } from "undici";
+import { startBaselineProxy } from "./baseline_proxy.ts";
+import {
+  type GoodputPoint,
+  judgeGoodput,
+  summarizeGoodput,
+} from "./measure_goodput.ts";
+import { planBench } from "./plan.ts";
+
+function call(fields: Partial<CallRecord>): CallRecord {
+  return {
+    id: "1",
+    customer: "isla",
+    service: "deposits",
+    idempotent: false,
+    outcome: "answered",
+    reason: undefined,
+    status: 200,
+    dueAfterMs: 2_000,
+    sentLateMs: 0,
+    latencyMs: 100,
+    ...fields,
+  };
+}
+
+// Guards against a goodput that counts late answers, refusals or what queues held after the load ended.
+t.test("should count as goodput only answers within deadline and measured time", (t) => {
+  const plan = planBench("thistledown", { seed: 1, seconds: 2 });
+  const summary = summarizeGoodput([
+    call({}),
+    call({ dueAfterMs: 3_450 }),
+    call({ dueAfterMs: 0 }),
+    call({ latencyMs: plan.deadlineMs + 1 }),
+    call({ outcome: "not_run", status: 503 }),
+    call({ outcome: "unknown", status: 504 }),
+  ], plan);
+  t.equal(summary.goodputPerSecond, 0.5);
+  t.equal(summary.refusedShare, 0.2);
+  t.equal(summary.unknownShare, 0.2);
+  t.equal(summary.answeredLateShare, 0.2);
+  t.end();
+});
+
+// Guards against a bar that is printed as met whatever was measured.
+t.test("should miss the bar for goodput below 90 % of that at capacity", (t) => {
+  const points = (atFour: number) =>
+    [
+      { factor: 1, goodputPerSecond: 1_000 },
+      { factor: 4, goodputPerSecond: atFour },
+    ] as unknown as GoodputPoint[];
+  t.equal(judgeGoodput(points(899)).result, "missed");
+  t.equal(judgeGoodput(points(900)).result, "met");
+  t.end();
+});
+
+// Guards against a baseline that is better or worse than the one described.
+t.test("should retry every failure and count the attempts in the baseline proxy", async (t) => {
+  const upstream = await startUpstreamStandIn({ name: "deposits-1", slots: 0 });
+  t.teardown(() => upstream.close());
+  const proxy = await startBaselineProxy({
+    address: "127.44.7.1",
+    port: 8_070,
+    upstreams: [
+      { service: "deposits", address: "127.0.0.1", port: upstream.port },
+    ],
+  });
+  t.teardown(() => proxy.close());
+  const answer = await request("http://127.44.7.1:8070/x?id=1", {
+    method: "POST",
+    headers: { [HEADERS.service]: "deposits" },
+  });
+  await answer.body.dump();
+  t.equal(answer.headers[HEADERS.outcome], "unknown");
+  const counts = await request("http://127.44.7.1:8070/baseline/counts");
+  t.same(await counts.body.json(), { requests: 1, attempts: 3 });
+});
--- /dev/null
+++ b/packages/bench/src/requests/run_requests.ts
@@ -0,0 +1,148 @@
+import { writeProgress, writeResult } from "../common/report.ts";
+import { judge } from "./bars.ts";
+import {
+  type FailureExtent,
+  type FailureKind,
+  measureFailures,
+} from "./measure_failures.ts";
+import {
+  type GoodputPoint,
+  judgeGoodput,
+  LOAD_FACTORS,
+  measureGoodput,
+} from "./measure_goodput.ts";
+import { measureLatency } from "./measure_latency.ts";
+import { measureLeaving } from "./measure_leaving.ts";
+import type { BenchPlan, SystemName } from "./plan.ts";
+import { startSystem, type SystemUnderTest } from "./system.ts";
+
+/** Results that are compared between the systems. */
+interface SystemResults {
+  readonly goodput: readonly GoodputPoint[];
+  /** Attempts per request by kind and extent of the failure. */
+  readonly attempts: Readonly<Record<string, number>>;
+}
+
+const SYSTEMS: readonly SystemName[] = ["owner", "direct", "baseline"];
+const EXTENTS: readonly FailureExtent[] = ["third", "all"];
+const KINDS: readonly FailureKind[] = ["killed", "frozen"];
+const WARM_UP_MS = 2_000;
+
+/** Runs all measurements of one deployment and writes each result as a line. */
+export async function runRequests(plan: BenchPlan): Promise<void> {
+  const write = writerFor(plan);
+  write({
+    result: "plan",
+    instances: plan.instances,
+    slots: plan.deployment.slots,
+    connections: plan.deployment.connections,
+    serviceTimeMs: plan.serviceTimeMs,
+    deadlineMs: plan.deadlineMs,
+    capacityPerSecond: plan.capacityPerSecond,
+    measuredMs: plan.measuredMs,
+    note:
+      "Service times are constant and chosen so that generators and processors are not the limit at 4 times capacity",
+  });
+  const results = new Map<SystemName, SystemResults>();
+  for (const name of SYSTEMS) {
+    writeProgress(`${plan.deployment.name}: starting ${name}`);
+    const system = await startSystem(name, plan);
+    try {
+      results.set(name, await measureSystem(system, write));
+    } finally {
+      await system.close();
+    }
+  }
+  for (const name of ["owner", "direct"] as const) {
+    write({
+      result: "comparison",
+      system: name,
+      bars: compareWithBaseline(results.get(name)!, results.get("baseline")!),
+    });
+  }
+}
+
+type Write = (result: Readonly<Record<string, unknown>>) => void;
+
+function writerFor(plan: BenchPlan): Write {
+  return (result) =>
+    writeResult({
+      bench: "requests",
+      deployment: plan.deployment.name,
+      seed: plan.seed,
+      ...result,
+    });
+}
+
+async function measureSystem(
+  system: SystemUnderTest,
+  write: Write,
+): Promise<SystemResults> {
+  const progress = (text: string) =>
+    writeProgress(`${system.plan.deployment.name} ${system.name}: ${text}`);
+  const report = (result: string, fields: Readonly<Record<string, unknown>>) =>
+    write({ result, system: system.name, ...fields });
+  await system.load({
+    ratePerSecond: system.plan.capacityPerSecond / 4,
+    durationMs: WARM_UP_MS,
+  });
+  if (system.name !== "baseline") {
+    progress("latency");
+    report("latency", await measureLatency(system));
+  }
+  const goodput: GoodputPoint[] = [];
+  for (const factor of LOAD_FACTORS) {
+    progress(`goodput at ${factor} times capacity`);
+    const point = await measureGoodput(system, factor);
+    goodput.push(point);
+    report("goodput", { ...point });
+  }
+  report("overload", { bars: [judgeGoodput(goodput)] });
+  await system.compare();
+  if (system.name !== "baseline") {
+    progress("leaving");
+    for (const one of await measureLeaving(system)) report("leaving", one);
+  }
+  const attempts: Record<string, number> = {};
+  for (const extent of EXTENTS) {
+    for (const kind of KINDS) {
+      progress(`${extent} ${kind}`);
+      const failures = await measureFailures(system, { extent, kind });
+      attempts[`${extent} ${kind}`] = failures.attemptsPerRequest as number;
+      report("failures", failures);
+    }
+  }
+  const { faults } = system;
+  report("executions", {
+    ...faults,
+    bars: [judge(
+      "nothing lost, run twice, told not run although it ran, or answered wrongly",
+      faults.lost + faults.runTwice + faults.notRunThatRan +
+          faults.wrongAnswers === 0,
+    )],
+  });
+  return { goodput, attempts };
+}
+
+function compareWithBaseline(own: SystemResults, baseline: SystemResults) {
+  const overload = own.goodput.filter(({ factor }) => factor > 1).map(
+    (point) => {
+      const other = baseline.goodput.find(({ factor }) =>
+        factor === point.factor
+      )!;
+      return judge(
+        `goodput at ${point.factor} times capacity better than the baseline's: ${point.goodputPerSecond} against ${other.goodputPerSecond}`,
+        point.goodputPerSecond > other.goodputPerSecond,
+      );
+    },
+  );
+  const attempts = Object.entries(own.attempts).map(([failure, perRequest]) =>
+    judge(
+      `attempts per request below the baseline's, ${failure}: ${perRequest} against ${
+        baseline.attempts[failure]
+      }`,
+      perRequest < (baseline.attempts[failure] ?? 0),
+    )
+  );
+  return [...overload, ...attempts];
+}
--- a/packages/emulator/src/load.ts
+++ b/packages/emulator/src/load.ts
@@ -54,6 +54,8 @@
   readonly service: string;
   readonly idempotent: boolean;
   readonly dueAtMs: number;
+  /** `dueAtMs` from the start of the run. */
+  readonly dueAfterMs: number;
 }
 
 /**
@@ -82,6 +84,7 @@
       random,
       id: `${runName}-${sent}`,
       dueAtMs,
+      startedAtMs,
     });
     const waitMs = dueAtMs - performance.now();
     if (waitMs > 0 || turn % MAX_SENDS_PER_TURN === 0) {
@@ -119,10 +122,11 @@
 
 function planCall(
   options: RunLoadOptions,
-  { random, id, dueAtMs }: {
+  { random, id, dueAtMs, startedAtMs }: {
     readonly random: Random;
     readonly id: string;
     readonly dueAtMs: number;
+    readonly startedAtMs: number;
   },
 ): PlannedCall {
   const target = pickOne(options.targets, random);
@@ -137,6 +141,7 @@
     service,
     idempotent: random() < share,
     dueAtMs,
+    dueAfterMs: dueAtMs - startedAtMs,
   };
 }
 
@@ -149,11 +154,22 @@
   call: PlannedCall,
   { options, agent }: SendCallOptions,
 ): Promise<CallRecord> {
-  const { id, customer, service, idempotent, dueAtMs } = call;
+  const { id, customer, service, idempotent, dueAtMs, dueAfterMs } = call;
   const deadlineMs = options.deadlineMs ?? DEFAULT_DEADLINE_MS;
   const answerBytes = options.answerBytes ?? 0;
-  const base = { id, customer, service, idempotent };
-  const latencyMs = () => performance.now() - dueAtMs;
+  const sentAtMs = performance.now();
+  const sentLateMs = Math.max(0, sentAtMs - dueAtMs);
+  // A timer may fire up to 1 ms early; waiting time is never negative.
+  const latencyFromMs = Math.min(dueAtMs, sentAtMs);
+  const latencyMs = () => performance.now() - latencyFromMs;
+  const base = {
+    id,
+    customer,
+    service,
+    idempotent,
+    dueAfterMs,
+    sentLateMs,
+  };
   try {
     const response = await request(
       `${call.target}/load?id=${id}&answer_bytes=${answerBytes}`,
--- a/packages/emulator/src/load_command.ts
+++ b/packages/emulator/src/load_command.ts
@@ -26,8 +26,16 @@
       defaultValue: () => "",
       description: "URLs of caller ports, separated by commas",
     }),
-    customers: option({ type: string, long: "customers", defaultValue: () => "" }),
-    services: option({ type: string, long: "services", defaultValue: () => "" }),
+    customers: option({
+      type: string,
+      long: "customers",
+      defaultValue: () => "",
+    }),
+    services: option({
+      type: string,
+      long: "services",
+      defaultValue: () => "",
+    }),
     ratePerSecond: option({
       type: number,
       long: "rate-per-second",
--- a/packages/emulator/src/load_process.ts
+++ b/packages/emulator/src/load_process.ts
@@ -49,12 +49,14 @@
   options: LoadProcessOptions,
 ): Promise<LoadProcessesResult> {
   const calls: CallRecord[] = [];
-  const process = await new Promise<
+  const ended = await new Promise<
     { readonly child: ManagedProcess; readonly notSent: number }
   >((resolve, reject) => {
     const timer = setTimeout(() => {
       void child.kill();
-      reject(new Error(`A load process did not end:\n${child.log.lines}`));
+      reject(
+        new Error(`A load process did not end:\n${child.log.lines.join("\n")}`),
+      );
     }, options.durationMs + (options.deadlineMs ?? 0) + END_MARGIN_MS);
     const child = new ManagedProcess({
       args: [PROGRAM, "load", "--options", JSON.stringify(options)],
@@ -67,6 +69,6 @@
       },
     });
   });
-  await process.child.stop();
-  return { calls, notSent: process.notSent };
+  await ended.child.stop();
+  return { calls, notSent: ended.notSent };
 }
--- a/packages/emulator/src/load_report.ts
+++ b/packages/emulator/src/load_report.ts
@@ -14,6 +14,10 @@
   readonly outcome: ToldOutcome;
   readonly reason: Reason | undefined;
   readonly status: number | undefined;
+  /** Time from the start of the run at which the request was due. */
+  readonly dueAfterMs: number;
+  /** Delay of the sending process; large values mean that it is the limit of a measurement. */
+  readonly sentLateMs: number;
   /** From the moment at which the request was due. */
   readonly latencyMs: number;
   /** Why a complete answer was not this request's own one. */
--- a/packages/emulator/src/load_test.ts
+++ b/packages/emulator/src/load_test.ts
@@ -4,6 +4,7 @@
 import { HEADERS } from "@tanagercove/types";
 import type { Execution } from "./execution_log.ts";
 import { runLoad } from "./load.ts";
+import { runLoadProcesses } from "./load_process.ts";
 import { type CallRecord, compareExecutions } from "./load_report.ts";
 
 const SEED = 11;
@@ -17,6 +18,8 @@
     outcome: "answered",
     reason: undefined,
     status: 200,
+    dueAfterMs: 0,
+    sentLateMs: 0,
     latencyMs: 1,
     ...fields,
   };
@@ -109,3 +112,30 @@
   t.ok(report.latency.idempotent.p50Ms >= 295);
   t.ok(methods.GET! > 50 && methods.POST! > 50);
 });
+
+// Guards against request ids shared by processes, which would hide a request that ran twice.
+t.test("should share a load out among processes that use different ids", async (t) => {
+  const server = createServer((request, response) => {
+    const id = new URL(request.url!, "http://server").searchParams.get("id");
+    response.writeHead(200, { [HEADERS.outcome]: "answered" });
+    response.end(JSON.stringify({ id }));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  const { calls, notSent } = await runLoadProcesses({
+    targets: [`http://127.0.0.1:${(server.address() as AddressInfo).port}`],
+    customers: ["isla"],
+    services: ["swatches", "deposits"],
+    ratePerSecond: 400,
+    durationMs: 1_000,
+    seed: SEED,
+    idempotentShareByService: { swatches: 1, deposits: 0 },
+  }, 2);
+  t.ok(calls.length > 320 && calls.length < 480, `${calls.length}`);
+  t.equal(notSent, 0);
+  t.equal(new Set(calls.map(({ id }) => id)).size, calls.length);
+  t.ok(calls.every(({ wrongAnswer }) => wrongAnswer === undefined));
+  t.ok(
+    calls.every((call) => call.idempotent === (call.service === "swatches")),
+  );
+});
--- a/packages/emulator/src/upstream_stand_in_test.ts
+++ b/packages/emulator/src/upstream_stand_in_test.ts
@@ -61,6 +61,31 @@
   t.equal(upstream.log.shedCount, 2);
 });
 
+// Guards against a stand-in that runs more at once than it has slots, or runs what it reported as not run.
+t.test("should keep requests beyond its slots waiting and start none whose caller left or deadline passed", async (t) => {
+  const { upstream, url } = await start(t, {
+    slots: 1,
+    serviceTimeMs: 200,
+    overload: "wait",
+  });
+  const first = outcomeOf(url, "1");
+  await waitFor(() => upstream.running === 1);
+  const gone = new AbortController();
+  const left = request(`${url}/x?id=left`, { signal: gone.signal })
+    .catch(() => "left");
+  const late = request(`${url}/x?id=late`, {
+    headers: { [HEADERS.deadlineMs]: "20" },
+  });
+  const second = outcomeOf(url, "2");
+  setTimeout(() => gone.abort(), 50);
+  t.same(await Promise.all([first, second]), ["200 5000", "200 5000"]);
+  t.equal(await left, "left");
+  t.equal((await late).headers[HEADERS.notStarted], "true");
+  t.same(upstream.log.all.map(({ id }) => id), ["1", "2"]);
+  const [one, two] = upstream.log.all;
+  t.ok(two!.startedAtMs >= one!.endedAtMs!);
+});
+
 t.test("should record a cancelled request as such and free its slot", async (t) => {
   const { upstream, url } = await start(t, { serviceTimeMs: 5_000 });
   const abort = new AbortController();
