Say which limits a bench result was measured under

Change: each result names busy processors and late generators; latency and faults are compared with the baseline as well. Verdicts on the bars are unchanged. Conclusion: a verdict counts only where limits is empty.

--- a/packages/bench/src/requests/machine_load.ts
+++ b/packages/bench/src/requests/machine_load.ts
@@ -1,5 +1,38 @@
 import { cpus } from "node:os";
 
+/** Above this, processes wait for a processor and the machine is measured instead of the system. */
+const MACHINE_BUSY_MAX_SHARE = 0.85;
+/** Above this, the offered load is not the one that the result names. */
+const SENT_LATE_P99_MAX_MS = 20;
+
+/** Conditions under which a result was measured. */
+export interface MeasurementConditions {
+  /** Share of all processors' time, by everything that runs on the machine. */
+  readonly machineBusyShare: number;
+  /** 99th percentile of the generators' delay, in milliseconds. */
+  readonly sentLateP99Ms: number;
+}
+
+/** Names what makes a result say little about the system; empty where nothing does. */
+export function measurementLimits(
+  { machineBusyShare, sentLateP99Ms }: MeasurementConditions,
+): readonly string[] {
+  const limits: string[] = [];
+  if (machineBusyShare > MACHINE_BUSY_MAX_SHARE) {
+    limits.push(
+      `Processors ${machineBusyShare * 100} % busy, at most ${
+        MACHINE_BUSY_MAX_SHARE * 100
+      } % expected`,
+    );
+  }
+  if (sentLateP99Ms > SENT_LATE_P99_MAX_MS) {
+    limits.push(
+      `Requests sent ${sentLateP99Ms} ms late at p99, at most ${SENT_LATE_P99_MAX_MS} ms expected`,
+    );
+  }
+  return limits;
+}
+
 /** Starts to measure the share of all processors' time that is in use; call the result to read it. */
 export function measureMachineLoad(): () => number {
   const before = processorTimes();
--- a/packages/bench/src/requests/measure_goodput.ts
+++ b/packages/bench/src/requests/measure_goodput.ts
@@ -1,7 +1,7 @@
 import type { CallRecord } from "@tanagercove/emulator";
 import { percentilesOf, round } from "../common/statistics.ts";
 import { type BarResult, judge, OVERLOAD_GOODPUT_MIN_SHARE } from "./bars.ts";
-import { measureMachineLoad } from "./machine_load.ts";
+import { measureMachineLoad, measurementLimits } from "./machine_load.ts";
 import type { BenchPlan } from "./plan.ts";
 import type { SystemUnderTest } from "./system.ts";
 
@@ -16,6 +16,8 @@
   readonly offeredPerSecond: number;
   /** Share of all processors' time, by everything that runs on the machine. */
   readonly machineBusyShare: number;
+  /** What makes the result say little about the system. */
+  readonly limits: readonly string[];
 }
 
 /** What the calls of a load point show. */
@@ -47,11 +49,16 @@
     durationMs: WARM_UP_MS + plan.measuredMs,
   });
   const machineBusyShare = round(machineLoad());
+  const summary = summarizeGoodput(calls, plan);
   return {
     factor,
     offeredPerSecond,
     machineBusyShare,
-    ...summarizeGoodput(calls, plan),
+    limits: measurementLimits({
+      machineBusyShare,
+      sentLateP99Ms: summary.sentLateMs.p99,
+    }),
+    ...summary,
   };
 }
 
--- a/packages/bench/src/requests/measure_latency.ts
+++ b/packages/bench/src/requests/measure_latency.ts
@@ -1,6 +1,10 @@
-import { percentilesOf, round } from "../common/statistics.ts";
-import { ADDED_P99_MAX_MS, judge, notJudged } from "./bars.ts";
-import { measureMachineLoad } from "./machine_load.ts";
+import {
+  type Percentiles,
+  percentilesOf,
+  round,
+} from "../common/statistics.ts";
+import { ADDED_P99_MAX_MS, type BarResult, judge, notJudged } from "./bars.ts";
+import { measureMachineLoad, measurementLimits } from "./machine_load.ts";
 import type { PairTarget } from "./probe_pairs.ts";
 import { CUSTOMER, type SystemUnderTest } from "./system.ts";
 import { probePairsInProcess } from "./worker.ts";
@@ -10,15 +14,33 @@
 const MIN_PAIRS = 500;
 const MIN_DURATION_MS = 8_000;
 
+/** Latencies of direct calls and of calls through daemons or proxies, in milliseconds. */
+export interface LatencyResult {
+  readonly ratePerSecond: number;
+  readonly pairs: number;
+  readonly pairsNotAnswered: number;
+  readonly machineBusyShare: number;
+  /** What makes the result say little about the system. */
+  readonly limits: readonly string[];
+  readonly directMs: Percentiles;
+  readonly daemonMs: Percentiles;
+  /** Differences of the percentiles. */
+  readonly addedP50Ms: number;
+  readonly addedP99Ms: number;
+  /** Percentiles of the differences within pairs. */
+  readonly pairwiseDifferenceMs: Percentiles;
+  readonly bars: readonly BarResult[];
+}
+
 /** Measures what the daemons add at half capacity, in pairs with direct calls. */
 export async function measureLatency(
   system: SystemUnderTest,
-): Promise<Readonly<Record<string, unknown>>> {
+): Promise<LatencyResult> {
   const { plan } = system;
   const durationMs = Math.max(MIN_DURATION_MS, plan.measuredMs);
   const halfCapacity = plan.capacityPerSecond / 2;
   const machineLoad = measureMachineLoad();
-  const [pairs] = await Promise.all([
+  const [pairs, calls] = await Promise.all([
     probePairsInProcess({
       targets: pairTargets(system),
       customer: CUSTOMER,
@@ -46,6 +68,12 @@
     ratePerSecond: halfCapacity,
     pairs: pairs.length,
     machineBusyShare,
+    limits: measurementLimits({
+      machineBusyShare,
+      sentLateP99Ms: percentilesOf(calls.map(({ sentLateMs }) =>
+        sentLateMs
+      )).p99,
+    }),
     pairsNotAnswered: pairs.length - complete.length,
     directMs: direct,
     daemonMs: daemon,
--- a/packages/bench/src/requests/measure_leaving.ts
+++ b/packages/bench/src/requests/measure_leaving.ts
@@ -35,13 +35,12 @@
   await sleep(BEFORE_MS);
   const leftAtMs = performance.timeOrigin + performance.now();
   const daemonEnded = mesh.fleet.daemon(vmOf("sigterm").id).stop(AFTER_MS);
-  void system.upstream(vmOf("health")).control({
+  const drained = system.upstream(vmOf("health")).control({
     action: "set_state",
     state: "draining",
   });
   mesh.publishVms({ [vmOf("vm_list").id]: "leaving" });
-  await load;
-  await daemonEnded;
+  await Promise.all([load, daemonEnded, drained]);
   await system.compare();
   const results = leaving.map((one) => lastNewWork(system, one, leftAtMs));
   await restore(system, leaving);
--- a/packages/bench/src/requests/measurements_test.ts
+++ b/packages/bench/src/requests/measurements_test.ts
@@ -8,6 +8,7 @@
   judgeGoodput,
   summarizeGoodput,
 } from "./measure_goodput.ts";
+import { measurementLimits } from "./machine_load.ts";
 import { planBench } from "./plan.ts";
 
 function call(fields: Partial<CallRecord>): CallRecord {
@@ -56,6 +57,15 @@
   t.end();
 });
 
+// Guards against figures of an overloaded machine that pass for figures of the system.
+t.test("should name a busy machine and late generators as limits of a result", (t) => {
+  const idle = { machineBusyShare: 0.5, sentLateP99Ms: 5 };
+  t.same(measurementLimits(idle), []);
+  t.equal(measurementLimits({ ...idle, machineBusyShare: 0.9 }).length, 1);
+  t.equal(measurementLimits({ ...idle, sentLateP99Ms: 21 }).length, 1);
+  t.end();
+});
+
 // Guards against a baseline that is better or worse than the one described.
 t.test("should retry every failure and count the attempts in the baseline proxy", async (t) => {
   const upstream = await startUpstreamStandIn({ name: "deposits-1", slots: 0 });
--- a/packages/bench/src/requests/run_requests.ts
+++ b/packages/bench/src/requests/run_requests.ts
@@ -18,9 +18,14 @@
 
 /** Results that are compared between the systems. */
 interface SystemResults {
+  /** What makes latency and goodput say little about the system. */
+  readonly limits: readonly string[];
+  readonly addedP99Ms: number;
   readonly goodput: readonly GoodputPoint[];
   /** Attempts per request by kind and extent of the failure. */
   readonly attempts: Readonly<Record<string, number>>;
+  /** Requests lost, run twice, wrongly reported or wrongly answered. */
+  readonly faults: number;
 }
 
 const SYSTEMS: readonly SystemName[] = ["owner", "direct", "baseline"];
@@ -41,7 +46,7 @@
     capacityPerSecond: plan.capacityPerSecond,
     measuredMs: plan.measuredMs,
     note:
-      "Service times are constant and chosen so that generators and processors are not the limit at 4 times capacity",
+      "Service times are constant, and chosen so that generators and 10 otherwise idle cores are not the limit at 4 times capacity; `limits` names where they were",
   });
   const results = new Map<SystemName, SystemResults>();
   for (const name of SYSTEMS) {
@@ -57,6 +62,10 @@
     write({
       result: "comparison",
       system: name,
+      limits: [
+        ...results.get(name)!.limits,
+        ...results.get("baseline")!.limits,
+      ],
       bars: compareWithBaseline(results.get(name)!, results.get("baseline")!),
     });
   }
@@ -86,10 +95,9 @@
     ratePerSecond: system.plan.capacityPerSecond / 4,
     durationMs: WARM_UP_MS,
   });
-  if (system.name !== "baseline") {
-    progress("latency");
-    report("latency", await measureLatency(system));
-  }
+  progress("latency");
+  const latency = await measureLatency(system);
+  report("latency", { ...latency });
   const goodput: GoodputPoint[] = [];
   for (const factor of LOAD_FACTORS) {
     progress(`goodput at ${factor} times capacity`);
@@ -97,7 +105,11 @@
     goodput.push(point);
     report("goodput", { ...point });
   }
-  report("overload", { bars: [judgeGoodput(goodput)] });
+  const limits = [
+    ...latency.limits,
+    ...goodput.flatMap((point) => point.limits),
+  ];
+  report("overload", { limits, bars: [judgeGoodput(goodput)] });
   await system.compare();
   if (system.name !== "baseline") {
     progress("leaving");
@@ -113,15 +125,22 @@
     }
   }
   const { faults } = system;
+  const faultCount = faults.lost + faults.runTwice + faults.notRunThatRan +
+    faults.wrongAnswers;
   report("executions", {
     ...faults,
     bars: [judge(
       "nothing lost, run twice, told not run although it ran, or answered wrongly",
-      faults.lost + faults.runTwice + faults.notRunThatRan +
-          faults.wrongAnswers === 0,
+      faultCount === 0,
     )],
   });
-  return { goodput, attempts };
+  return {
+    limits,
+    addedP99Ms: latency.addedP99Ms,
+    goodput,
+    attempts,
+    faults: faultCount,
+  };
 }
 
 function compareWithBaseline(own: SystemResults, baseline: SystemResults) {
@@ -144,5 +163,16 @@
       perRequest < (baseline.attempts[failure] ?? 0),
     )
   );
-  return [...overload, ...attempts];
+  return [
+    judge(
+      `p99 added at half capacity below the baseline's: ${own.addedP99Ms} ms against ${baseline.addedP99Ms} ms`,
+      own.addedP99Ms < baseline.addedP99Ms,
+    ),
+    ...overload,
+    ...attempts,
+    judge(
+      `faults below the baseline's: ${own.faults} against ${baseline.faults}`,
+      own.faults < baseline.faults,
+    ),
+  ];
 }
