--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -23,10 +23,10 @@
   readonly relay?: Relay;
   /** Keeps a terminal's ctrl-C away from the daemons. */
   readonly ownProcessGroup?: boolean;
-  /** Time between two reads of each daemon's `/status`; 0 turns them off. */
-  readonly statusIntervalMs?: number;
   /** Daemons that start at the same time. */
   readonly startsAtOnce?: number;
+  /** Time between two reads of a daemon's status; 0 leaves its log as the only source. */
+  readonly statusIntervalMs?: number;
 }
 
 /** Options of `Fleet.waitInForce`. */
