--- a/packages/bench/src/requests/machine_load.ts
+++ b/packages/bench/src/requests/machine_load.ts
@@ -20,7 +20,7 @@
   const limits: string[] = [];
   if (machineBusyShare > MACHINE_BUSY_MAX_SHARE) {
     limits.push(
-      `Processors ${machineBusyShare * 100} % busy, at most ${
+      `Processors ${Math.round(machineBusyShare * 100)} % busy, at most ${
         MACHINE_BUSY_MAX_SHARE * 100
       } % expected`,
     );
