Check that load processes use different seeds

Cause: a mutation to one seed for all processes was not noticed; ids differed by start time alone. Change: the test asserts two seeds in the ids of two processes. Conclusion: the test fails with the mutation and passes without it.

--- a/packages/emulator/src/load_test.ts
+++ b/packages/emulator/src/load_test.ts
@@ -134,6 +134,9 @@
   t.ok(calls.length > 320 && calls.length < 480, `${calls.length}`);
   t.equal(notSent, 0);
   t.equal(new Set(calls.map(({ id }) => id)).size, calls.length);
+  // The start time in an id differs as well, but only by chance.
+  const seeds = calls.map(({ id }) => id.split("-")[0]);
+  t.equal(new Set(seeds).size, 2);
   t.ok(calls.every(({ wrongAnswer }) => wrongAnswer === undefined));
   t.ok(
     calls.every((call) => call.idempotent === (call.service === "swatches")),
