Offer the requests bench as a command

Cause: the bench was built beside the program that starts it. Change: the command is registered. Conclusion: npm run bench -- requests starts it.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,11 +1,16 @@
 import { run, subcommands } from "cmd-ts";
 import { capacityCommand } from "./capacity/index.ts";
 import { distributionCommand } from "./distribution/index.ts";
+import { requestsCommand } from "./requests/index.ts";
 
 const program = subcommands({
   name: "bench",
   description: "Benches of tanagercove; results are JSON lines",
-  cmds: { capacity: capacityCommand, distribution: distributionCommand },
+  cmds: {
+    capacity: capacityCommand,
+    distribution: distributionCommand,
+    requests: requestsCommand,
+  },
 });
 
 void run(program, process.argv.slice(2));
