--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -38,6 +38,7 @@
   const metrics = new Metrics();
   let draining = false;
   let listedLeaving = false;
+  let upstreamDrains = false;
   let announced = Promise.resolve();
   let requestPath: RequestPath | undefined = undefined;
   const decisions = createRequestDecisions(settings);
@@ -59,6 +60,16 @@
     return configuration.routingTable() === undefined ? "starting" : "serving";
   }
 
+  /**
+   * Includes this VM, whose own notice only goes to others: an attempt on it would be refused and use up a
+   * retry.
+   */
+  function leavingVms(): ReadonlySet<string> {
+    const others = membership.leavingVms();
+    if (!upstreamDrains && !draining) return others;
+    return new Set([...others, settings.daemon.vmId]);
+  }
+
   function summary(): DaemonSummary {
     const { vmId, zone, region, service } = settings.daemon;
     return {
@@ -126,9 +137,10 @@
       decisions,
       routingTable: () => configuration.routingTable(),
       whenFresh: () => distribution.whenFresh(),
-      leavingVms: () => membership.leavingVms(),
+      leavingVms,
       isLeaving: () => listedLeaving,
       onUpstreamDraining: (upstreamDraining) => {
+        upstreamDrains = upstreamDraining;
         logEvent(log, {
           event: "upstream_state_changed",
           state: upstreamDraining ? "draining" : "ready",
--- /dev/null
+++ b/packages/daemon/src/faults/requests_daemon_test.ts
@@ -0,0 +1,37 @@
+import { requestFaultTest } from "@tanagercove/test_helpers";
+
+const VICTIM = "reservations-1-1";
+const NEIGHBOUR = "reservations-1-2";
+
+// Guards against a second run of what was on the upstream and a loss of what was in the queue.
+requestFaultTest(
+  "should tell the truth about requests in the queue and on the upstream of a killed daemon",
+  async (t, faultCase) => {
+    faultCase.startLoad(faultCase.others(VICTIM));
+    const bursts = await faultCase.fillQueue(VICTIM, [VICTIM, NEIGHBOUR]);
+    await faultCase.daemon(VICTIM).kill();
+    const served = faultCase.servedAgain(faultCase.others(VICTIM));
+    await bursts.ended;
+    await served;
+    t.ok(
+      faultCase.calls.some(({ outcome }) => outcome === "unknown"),
+      "the kill met requests in flight",
+    );
+  },
+);
+
+// Guards against late work of a daemon that resumes with requests whose deadline has passed.
+requestFaultTest(
+  "should run nothing twice when a daemon is stopped past the deadline and resumes",
+  async (_t, faultCase) => {
+    faultCase.startLoad();
+    await faultCase.untilRunning(VICTIM);
+    faultCase.daemon(VICTIM).pause();
+    await faultCase.untilTold(
+      "request of another daemon that met the stopped one",
+      ({ reason, daemonId }) => reason === "deadline" && daemonId !== VICTIM,
+    );
+    faultCase.daemon(VICTIM).resume();
+    await faultCase.servedAgain();
+  },
+);
--- /dev/null
+++ b/packages/daemon/src/faults/requests_leaving_test.ts
@@ -0,0 +1,70 @@
+import {
+  NO_NEW_WORK_BOUND_MS,
+  type RequestFaultCase,
+  requestFaultTest,
+} from "@tanagercove/test_helpers";
+
+const VICTIM = "reservations-1-1";
+const NEIGHBOUR = "reservations-1-2";
+const SIGTERM_GRACE_MS = 20_000;
+
+// Guards against a shutdown that cuts requests on the upstream or in the queue.
+requestFaultTest(
+  "should cut nothing in flight and begin no late work after SIGTERM with a full queue",
+  async (t, faultCase) => {
+    faultCase.startLoad(faultCase.others(VICTIM));
+    const bursts = await faultCase.fillQueue(VICTIM, [VICTIM, NEIGHBOUR]);
+    const leftAtMs = Date.now();
+    const stopped = faultCase.daemon(VICTIM).stop(SIGTERM_GRACE_MS);
+    const served = faultCase.servedAgain(faultCase.others(VICTIM));
+    await bursts.ended;
+    await stopped;
+    await served;
+    requireNoLateWork(t, faultCase, leftAtMs);
+    const ends = faultCase.executions(VICTIM).map(({ end }) => end);
+    t.ok(ends.every((end) => end === "answered"), ends.join());
+    const cut = faultCase.calls.filter(({ outcome, reason }) =>
+      outcome === "none" || reason === "cut"
+    );
+    t.same(cut, [], "no caller lost its connection or its answer");
+  },
+);
+
+const WAYS: Readonly<
+  Record<string, (faultCase: RequestFaultCase) => Promise<unknown>>
+> = {
+  "its upstream says draining": (faultCase) =>
+    faultCase.upstream(VICTIM).control({
+      action: "set_state",
+      state: "draining",
+    }),
+  "the VM list says leaving": ({ mesh }) =>
+    Promise.resolve(mesh.publishVms({ [VICTIM]: "leaving" })),
+};
+
+for (const [way, leave] of Object.entries(WAYS)) {
+  // Guards against new work on an upstream that has been leaving for seconds.
+  requestFaultTest(
+    `should give an upstream no new work 3 s after ${way}`,
+    async (t, faultCase) => {
+      faultCase.startLoad();
+      await faultCase.untilRunning(VICTIM);
+      const leftAtMs = Date.now();
+      await leave(faultCase);
+      await faultCase.servedAgain();
+      requireNoLateWork(t, faultCase, leftAtMs);
+    },
+  );
+}
+
+function requireNoLateWork(
+  t: Parameters<Parameters<typeof requestFaultTest>[1]>[0],
+  faultCase: RequestFaultCase,
+  leftAtMs: number,
+): void {
+  const late = faultCase.executions(VICTIM).filter(({ startedAtMs }) =>
+    startedAtMs > leftAtMs + NO_NEW_WORK_BOUND_MS
+  );
+  t.same(late, [], "no new work after the bound");
+  t.ok(faultCase.executions(VICTIM).length > 0, "it had work before");
+}
--- /dev/null
+++ b/packages/daemon/src/faults/requests_network_test.ts
@@ -0,0 +1,49 @@
+import { requestFaultTest } from "@tanagercove/test_helpers";
+
+const CALLER = "reservations-1-1";
+const OWNER = "reservations-1-2";
+
+for (const action of ["cut", "silent"] as const) {
+  // Guards against a second run of requests whose answers are lost between two daemons.
+  requestFaultTest(
+    `should tell the truth about requests on a link between daemons that is ${action}`,
+    async (_t, faultCase) => {
+      faultCase.startLoad();
+      await faultCase.untilRunning(OWNER);
+      const rule = faultCase.mesh.relay!.addRule({
+        from: { id: CALLER },
+        to: { id: OWNER },
+        bothWays: true,
+        action,
+      });
+      await faultCase.untilTold(
+        "request of the caller's daemon that another upstream answered",
+        ({ daemonId, outcome }) =>
+          daemonId === CALLER && outcome === "answered",
+      );
+      await faultCase.burst(CALLER);
+      rule.remove();
+      await faultCase.servedAgain();
+    },
+  );
+}
+
+// Guards against requests that cross zones in vain although the own zone can serve.
+requestFaultTest(
+  "should serve each side when a zone is cut from the others during requests",
+  async (_t, faultCase) => {
+    faultCase.startLoad();
+    await faultCase.untilRunning(CALLER);
+    const rules = ["zone-b", "zone-c"].map((zone) =>
+      faultCase.mesh.relay!.addRule({
+        from: { zone: "zone-a" },
+        to: { zone },
+        bothWays: true,
+        action: "cut",
+      })
+    );
+    await faultCase.servedAgain(undefined, "the cut");
+    for (const rule of rules) rule.remove();
+    await faultCase.servedAgain(undefined, "the end of the cut");
+  },
+);
--- /dev/null
+++ b/packages/daemon/src/faults/requests_upstream_test.ts
@@ -0,0 +1,33 @@
+import { requestFaultTest } from "@tanagercove/test_helpers";
+
+const VICTIM = "reservations-1-1";
+
+// Guards against a retry of a POST that the killed upstream had begun.
+requestFaultTest(
+  "should run nothing twice when an upstream is killed during requests",
+  async (t, faultCase) => {
+    faultCase.startLoad();
+    await faultCase.untilHeld(VICTIM);
+    await faultCase.upstream(VICTIM).kill();
+    await faultCase.servedAgain(undefined, "the kill");
+    await faultCase.upstream(VICTIM).start();
+    await faultCase.servedAgain(undefined, "the restart");
+    t.ok(faultCase.calls.some(({ outcome }) => outcome === "unknown"));
+  },
+);
+
+// Guards against "not run" for a request that the upstream reads only after it resumes.
+requestFaultTest(
+  "should tell the truth about requests on an upstream that is stopped past the deadline",
+  async (_t, faultCase) => {
+    faultCase.startLoad();
+    await faultCase.untilRunning(VICTIM);
+    faultCase.upstream(VICTIM).pause();
+    await faultCase.untilTold(
+      "deadline of a non-idempotent request",
+      ({ reason, idempotent }) => reason === "deadline" && !idempotent,
+    );
+    faultCase.upstream(VICTIM).resume();
+    await faultCase.servedAgain();
+  },
+);
--- /dev/null
+++ b/packages/test_helpers/src/request_fault_case.ts
@@ -0,0 +1,307 @@
+import t, { type Test } from "tap";
+import {
+  type CallRecord,
+  compareExecutions,
+  type DaemonProcess,
+  type Execution,
+  executionsOf,
+  type Mesh,
+  runLoad,
+  type StartMeshOptions,
+  UpstreamProcess,
+} from "@tanagercove/emulator";
+import { FAULT_ZONES } from "./fault_case.ts";
+import { openMesh } from "./open_mesh.ts";
+import { waitFor } from "./wait_for.ts";
+
+/** Stated bound: time from the end of a fault until callers are served again. */
+export const SERVED_AGAIN_BOUND_MS = 3_000;
+
+/** Bound of docs/design.md: time after which a leaving upstream gets no new work. */
+export const NO_NEW_WORK_BOUND_MS = 3_000;
+
+/** Deadline of each request of the load. */
+export const LOAD_DEADLINE_MS = 1_000;
+
+const SEED = 20_261_204;
+const SERVICE = "reservations";
+const INSTANCES = 2;
+/** Few slots, so that light load fills a queue. */
+const SLOTS = 2;
+const SERVICE_TIME_MS = 30;
+/** Long enough for a fault to meet a full queue, and within the deadline of the first in it. */
+const SLOW_SERVICE_TIME_MS = 400;
+const RATE_PER_DAEMON = 8;
+const BURST = { ratePerSecond: 1_000, durationMs: 30 };
+/** Time after the bound in which every request must be answered. */
+const STEADY_MS = 1_500;
+const READY_TIMEOUT_MS = 30_000;
+
+/** A call with the daemon that it was sent to and its times by `performance.now()`. */
+export interface TimedCall extends CallRecord {
+  readonly daemonId: string;
+  readonly dueAtMs: number;
+  readonly endedAtMs: number;
+}
+
+/** A mesh of daemons and upstream processes under a light load, and the checks of its requests. */
+export class RequestFaultCase {
+  readonly mesh: Mesh;
+  readonly calls: TimedCall[] = [];
+  readonly #t: Test;
+  readonly #stop = new AbortController();
+  readonly #runs: Promise<unknown>[] = [];
+  #nextSeed = SEED;
+
+  constructor(t: Test, mesh: Mesh) {
+    this.#t = t;
+    this.mesh = mesh;
+  }
+
+  daemon(id: string): DaemonProcess {
+    return this.mesh.fleet.daemon(id);
+  }
+
+  upstream(id: string): UpstreamProcess {
+    const upstream = this.mesh.upstreams.get(id);
+    if (upstream instanceof UpstreamProcess) return upstream;
+    throw new Error(`No upstream process "${id}"`);
+  }
+
+  /** Daemons other than the named ones. */
+  others(...ids: readonly string[]): readonly DaemonProcess[] {
+    return this.mesh.fleet.daemons.filter(({ id }) => !ids.includes(id));
+  }
+
+  /** Starts the light load on each of these daemons. */
+  startLoad(daemons: readonly DaemonProcess[] = this.mesh.fleet.daemons): void {
+    for (const { id } of daemons) {
+      void this.#run(id, {
+        ratePerSecond: RATE_PER_DAEMON,
+        durationMs: Infinity,
+      });
+    }
+  }
+
+  /** Sends about 30 requests to a daemon at once; resolves when all have ended. */
+  burst(id: string): Promise<unknown> {
+    return this.#run(id, BURST);
+  }
+
+  executions(id: string): readonly Execution[] {
+    return this.upstream(id).logs.flatMap((log) => log.all);
+  }
+
+  /** Waits until this many requests run on an upstream. */
+  async untilRunning(id: string, count = 1): Promise<void> {
+    const running = () =>
+      this.executions(id).filter(({ endedAtMs }) => endedAtMs === undefined);
+    await waitFor(() => running().length >= count, {
+      what: `${count} running requests on ${id}`,
+      intervalMs: 2,
+    });
+  }
+
+  /** Makes an upstream slow and waits until a POST runs on it, so that a fault meets it. */
+  async untilHeld(id: string): Promise<void> {
+    await this.#setServiceTime(id, SLOW_SERVICE_TIME_MS);
+    await waitFor(
+      () =>
+        this.executions(id).some(({ method, endedAtMs }) =>
+          method === "POST" && endedAtMs === undefined
+        ),
+      { what: `running POST on ${id}`, intervalMs: 2 },
+    );
+  }
+
+  /** Makes these upstreams slow, fills their queues from two callers and waits until the named one's is full. */
+  async fillQueue(
+    id: string,
+    slow: readonly string[],
+  ): Promise<{ readonly ended: Promise<unknown> }> {
+    for (const slowId of slow) {
+      await this.#setServiceTime(slowId, SLOW_SERVICE_TIME_MS);
+    }
+    const bursts = Promise.all(slow.map((slowId) => this.burst(slowId)));
+    await waitFor(async () => {
+      const dump = await this.daemon(id).dump() as {
+        readonly requests: {
+          readonly forwarded: { readonly reasons: { queue_full?: number } };
+        };
+      };
+      return (dump.requests.forwarded.reasons.queue_full ?? 0) > 0;
+    }, { what: `full queue of ${id}`, intervalMs: 2 });
+    await this.untilRunning(id, SLOTS);
+    // The fault under test is not an overload of the others.
+    for (const slowId of slow.filter((other) => other !== id)) {
+      await this.#setServiceTime(slowId, SERVICE_TIME_MS);
+    }
+    return { ended: bursts };
+  }
+
+  /** Waits for a call that was due from now on and matches. */
+  async untilTold(
+    what: string,
+    matches: (call: TimedCall) => boolean,
+  ): Promise<void> {
+    const sinceMs = performance.now();
+    await waitFor(
+      () => this.calls.some((call) => call.dueAtMs >= sinceMs && matches(call)),
+      { what },
+    );
+  }
+
+  /**
+   * Requires that callers of these daemons are served from the bound after now on, and that each had an
+   * answer before it.
+   */
+  async servedAgain(
+    daemons: readonly DaemonProcess[] = this.mesh.fleet.daemons,
+    what = "the fault",
+  ): Promise<void> {
+    const endedAtMs = performance.now();
+    const boundAtMs = endedAtMs + SERVED_AGAIN_BOUND_MS;
+    const steadyUntilMs = boundAtMs + STEADY_MS;
+    await waitFor(
+      () => performance.now() > steadyUntilMs + LOAD_DEADLINE_MS,
+      { what: "end of the observation" },
+    );
+    for (const { id } of daemons) {
+      const own = this.calls.filter((call) => call.daemonId === id);
+      const served = own.filter(({ outcome, dueAtMs, endedAtMs: atMs }) =>
+        outcome === "answered" && dueAtMs >= endedAtMs && atMs <= boundAtMs
+      );
+      this.#t.ok(served.length > 0, `${id} serves within the bound of ${what}`);
+      const later = own.filter(({ dueAtMs }) =>
+        dueAtMs > boundAtMs && dueAtMs < steadyUntilMs
+      );
+      this.#t.ok(later.length > 0, `${id} has load after the bound`);
+      const told = later
+        .filter(({ outcome }) => outcome !== "answered")
+        .map(({ outcome, reason }) => `${outcome} ${reason}`);
+      this.#t.same(told, [], `${id} answers all after the bound of ${what}`);
+    }
+  }
+
+  /** Ends the load and compares what callers were told with what ran. */
+  async finish(): Promise<void> {
+    this.#stop.abort();
+    await Promise.all(this.#runs);
+    // Orders are answered after the events before them, so nothing that ran is still on its way here.
+    for (const upstream of this.mesh.upstreams.values()) {
+      if (!(upstream instanceof UpstreamProcess) || !upstream.isRunning) {
+        continue;
+      }
+      upstream.resume();
+      await upstream.control({ action: "thaw" });
+      await upstream.control({ action: "thaw" });
+    }
+    const executions = executionsOf(this.mesh);
+    const { runTwice, lost, notRunThatRan, ...counts } = compareExecutions(
+      this.calls,
+      executions,
+    );
+    const sent = new Set(this.calls.map(({ id }) => id));
+    const foreign = executions.map(({ id }) => id).filter((id) =>
+      !sent.has(id)
+    );
+    const wrong = this.calls.filter(({ wrongAnswer }) => wrongAnswer);
+    this.#t.comment(
+      `${this.calls.length} requests, ${JSON.stringify(counts)}, told ${
+        JSON.stringify(this.#told())
+      }`,
+    );
+    this.#t.same(runTwice, [], "no non-idempotent request ran twice");
+    this.#t.same(lost, [], "nothing told answered did not run");
+    this.#t.same(notRunThatRan, [], "nothing told not_run ran");
+    this.#t.same(foreign, [], "nothing ran that no caller sent");
+    this.#t.same(wrong, [], "no wrong or truncated answer passed as whole");
+    this.#t.ok(executions.length > 0, "requests ran");
+    this.#t.ok(
+      this.calls.some((call) =>
+        !call.idempotent && call.outcome === "answered"
+      ),
+    );
+  }
+
+  #setServiceTime(id: string, meanMs: number): Promise<void> {
+    return this.upstream(id).control({
+      action: "set_service_time",
+      serviceTime: { shape: "fixed", meanMs },
+    });
+  }
+
+  #told(): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {};
+    for (const { outcome, reason } of this.calls) {
+      const key = reason === undefined ? outcome : `${outcome} ${reason}`;
+      counts[key] = (counts[key] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  #run(
+    daemonId: string,
+    load: { readonly ratePerSecond: number; readonly durationMs: number },
+  ): Promise<unknown> {
+    const seed = this.#nextSeed;
+    this.#nextSeed += 1;
+    const run = runLoad({
+      ...load,
+      targets: [this.mesh.callerUrl(daemonId)],
+      customers: ["isla"],
+      services: [SERVICE],
+      seed,
+      idempotentShare: 0.5,
+      deadlineMs: LOAD_DEADLINE_MS,
+      answerBytes: 2_000,
+      signal: this.#stop.signal,
+      onCall: (call) => {
+        const endedAtMs = performance.now();
+        const dueAtMs = endedAtMs - call.latencyMs;
+        this.calls.push({ ...call, daemonId, dueAtMs, endedAtMs });
+      },
+    });
+    this.#runs.push(run);
+    return run;
+  }
+}
+
+/** Runs a test of requests under faults and compares executions and outcomes at its end. */
+export function requestFaultTest(
+  name: string,
+  body: (t: Test, faultCase: RequestFaultCase) => Promise<void>,
+): void {
+  t.test(name, async (t) => {
+    t.comment(`seed ${SEED}`);
+    const options: StartMeshOptions = {
+      zones: FAULT_ZONES,
+      services: [SERVICE],
+      instances: INSTANCES,
+      upstreams: "processes",
+      upstreamOptions: () => ({
+        slots: SLOTS,
+        serviceTime: { shape: "fixed", meanMs: SERVICE_TIME_MS },
+      }),
+      plans: "isla = full\n",
+      allowances: `full = ${SERVICE}\n`,
+      settings: { upstream: { slots: SLOTS } },
+    };
+    const mesh = await openMesh(t, options);
+    const faultCase = new RequestFaultCase(t, mesh);
+    await mesh.fleet.waitInForce(1, { timeoutMs: READY_TIMEOUT_MS });
+    await waitFor(async () => {
+      const states = await Promise.all(
+        mesh.fleet.daemons.map((daemon) => daemon.status()),
+      );
+      return states.every(({ json }) =>
+        json.state === "serving" && json.vms_revision !== undefined
+      );
+    }, { timeoutMs: READY_TIMEOUT_MS });
+    try {
+      await body(t, faultCase);
+    } finally {
+      await faultCase.finish();
+    }
+  });
+}
