--- a/packages/test_helpers/src/fault_matrix.ts
+++ b/packages/test_helpers/src/fault_matrix.ts
@@ -41,9 +41,12 @@
 const NOT_PROVED = "not proved";
 const TEST_REFERENCE = /^`([^`:]+_test\.ts): ([^`]+)`$/;
 
-/** Titles of tests that run, as written in the source; skipped and todo tests do not count. */
+/**
+ * Titles of tests that run, as written in the source; skipped and todo tests do not count. `faultTest` and
+ * `requestFaultTest` run a test in a mesh of real processes.
+ */
 const TEST_TITLE =
-  /\.test\(\s*(?:"((?:[^"\\]|\\.)*)"|`((?:[^`\\]|\\.)*)`)(?!\s*,\s*\{[^}]*\b(?:skip|todo)\b)/g;
+  /(?:\.test|\b(?:faultTest|requestFaultTest))\(\s*(?:"((?:[^"\\]|\\.)*)"|`((?:[^`\\]|\\.)*)`)(?!\s*,\s*\{[^}]*\b(?:skip|todo)\b)/g;
 
 type Table = readonly (readonly string[])[];
 
--- a/packages/test_helpers/src/fault_matrix_test.ts
+++ b/packages/test_helpers/src/fault_matrix_test.ts
@@ -15,7 +15,7 @@
 
 function problemsOf(markdown: string): readonly string[] {
   const source =
-    't.test("should a", () => {});\n// t.test("should b", () => {});\nt.test(\n  `should c ${d}`,\n  { skip: true }, () => {});\nt.test(`should e ${f}`, () => {});';
+    't.test("should a", () => {});\n// t.test("should b", () => {});\nt.test(\n  `should c ${d}`,\n  { skip: true }, () => {});\nt.test(`should e ${f}`, () => {});\nfaultTest(\n  "should g", () => {});\nrequestFaultTest(`should h ${i}`, () => {});\n// faultTest("should j", () => {});\nnoTest("should k", () => {});';
   return checkFaultMatrix({
     markdown,
     readFile: (path) => path === "x_test.ts" ? source : undefined,
@@ -39,9 +39,17 @@
     "not proved",
     "`x_test.ts: should a`",
     "`x_test.ts: should e ${f}`",
+    "`x_test.ts: should g`",
+    "`x_test.ts: should h ${i}`",
   ];
   for (const cell of good) t.same(problemsOf(pageWith(cell)), []);
-  const bad = ["should b", "should c ${d}", "should z"];
+  const bad = [
+    "should b",
+    "should c ${d}",
+    "should j",
+    "should k",
+    "should z",
+  ];
   for (const title of bad) {
     const problems = problemsOf(pageWith(`\`x_test.ts: ${title}\``));
     t.equal(problems[0], `No test '${title}' in 'x_test.ts'`);
