Give burst requests a deadline that the queue cannot exceed

Cause: in the SIGTERM test a burst of 60 requests waited in a queue of up to 2 s with a deadline of 1 s, so deadlines ended executions that the check takes for cut by the shutdown. Change: the burst's deadline is 10 s; the check is the same. Conclusion: only the shutdown can now end an execution early.

--- a/packages/test_helpers/src/request_fault_case.ts
+++ b/packages/test_helpers/src/request_fault_case.ts
@@ -32,7 +32,8 @@
 /** Long enough for a fault to meet a full queue, and within the deadline of the first in it. */
 const SLOW_SERVICE_TIME_MS = 400;
 const RATE_PER_DAEMON = 8;
-const BURST = { ratePerSecond: 1_000, durationMs: 30 };
+/** Requests of a burst wait in a full queue, so their deadline must not end them before the fault does. */
+const BURST = { ratePerSecond: 1_000, durationMs: 30, deadlineMs: 10_000 };
 /** Time after the bound in which every request must be answered. */
 const STEADY_MS = 1_500;
 const READY_TIMEOUT_MS = 30_000;
@@ -242,18 +243,22 @@
 
   #run(
     daemonId: string,
-    load: { readonly ratePerSecond: number; readonly durationMs: number },
+    load: {
+      readonly ratePerSecond: number;
+      readonly durationMs: number;
+      readonly deadlineMs?: number;
+    },
   ): Promise<unknown> {
     const seed = this.#nextSeed;
     this.#nextSeed += 1;
     const run = runLoad({
+      deadlineMs: LOAD_DEADLINE_MS,
       ...load,
       targets: [this.mesh.callerUrl(daemonId)],
       customers: ["isla"],
       services: [SERVICE],
       seed,
       idempotentShare: 0.5,
-      deadlineMs: LOAD_DEADLINE_MS,
       answerBytes: 2_000,
       signal: this.#stop.signal,
       onCall: (call) => {
