--- a/packages/distribution/src/distribution.ts
+++ b/packages/distribution/src/distribution.ts
@@ -1,4 +1,3 @@
-import { Result } from "true-myth";
 import {
   type Clock,
   type LeavingNotice,
@@ -11,13 +10,7 @@
 } from "@tanagercove/membership";
 import type { LogRecord } from "@tanagercove/logs";
 import type { PlatformPort } from "@tanagercove/platform";
-import {
-  INVALID_PARAMS,
-  type RpcCaller,
-  type RpcHandlers,
-  type RpcMethod,
-  type RpcMethodHandler,
-} from "@tanagercove/rpc";
+import type { RpcCaller, RpcHandlers } from "@tanagercove/rpc";
 import type { SnapshotId, SnapshotKind } from "@tanagercove/types";
 import type { OfferCounts, RefusedVersion } from "@tanagercove/versions";
 import { Confirmations } from "./confirmations.ts";
@@ -27,9 +20,6 @@
   encodeDigest,
   encodeNotice,
   parseDigest,
-  parseFetchRequest,
-  parseNotice,
-  parsePush,
 } from "./messages.ts";
 import {
   completeTuning,
@@ -37,6 +27,7 @@
   type Weight,
 } from "./options.ts";
 import { PauseGate } from "./pause_gate.ts";
+import { createPeerHandlers } from "./peer_handlers.ts";
 import {
   type PlatformCounts,
   PlatformWatch,
@@ -381,55 +372,23 @@
   }
 
   #createHandlers(): RpcHandlers {
-    const { membership } = this.#options;
+    const { membership, summary } = this.#options;
     const replication = this.#replication;
-    return {
-      "digest.exchange": this.#handle("digest.exchange", {
-        parse: parseDigest,
-        handle: (digest) => {
-          this.#absorb(digest, 0);
-          this.#fetchFromSender(digest);
-          return encodeDigest(this.#digest());
-        },
-      }),
-      "versions.push": this.#handle("versions.push", {
-        parse: parsePush,
-        handle: (push) => {
-          membership.heardFrom(push.sender.vmId, push.sender.processId);
-          return { verdict: replication.receivePush(push) };
-        },
-      }),
-      "versions.fetch": this.#handle("versions.fetch", {
-        parse: parseFetchRequest,
-        handle: (request) => replication.answerFetch(request),
-      }),
-      "membership.leaving": this.#handle("membership.leaving", {
-        parse: parseNotice,
-        handle: (notice) => {
-          this.#takeNotice(notice);
-          return {};
-        },
-      }),
-      "status.summary": () =>
-        Promise.resolve(Result.ok(this.#options.summary?.() ?? {})),
-    };
-  }
-
-  #handle<T>(method: RpcMethod, steps: {
-    readonly parse: (params: unknown) => T | undefined;
-    readonly handle: (message: T) => unknown;
-  }): RpcMethodHandler {
-    return (params) => {
-      const message = steps.parse(params);
-      if (message !== undefined) {
-        return Promise.resolve(Result.ok(steps.handle(message)));
-      }
-      this.#malformed += 1;
-      return Promise.resolve(Result.err({
-        code: INVALID_PARAMS,
-        message: `Parameters of "${method}" have another form than expected`,
-      }));
-    };
+    return createPeerHandlers({
+      exchangeDigests: (theirs) => {
+        this.#absorb(theirs, 0);
+        this.#fetchFromSender(theirs);
+        return this.#digest();
+      },
+      receivePush: (push) => {
+        membership.heardFrom(push.sender.vmId, push.sender.processId);
+        return replication.receivePush(push);
+      },
+      answerFetch: (request) => replication.answerFetch(request),
+      takeNotice: (notice) => this.#takeNotice(notice),
+      summary: () => summary?.() ?? {},
+      onMalformed: () => this.#malformed += 1,
+    });
   }
 
   /** Only a sender that the VM list names is called back. */
