Let the kill of an owner daemon meet a POST of another caller

The bursts of two callers raced for the eight places of the queue of the daemon to be killed. When its own caller took them all, no request of another daemon was cut, and its own caller, whose daemon is dead, has no answer at all instead of "unknown". Ruled out: a fault of the daemon; the executions and the answers of that run agreed.

Change: fillQueue starts the bursts of the other callers first and waits until one of their POSTs runs, and the test kills the daemon while a POST of another daemon runs. The check is stricter than before: it wants the reason "cut", where any "unknown" would have done.

--- a/packages/daemon/src/faults/requests_daemon_test.ts
+++ b/packages/daemon/src/faults/requests_daemon_test.ts
@@ -9,12 +9,15 @@
   async (t, faultCase) => {
     faultCase.startLoad(faultCase.others(VICTIM));
     const bursts = await faultCase.fillQueue(VICTIM, [VICTIM, NEIGHBOUR]);
+    await faultCase.untilPostOfOthersRuns(VICTIM);
     await faultCase.daemon(VICTIM).kill();
     const served = faultCase.servedAgain(faultCase.others(VICTIM));
     await bursts.ended;
     await served;
     t.ok(
-      faultCase.calls.some(({ outcome }) => outcome === "unknown"),
+      faultCase.calls.some(({ outcome, reason }) =>
+        outcome === "unknown" && reason === "cut"
+      ),
       "the kill met requests in flight",
     );
   },
--- a/packages/test_helpers/src/request_fault_case.ts
+++ b/packages/test_helpers/src/request_fault_case.ts
@@ -52,6 +52,8 @@
   readonly #t: Test;
   readonly #stop = new AbortController();
   readonly #runs: Promise<unknown>[] = [];
+  /** Daemon that each run of the load is sent to, by the run's seed. */
+  readonly #daemonIdBySeed = new Map<string, string>();
   #nextSeed = SEED;
 
   constructor(t: Test, mesh: Mesh) {
@@ -115,7 +117,22 @@
     );
   }
 
-  /** Makes these upstreams slow, fills their queues from two callers and waits until the named one's is full. */
+  /** Waits until a POST that came through another daemon runs on an upstream. */
+  async untilPostOfOthersRuns(id: string): Promise<void> {
+    await waitFor(
+      () =>
+        this.executions(id).some((execution) =>
+          execution.method === "POST" && execution.endedAtMs === undefined &&
+          this.#daemonIdBySeed.get(seedOf(execution.id)) !== id
+        ),
+      { what: `running POST of another daemon on ${id}`, intervalMs: 2 },
+    );
+  }
+
+  /**
+   * Makes these upstreams slow, fills their queues from their daemons and waits until the named one's is
+   * full. The named daemon's own burst comes last, or it could keep all others out of the queue.
+   */
   async fillQueue(
     id: string,
     slow: readonly string[],
@@ -123,7 +140,10 @@
     for (const slowId of slow) {
       await this.#setServiceTime(slowId, SLOW_SERVICE_TIME_MS);
     }
-    const bursts = Promise.all(slow.map((slowId) => this.burst(slowId)));
+    const others = slow.filter((other) => other !== id);
+    const bursts = others.map((other) => this.burst(other));
+    if (others.length > 0) await this.untilPostOfOthersRuns(id);
+    bursts.push(this.burst(id));
     await waitFor(async () => {
       const dump = await this.daemon(id).dump() as {
         readonly requests: {
@@ -134,10 +154,10 @@
     }, { what: `full queue of ${id}`, intervalMs: 2 });
     await this.untilRunning(id, SLOTS);
     // The fault under test is not an overload of the others.
-    for (const slowId of slow.filter((other) => other !== id)) {
-      await this.#setServiceTime(slowId, SERVICE_TIME_MS);
+    for (const other of others) {
+      await this.#setServiceTime(other, SERVICE_TIME_MS);
     }
-    return { ended: bursts };
+    return { ended: Promise.all(bursts) };
   }
 
   /** Waits for a call that was due from now on and matches. */
@@ -251,6 +271,7 @@
   ): Promise<unknown> {
     const seed = this.#nextSeed;
     this.#nextSeed += 1;
+    this.#daemonIdBySeed.set(String(seed), daemonId);
     const run = runLoad({
       deadlineMs: LOAD_DEADLINE_MS,
       ...load,
@@ -272,6 +293,11 @@
   }
 }
 
+/** The ids of a run's requests begin with its seed. */
+function seedOf(requestId: string): string {
+  return requestId.slice(0, requestId.indexOf("-"));
+}
+
 /** Runs a test of requests under faults and compares executions and outcomes at its end. */
 export function requestFaultTest(
   name: string,
