Split the upstream stand-in by job

No behaviour changes.

Conclusion: orders of the stand-in can be added without touching how requests run.

--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./address_block.ts";
+export * from "./answer_body.ts";
 export * from "./daemon_process.ts";
 export * from "./execution_log.ts";
 export * from "./fleet.ts";
@@ -13,6 +14,7 @@
 export * from "./platform_store.ts";
 export * from "./relay.ts";
 export * from "./relay_rules.ts";
+export * from "./request_executor.ts";
 export * from "./seeded_random.ts";
 export * from "./settings_file.ts";
 export * from "./upstream_control.ts";
--- a/packages/emulator/src/load.ts
+++ b/packages/emulator/src/load.ts
@@ -9,7 +9,7 @@
   type ToldOutcome,
 } from "./load_report.ts";
 import { pickOne, type Random, seededRandom } from "./seeded_random.ts";
-import { paddingOf } from "./upstream_stand_in.ts";
+import { paddingOf } from "./answer_body.ts";
 
 /** Options of `runLoad`. */
 export interface RunLoadOptions {
--- /dev/null
+++ b/packages/emulator/src/request_executor.ts
@@ -0,0 +1,182 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { HEADERS } from "@tanagercove/types";
+import { answerBody } from "./answer_body.ts";
+import type { ExecutionEnd, ExecutionEvent } from "./execution_log.ts";
+import type { Freezer } from "./freezer.ts";
+import type { PlannedFailures } from "./planned_failures.ts";
+import type { ExchangeStep } from "./upstream_control.ts";
+
+/**
+ * What happens to requests beyond the slots: refused as not started, or kept waiting in the order of
+ * arrival, as a server that only limits its connections does.
+ */
+export type OverloadMode = "shed" | "wait";
+
+/** Options of `RequestExecutor`. */
+export interface RequestExecutorOptions {
+  readonly name: string;
+  /** Requests that run at once. */
+  readonly slots: number;
+  readonly overload: OverloadMode;
+  readonly serviceTimeMs: () => number;
+  /** Time since the upstream began to drain, where it did. */
+  readonly drainingForMs: () => number | undefined;
+  readonly freezer: Freezer;
+  readonly failures: PlannedFailures;
+  /** Carries out a planned failure. */
+  readonly fail: (step: ExchangeStep, response: ServerResponse) => void;
+  readonly onEvent: (event: ExecutionEvent) => void;
+}
+
+interface WaitingRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly deadlineAtMs: number;
+}
+
+/** Time for a written part to leave before the reset. */
+const FLUSH_MS = 20;
+
+/** Runs requests in the slots of an upstream and answers them. */
+export class RequestExecutor {
+  readonly #options: RequestExecutorOptions;
+  readonly #waiting: WaitingRequest[] = [];
+  #slots: number;
+  #running = 0;
+  #lastNumber = 0;
+
+  constructor(options: RequestExecutorOptions) {
+    this.#options = options;
+    this.#slots = options.slots;
+  }
+
+  get running(): number {
+    return this.#running;
+  }
+
+  /** Requests running for each slot. */
+  get load(): number {
+    return this.#running / this.#slots;
+  }
+
+  setSlots(slots: number): void {
+    this.#slots = slots;
+  }
+
+  /** Runs a request, or lets it wait or refuses it where all slots are taken. */
+  accept(request: IncomingMessage, response: ServerResponse): void {
+    const deadlineAtMs = performance.now() + deadlineMsOf(request);
+    const accepted = { request, response, deadlineAtMs };
+    if (this.#running < this.#slots) this.#execute(accepted);
+    else if (this.#options.overload === "wait") this.#waiting.push(accepted);
+    else this.shed(response);
+  }
+
+  /** Refuses a request as not started. */
+  shed(response: ServerResponse): void {
+    this.#options.onEvent({ event: "shed" });
+    response.writeHead(503, { [HEADERS.notStarted]: "true" }).end();
+  }
+
+  #startWaiting(): void {
+    while (this.#running < this.#slots) {
+      const next = this.#waiting.shift();
+      if (next === undefined) return;
+      // A caller that has gone away left its request in the queue.
+      if (next.response.destroyed) continue;
+      if (performance.now() >= next.deadlineAtMs) this.shed(next.response);
+      else this.#execute(next);
+    }
+  }
+
+  #execute({ request, response, deadlineAtMs }: WaitingRequest): void {
+    const { name, freezer, onEvent } = this.#options;
+    const url = new URL(request.url ?? "/", "http://upstream");
+    const id = url.searchParams.get("id") ?? "";
+    const requestId = headerOf(request, HEADERS.requestId);
+    const number = this.#start({ id, requestId, method: request.method ?? "" });
+
+    let ended = false;
+    const end = (how: ExecutionEnd) => {
+      if (ended) return;
+      ended = true;
+      this.#running -= 1;
+      clearTimeout(timer);
+      onEvent({ event: "execution_ended", number, end: how, atMs: epochMs() });
+      this.#startWaiting();
+    };
+    const finish = (how: "answered" | "deadline") => {
+      if (ended) return;
+      if (how === "deadline") {
+        end(how);
+        response.writeHead(504).end();
+        return;
+      }
+      const body = answerBody({ name, requestId, id, url });
+      end(this.#sendAnswer(response, body) ? "answered" : "broken");
+    };
+    const workMs = this.#options.serviceTimeMs();
+    const deadlineMs = deadlineAtMs - performance.now();
+    const how = workMs > deadlineMs ? "deadline" : "answered";
+    const timer = setTimeout(
+      () => freezer.run(() => finish(how)),
+      Math.min(workMs, deadlineMs),
+    );
+    response.once("close", () => end("cancelled"));
+  }
+
+  /** Takes a slot; gives the number of the execution. */
+  #start(
+    started: {
+      readonly id: string;
+      readonly requestId: string;
+      readonly method: string;
+    },
+  ): number {
+    this.#lastNumber += 1;
+    this.#running += 1;
+    this.#options.onEvent({
+      event: "execution_started",
+      number: this.#lastNumber,
+      ...started,
+      atMs: epochMs(),
+      drainingForMs: this.#options.drainingForMs(),
+    });
+    return this.#lastNumber;
+  }
+
+  /** Sends an answer; false where a planned failure broke it off. */
+  #sendAnswer(response: ServerResponse, body: Buffer): boolean {
+    const { failures, fail } = this.#options;
+    if (response.socket === null) return false;
+    response.writeHead(200, {
+      "content-type": "application/json",
+      "content-length": body.length,
+    });
+    const step = failures.nextOf("answer_head", "answer_body");
+    if (step === undefined) {
+      response.end(body);
+      return true;
+    }
+    response.flushHeaders();
+    // Without the wait the reset could overtake the part that was written.
+    if (step === "answer_body") {
+      response.write(body.subarray(0, Math.ceil(body.length / 2)));
+    }
+    setTimeout(() => fail(step, response), FLUSH_MS);
+    return false;
+  }
+}
+
+function headerOf(request: IncomingMessage, name: string): string {
+  return String(request.headers[name] ?? "");
+}
+
+/** Time left for a request; no end without the header. */
+function deadlineMsOf(request: IncomingMessage): number {
+  return Number(headerOf(request, HEADERS.deadlineMs) || Infinity);
+}
+
+function epochMs(): number {
+  return performance.timeOrigin + performance.now();
+}
--- a/packages/emulator/src/upstream_command.ts
+++ b/packages/emulator/src/upstream_command.ts
@@ -1,12 +1,10 @@
 import { writeSync } from "node:fs";
 import { createInterface } from "node:readline";
 import { command, flag, number, oneOf, option, string } from "cmd-ts";
+import type { OverloadMode } from "./request_executor.ts";
 import type { UpstreamControl, UpstreamState } from "./upstream_control.ts";
 import type { UpstreamProcessLine } from "./upstream_process.ts";
-import {
-  type OverloadMode,
-  startUpstreamStandIn,
-} from "./upstream_stand_in.ts";
+import { startUpstreamStandIn } from "./upstream_stand_in.ts";
 
 const SHAPES = ["fixed", "uniform", "exponential"] as const;
 const OVERLOAD_MODES: readonly OverloadMode[] = ["shed", "wait"];
