Measure one large zone and the time to join apart from the start

Cause: CAPACITY.md fits a reader's bytes over zones of 4 to 32 daemons and cannot tell a linear growth from a logarithmic one, and its times of a restarted zone contain the start of up to 32 Node processes.

--- a/packages/bench/src/distribution/index.ts
+++ b/packages/bench/src/distribution/index.ts
@@ -19,6 +19,12 @@
       long: "sizes",
       defaultValue: () => "12,24,48,96",
     }),
+    zones: option({
+      type: number,
+      long: "zones",
+      defaultValue: () => 3,
+      description: "1, 2 or 3; a zone then holds sizes / zones daemons",
+    }),
     variants: option({
       type: string,
       long: "variants",
--- a/packages/bench/src/distribution/run_distribution.ts
+++ b/packages/bench/src/distribution/run_distribution.ts
@@ -1,5 +1,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { type IniSections, type Mesh, startMesh } from "@tanagercove/emulator";
+import {
+  type DaemonProcess,
+  type IniSections,
+  type Mesh,
+  startMesh,
+} from "@tanagercove/emulator";
 import { createRandom, type Random } from "../common/random.ts";
 import { writeProgress, writeResult } from "../common/report.ts";
 import { percentilesOf, round } from "../common/statistics.ts";
@@ -21,8 +26,10 @@
 
 /** Options of `runDistribution`. */
 export interface RunDistributionOptions {
-  /** Numbers of daemons; multiples of 12. */
+  /** Numbers of daemons; multiples of 4 times the number of zones. */
   readonly sizes: readonly number[];
+  /** Availability zones that the daemons are spread over; 3 or fewer. */
+  readonly zones: number;
   readonly variants: readonly Variant[];
   readonly seed: number;
   readonly changes: number;
@@ -35,7 +42,6 @@
 }
 
 const ZONES = ["zone-a", "zone-b", "zone-c"];
-const VMS_PER_INSTANCE = ZONES.length * BENCH_SERVICES.length;
 
 /** Calls a second that the platform serves to a fleet of 3,000. */
 const PLATFORM_CALLS_PER_SECOND = 2_000;
@@ -96,11 +102,12 @@
   writeProgress(`${variant} at ${size} daemons`);
   const random = createRandom(seed);
   const plans = new PlansWorkload(options.customers, random);
+  const zones = ZONES.slice(0, options.zones);
   const callsPerSecond = PLATFORM_CALLS_PER_SECOND * size / FLEET_SIZE;
   const mesh = await startMesh({
-    zones: ZONES,
+    zones,
     services: BENCH_SERVICES,
-    instances: size / VMS_PER_INSTANCE,
+    instances: size / (zones.length * BENCH_SERVICES.length),
     relay: false,
     upstreams: "none",
     platform: { callsPerSecond },
@@ -131,6 +138,7 @@
       seed,
       variant,
       daemons: size,
+      zones: zones.length,
       customers: options.customers,
       listBytes: plans.text().length,
       listedVms: size + options.listedVms,
@@ -196,15 +204,25 @@
   );
   const use = useBetween(before, await sampleMesh(mesh, "last"));
   const received = await receivedBytesOf(mesh, zone.map(({ id }) => id));
+  const joinMs = await Promise.all(zone.map(joinMsOf));
   return {
     daemons: zone.length,
     inForceMs: percentilesOf(inForceMs),
+    joinMs: percentilesOf(joinMs),
     platformCalls: use.platformCalls,
     rateLimitedCalls: use.rateLimitedCalls,
     receivedBytesPerDaemon: percentilesOf(received),
   };
 }
 
+/** Time that a daemon took to join, without the start of its process. */
+async function joinMsOf(daemon: DaemonProcess): Promise<number> {
+  const { distribution } = await daemon.dump() as {
+    readonly distribution: { readonly join: { readonly took_ms: number } };
+  };
+  return distribution.join.took_ms;
+}
+
 async function receivedBytesOf(
   mesh: Mesh,
   ids: readonly string[],
