Measure what calls, queued requests and connections cost a daemon

Change: `npm run bench -- slopes` starts a caller's daemon, an owner daemon and an idle one with a counting relay between them and writes a line for each of 4 rates, 4 queue lengths and 4 numbers of idle connections, in about a minute. `bench capacity` fits these lines too; its figures are listed by axis as names and places.

--- a/packages/bench/src/capacity/fit_results.ts
+++ b/packages/bench/src/capacity/fit_results.ts
@@ -1,7 +1,8 @@
 import { fitLine, type LineFit, type Point } from "../common/statistics.ts";
-import { type Figure, FIGURES } from "./figures.ts";
+import type { Figure } from "./figure.ts";
+import { FIGURES } from "./figures.ts";
 
-/** A result line of the distribution bench. */
+/** A result line of a bench. */
 export type ResultLine = Readonly<Record<string, unknown>>;
 
 /** A figure fitted over the sizes that were measured. */
--- a/packages/bench/src/capacity/fit_results_test.ts
+++ b/packages/bench/src/capacity/fit_results_test.ts
@@ -20,3 +20,18 @@
   t.strictSame(fitResults(results.slice(1)), []);
   t.end();
 });
+
+// Guards against a slopes bench and a list of figures that name the same value differently.
+t.test("should fit the request path by calls per second", (t) => {
+  const results = [50, 100, 200, 400].map((callsPerSecond) => ({
+    variant: "owner",
+    callsPerSecond,
+    ownerCpuMsPerSecond: 30 + callsPerSecond * 0.5,
+  }));
+  const fitted = fitResults(results);
+  t.same(fitted.map(({ figure }) => figure.name), [
+    "processor ms/s as the owner daemon",
+  ]);
+  t.ok(Math.abs(fitted[0]!.fit.slope - 0.5) < 1e-9);
+  t.end();
+});
--- a/packages/bench/src/capacity/index.ts
+++ b/packages/bench/src/capacity/index.ts
@@ -8,7 +8,7 @@
 export const capacityCommand = command({
   name: "capacity",
   description:
-    "Fit the results of the distribution bench and extrapolate them to a size",
+    "Fit the results of the distribution and slopes benches and extrapolate them to a size",
   args: {
     at: option({
       type: number,
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,6 +2,7 @@
 import { capacityCommand } from "./capacity/index.ts";
 import { distributionCommand } from "./distribution/index.ts";
 import { requestsCommand } from "./requests/index.ts";
+import { slopesCommand } from "./slopes/index.ts";
 
 const program = subcommands({
   name: "bench",
@@ -10,6 +11,7 @@
     capacity: capacityCommand,
     distribution: distributionCommand,
     requests: requestsCommand,
+    slopes: slopesCommand,
   },
 });
 
