Send paired calls through the daemon of another VM

Cause: each pair went through the daemon on the upstream's own VM, so in a zone with one instance of a service the caller's and the owner daemon were the same process. In a fleet of 3,000 VMs they nearly always are two.

Change: a pair goes through the daemon of another service's VM in the same zone; `minimal` is one zone with two services.

Timers are not part of the added time, since the upstream's service is taken out as it was.

Found: processes wait for a processor.

Conclusion: no local cause in the daemons was found, and nothing was changed in them.

--- a/packages/bench/src/common/deployments.ts
+++ b/packages/bench/src/common/deployments.ts
@@ -49,10 +49,10 @@
   // Few processes, so that the machine is not the limit where the request path is examined.
   minimal: {
     name: "minimal",
-    zones: ["zone-a", "zone-b"],
-    instancesByService: { swatches: 2 },
+    zones: ["zone-a"],
+    instancesByService: { swatches: 1, venues: 1 },
     slots: 10,
     connections: 110,
-    nonIdempotentShare: { swatches: 0 },
+    nonIdempotentShare: { swatches: 0, venues: 0 },
   },
 };
--- a/packages/bench/src/requests/measure_latency.ts
+++ b/packages/bench/src/requests/measure_latency.ts
@@ -62,13 +62,21 @@
 }
 
 /**
- * Pairs each upstream with the daemon on its VM. That daemon prefers upstreams of its own zone, so both
- * calls of a pair go to the same upstream or to one of the same service and zone.
+ * Pairs each upstream with the daemon of another service's VM in its zone, so that the caller's and the owner
+ * daemon are two processes, as in a fleet. That daemon prefers upstreams of its own zone, so both calls of a
+ * pair go to the same upstream or to one of the same service and zone.
  */
 function pairTargets(system: SystemUnderTest): readonly PairTarget[] {
-  return system.mesh.vms.map((vm) => ({
-    service: vm.service,
-    daemonUrl: system.callerUrl(vm),
-    upstreamUrl: `http://${vm.address}:${vm.upstreamPort}`,
-  }));
+  const { vms } = system.mesh;
+  return vms.map((vm, index) => {
+    const after = [...vms.slice(index + 1), ...vms.slice(0, index)];
+    const caller = after.find(({ zone, service }) =>
+      zone === vm.zone && service !== vm.service
+    ) ?? vm;
+    return {
+      service: vm.service,
+      daemonUrl: system.callerUrl(caller),
+      upstreamUrl: `http://${vm.address}:${vm.upstreamPort}`,
+    };
+  });
 }
--- a/packages/bench/src/requests/probe_pairs.ts
+++ b/packages/bench/src/requests/probe_pairs.ts
@@ -41,7 +41,7 @@
 const LOOP_RESOLUTION_MS = 1;
 
 /**
- * Sends pairs of one call straight to an upstream and one through the daemon of its zone, with a second
+ * Sends pairs of one call straight to an upstream and one through a daemon of its zone, with a second
  * direct call as control, one after the other in changing order, so that all see the same load.
  */
 export async function probePairs(
