--- a/packages/emulator/src/request_executor.ts
+++ b/packages/emulator/src/request_executor.ts
@@ -31,6 +31,7 @@
 interface WaitingRequest {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
+  readonly arrivedAtMs: number;
   readonly deadlineAtMs: number;
 }
 
@@ -65,8 +66,9 @@
 
   /** Runs a request, or lets it wait or refuses it where all slots are taken. */
   accept(request: IncomingMessage, response: ServerResponse): void {
-    const deadlineAtMs = performance.now() + deadlineMsOf(request);
-    const accepted = { request, response, deadlineAtMs };
+    const arrivedAtMs = performance.now();
+    const deadlineAtMs = arrivedAtMs + deadlineMsOf(request);
+    const accepted = { request, response, arrivedAtMs, deadlineAtMs };
     if (this.#running < this.#slots) this.#execute(accepted);
     else if (this.#options.overload === "wait") this.#waiting.push(accepted);
     else this.shed(response);
@@ -89,11 +91,14 @@
     }
   }
 
-  #execute({ request, response, deadlineAtMs }: WaitingRequest): void {
+  #execute(
+    { request, response, arrivedAtMs, deadlineAtMs }: WaitingRequest,
+  ): void {
     const { name, freezer, onEvent } = this.#options;
     const url = new URL(request.url ?? "/", "http://upstream");
     const id = url.searchParams.get("id") ?? "";
     const requestId = headerOf(request, HEADERS.requestId);
+    const startedAtMs = performance.now();
     const number = this.#start({ id, requestId, method: request.method ?? "" });
 
     let ended = false;
@@ -112,6 +117,12 @@
         response.writeHead(504).end();
         return;
       }
+      if (url.searchParams.has("timing")) {
+        response.setHeader(
+          "server-timing",
+          formatTiming({ arrivedAtMs, startedAtMs }),
+        );
+      }
       const body = answerBody({ name, requestId, id, url });
       end(this.#sendAnswer(response, body) ? "answered" : "broken");
     };
@@ -168,6 +179,20 @@
   }
 }
 
+/** Field value that tells how long a request waited for a slot and took in it. */
+function formatTiming(
+  { arrivedAtMs, startedAtMs }: {
+    readonly arrivedAtMs: number;
+    readonly startedAtMs: number;
+  },
+): string {
+  const waitMs = startedAtMs - arrivedAtMs;
+  const serviceMs = performance.now() - startedAtMs;
+  return `upstream_wait;dur=${waitMs.toFixed(3)}, upstream_service;dur=${
+    serviceMs.toFixed(3)
+  }`;
+}
+
 function headerOf(request: IncomingMessage, name: string): string {
   return String(request.headers[name] ?? "");
 }
