Secure the peer port with mutual TLS, off by default

Whoever reaches a peer port can push a forged version, send a forged leaving notice or forward requests in any customer's name, since daemons believe every sender.

The new package keys reads and checks a CA, a certificate and a key, opens outgoing connections for undici and takes over the incoming ones of the peer port's server. The peer port tells TLS from plain HTTP by the first byte. A message's sender must be the VM that the certificate names; the answering certificate must name the address that was called. The files are read anew at an interval. A caller waits for the server's first session ticket before it sends: with TLS 1.3 its own part of the handshake ends before the server has checked its certificate, and a request sent then would have an unknown outcome.

Without the settings nothing changes on the wire. The fleet launcher issues certificates of a CA that it makes at run time (@peculiar/x509, development only).

--- a/packages/cli/src/settings_file.ts
+++ b/packages/cli/src/settings_file.ts
@@ -1,4 +1,5 @@
 import { Result } from "true-myth";
+import { readPeerKeys } from "@tanagercove/keys";
 import {
   formatSettingsProblem,
   parseSettings,
@@ -12,7 +13,13 @@
 ): Promise<Result<Settings, readonly string[]>> {
   const text = await readTextFile(path);
   if (text.isErr) return Result.err([text.error]);
-  return parseSettings(text.value).mapErr((problems) =>
+  const parsed = parseSettings(text.value, {
+    checkKeyFiles: ({ vmId, address, ...files }) => {
+      const keys = readPeerKeys({ files, vmId, address });
+      return keys.isErr ? keys.error : [];
+    },
+  });
+  return parsed.mapErr((problems) =>
     problems.map((problem) => `${path}: ${formatSettingsProblem(problem)}`)
   );
 }
--- a/packages/daemon/src/configuration.ts
+++ b/packages/daemon/src/configuration.ts
@@ -5,6 +5,7 @@
   type SnapshotStores,
 } from "@tanagercove/distribution";
 import type { RpcError } from "@tanagercove/errors";
+import type { PeerTransport } from "@tanagercove/keys";
 import {
   parseVms,
   plansWithoutAllowance,
@@ -30,6 +31,8 @@
 export interface CreateConfigurationOptions {
   readonly settings: Settings;
   readonly log: Logger;
+  /** Connections between daemons; without TLS by default. */
+  readonly transport?: PeerTransport;
   /** What this daemon answers to `status.summary`. */
   readonly summary: () => unknown;
   /** Called with each new VM list. */
@@ -80,6 +83,7 @@
   const rpc = new RpcClient({
     localAddress: daemon.address,
     bytes,
+    transport: options.transport,
     timeoutMsByMethod,
   });
   const platform = createHttpPlatform({
@@ -101,6 +105,7 @@
   const handleRpc = createRpcRequestHandler({
     handlers: distribution.handlers,
     bytes,
+    transport: options.transport,
     timeoutMsByMethod,
     onFault: (message, error) =>
       logEvent(log, { event: "rpc_fault", message: `${message}: ${error}` }),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,8 +7,10 @@
 import type { DaemonState, DaemonSummary } from "./daemon_summary.ts";
 import { gatherFleetStatus } from "./fleet_status.ts";
 import { startOperatorsServer } from "./operators_server.ts";
+import { openPeerTransport } from "./peer_transport.ts";
 import { createRequestDecisions } from "./request_decisions.ts";
 import { type RequestPath, startRequestPath } from "./request_path.ts";
+import { withWireNames } from "./wire_names.ts";
 
 /** Options of `startDaemon`. */
 export interface StartDaemonOptions {
@@ -35,6 +37,9 @@
 ): Promise<Result<Daemon, ListenError>> {
   const { settings, log } = options;
   const startedAtMs = performance.now();
+  const opened = openPeerTransport({ settings, log });
+  if (opened.isErr) return Result.err(opened.error);
+  const transport = opened.value;
   const metrics = new Metrics();
   let draining = false;
   let listedLeaving = false;
@@ -45,6 +50,7 @@
   const configuration = createConfiguration({
     settings,
     log,
+    transport,
     summary,
     onVms: (vms) => {
       decisions.setVms(vms);
@@ -107,6 +113,7 @@
         vms: stores.vms.held?.texts.vms,
         ...configuration.dump(),
         requests: requestPath?.proxy.state(),
+        peer_keys: withWireNames(transport.state()),
       }),
       metrics: () => {
         const reading = metrics.read();
@@ -115,6 +122,7 @@
           ...readState("requests", requestPath?.proxy.state()),
           ...readState("distribution", distribution.dump()),
           ...readState("control_bytes", configuration.controlBytes()),
+          ...readState("peer_keys", transport.state()),
         ];
         return { ...reading, gauges };
       },
@@ -122,9 +130,10 @@
   });
   if (operators.isErr) {
     await configuration.close();
+    await transport.close();
     return Result.err(operators.error);
   }
-  components.push(operators.value, {
+  components.push(operators.value, transport, {
     async close() {
       await announced;
       await configuration.close();
@@ -135,6 +144,7 @@
     startRequestPath({
       settings,
       decisions,
+      transport,
       routingTable: () => configuration.routingTable(),
       whenFresh: () => distribution.whenFresh(),
       leavingVms,
--- a/packages/daemon/src/request_path.ts
+++ b/packages/daemon/src/request_path.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
+import { createPlainTransport, type PeerTransport } from "@tanagercove/keys";
 import {
   PEER_SERVER_OPTIONS,
   type Proxy,
@@ -13,6 +14,8 @@
 export interface StartRequestPathOptions {
   readonly settings: Settings;
   readonly decisions: RequestDecisions;
+  /** Connections between daemons; without TLS by default. */
+  readonly transport?: PeerTransport;
   readonly routingTable: () => RoutingTable | undefined;
   /** Supplied by the distribution; resolves when the version held is fresh after a pause. */
   readonly whenFresh?: () => Promise<void> | undefined;
@@ -38,10 +41,12 @@
 export async function startRequestPath(
   { settings, decisions, handleRpc, ...ports }: StartRequestPathOptions,
 ): Promise<RequestPath> {
+  const transport = ports.transport ?? createPlainTransport();
   const { daemon, requests, upstream } = settings;
   const proxy = await startProxy({
     ...ports,
     ...decisions,
+    transport,
     address: daemon.address,
     callerAddress: daemon.callerAddress,
     callerPort: daemon.callerPort,
@@ -70,6 +75,7 @@
     response.writeHead(404).end();
   });
   proxy.attachPeerServer(server);
+  const dropHandshakes = transport.guard(server);
   await listen(server, settings);
   return {
     proxy,
@@ -78,6 +84,7 @@
       await new Promise<void>((resolve) => {
         server.close(() => resolve());
         server.closeAllConnections();
+        dropHandshakes();
       });
     },
   };
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -7,6 +7,7 @@
   type FleetVm,
   operatorPortOf,
 } from "./daemon_process.ts";
+import { FleetKeys, type FleetTls } from "./fleet_keys.ts";
 import type { Relay } from "./relay.ts";
 import { type IniSections, mergeSections } from "./settings_file.ts";
 import { type PublishedId, VersionHistory } from "./version_history.ts";
@@ -19,6 +20,8 @@
   readonly published?: () => readonly PublishedId[];
   /** Settings beyond the generated ones, for all daemons or by VM. */
   readonly settings?: IniSections | ((fleetVm: FleetVm) => IniSections);
+  /** Gives the daemons certificates of a new CA; without TLS by default. */
+  readonly tls?: FleetTls;
   /** The relay refuses connections to a daemon that does not run. */
   readonly relay?: Relay;
   /** Keeps a terminal's ctrl-C away from the daemons. */
@@ -45,16 +48,18 @@
 export class Fleet {
   readonly daemons: readonly DaemonProcess[];
   readonly history: VersionHistory;
+  readonly keys: FleetKeys;
   readonly #folder: string;
 
   constructor(folder: string, options: StartFleetOptions) {
     this.#folder = folder;
+    this.keys = new FleetKeys(folder, options.vms);
     this.history = new VersionHistory({ published: options.published });
     this.daemons = options.vms.map((fleetVm) =>
       new DaemonProcess({
         fleetVm,
         folder,
-        settings: () => settingsFor(fleetVm, options),
+        settings: () => settingsFor(fleetVm, { ...options, keys: this.keys }),
         onObservation: (observation) => this.history.observe(observation),
         onListening: async (listening) => {
           const { id, callerPort, peerPort } = fleetVm.vm;
@@ -156,6 +161,7 @@
   const folder = await mkdtemp(join(tmpdir(), "tanagercove-"));
   const fleet = new Fleet(folder, options);
   try {
+    if (options.tls !== undefined) await fleet.keys.issue();
     await fleet.start(fleet.daemons, options.startsAtOnce);
   } catch (error) {
     await fleet.close();
@@ -166,28 +172,34 @@
 
 function settingsFor(
   fleetVm: FleetVm,
-  options: StartFleetOptions,
+  options: StartFleetOptions & { readonly keys: FleetKeys },
 ): IniSections {
   const { vm } = fleetVm;
   const address = fleetVm.address ?? vm.address;
   const extra = typeof options.settings === "function"
     ? options.settings(fleetVm)
     : options.settings ?? {};
-  return mergeSections({
-    daemon: {
-      vm_id: vm.id,
-      zone: vm.zone,
-      region: vm.region,
-      service: vm.service,
-      address,
-      caller_port: vm.callerPort,
-      peer_port: vm.peerPort,
+  const { tls, keys } = options;
+  const peerKeys = tls === undefined ? {} : keys.settingsFor(fleetVm, tls);
+  return mergeSections(
+    {
+      daemon: {
+        vm_id: vm.id,
+        zone: vm.zone,
+        region: vm.region,
+        service: vm.service,
+        address,
+        caller_port: vm.callerPort,
+        peer_port: vm.peerPort,
+      },
+      platform: { url: options.platformUrl },
+      peers: { seeds: seedsFor(fleetVm, options.vms).join(", ") },
+      upstream: { address, port: vm.upstreamPort },
+      operators: { address, port: operatorPortOf(vm) },
     },
-    platform: { url: options.platformUrl },
-    peers: { seeds: seedsFor(fleetVm, options.vms).join(", ") },
-    upstream: { address, port: vm.upstreamPort },
-    operators: { address, port: operatorPortOf(vm) },
-  }, extra);
+    peerKeys,
+    extra,
+  );
 }
 
 /** Peers of other VMs, spread evenly over the list and thereby over the zones. */
--- a/packages/emulator/src/mesh.ts
+++ b/packages/emulator/src/mesh.ts
@@ -3,6 +3,7 @@
 import { type AddressBlock, claimAddressBlock } from "./address_block.ts";
 import type { Execution } from "./execution_log.ts";
 import type { FleetVm } from "./daemon_process.ts";
+import type { FleetTls } from "./fleet_keys.ts";
 import { type Fleet, startFleet } from "./fleet.ts";
 import {
   type PlatformStandIn,
@@ -43,6 +44,8 @@
   readonly plans: string;
   readonly allowances: string;
   readonly settings?: IniSections | ((fleetVm: FleetVm) => IniSections);
+  /** TLS between the daemons; off by default. */
+  readonly tls?: FleetTls;
   readonly ownProcessGroup?: boolean;
   /** Time between two reads of a daemon's status; 0 leaves its log as the only source. */
   readonly statusIntervalMs?: number;
@@ -106,6 +109,7 @@
       vms: fleetVms,
       published: () => platform.versions,
       settings: options.settings,
+      tls: options.tls,
       relay,
       ownProcessGroup: options.ownProcessGroup,
       statusIntervalMs: options.statusIntervalMs,
--- /dev/null
+++ b/packages/keys/src/refusals.ts
@@ -0,0 +1,43 @@
+import { logEvent, type Logger } from "@tanagercove/logs";
+
+/** A connection or message that was refused because of a key or an identity. */
+export interface Refusal {
+  /** Whether the other daemon called this one or was called. */
+  readonly direction: "incoming" | "outgoing";
+  readonly address: string;
+  readonly reason: string;
+}
+
+/** A hostile sender must not be able to fill the log. */
+const LOG_INTERVAL_MS = 10_000;
+
+/** Counts refusals and logs at most one in each interval. */
+export class Refusals {
+  readonly #log: Logger;
+  #count = 0;
+  #loggedCount = 0;
+  #loggedAtMs = -Infinity;
+
+  constructor(log: Logger) {
+    this.#log = log;
+  }
+
+  get count(): number {
+    return this.#count;
+  }
+
+  record({ direction, address, reason }: Refusal): void {
+    this.#count += 1;
+    const nowMs = performance.now();
+    if (nowMs - this.#loggedAtMs < LOG_INTERVAL_MS) return;
+    logEvent(this.#log, {
+      event: "peer_refused",
+      direction,
+      peer_address: address,
+      reason,
+      refusals: this.#count - this.#loggedCount,
+    });
+    this.#loggedAtMs = nowMs;
+    this.#loggedCount = this.#count;
+  }
+}
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -208,6 +208,32 @@
     meaning: "A call of another daemon met a fault in this program",
     action: "report the message",
   },
+  peer_refused: {
+    level: "warn",
+    fields: {
+      direction: "text",
+      peer_address: "text",
+      reason: "text",
+      refusals: "number",
+    },
+    meaning:
+      "A connection or message of another daemon was refused because of its key or identity; at most one event in 10 s, `refusals` counts those since the last one",
+    action:
+      "check the certificates of both VMs; if the address is not that of a VM, check who reaches the peer port",
+  },
+  peer_keys_taken: {
+    level: "info",
+    fields: { valid_until: "text" },
+    meaning: "Changed key files are in use for new connections",
+    action: NOTHING,
+  },
+  peer_keys_refused: {
+    level: "error",
+    fields: { reason: "text" },
+    meaning: "The key files are wrong; the keys read before stay in use",
+    action:
+      "correct the files that `reason` names; if they were just being replaced, `peer_keys_taken` follows",
+  },
   pause_detected: {
     level: "warn",
     fields: { pause_ms: "number" },
--- a/packages/proxy/src/connections.ts
+++ b/packages/proxy/src/connections.ts
@@ -1,4 +1,5 @@
 import { type Client, type Dispatcher, Pool } from "undici";
+import type { PeerTransport } from "@tanagercove/keys";
 
 /** Subtracted from a server's Keep-Alive hint, so that this side closes first. */
 const KEEP_ALIVE_MARGIN_MS = 500;
@@ -17,6 +18,8 @@
   readonly localAddress: string;
   /** Idle time after which a connection is closed, since it may be dead without any sign. */
   readonly maxIdleMs: number;
+  /** Opens connections to other daemons; plain ones are opened by default. */
+  readonly transport?: PeerTransport;
 }
 
 /** Options of `ConnectionPools`. */
@@ -32,7 +35,7 @@
 
 /** Options of undici for connections between daemons and to upstreams. */
 export function clientOptions(
-  { localAddress, maxIdleMs }: ConnectionOptions,
+  { localAddress, maxIdleMs, transport }: ConnectionOptions,
 ): Client.Options {
   const keepAliveMs = Math.max(1, maxIdleMs);
   return {
@@ -41,6 +44,7 @@
     keepAliveMaxTimeout: keepAliveMs,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
     connectTimeout: CONNECT_TIMEOUT_MS,
+    connect: transport?.connector({ timeoutMs: CONNECT_TIMEOUT_MS }),
     maxHeaderSize: PEER_MAX_HEADER_BYTES,
     // Exchanges have their own deadline.
     headersTimeout: 0,
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -7,6 +7,7 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
+import { createPlainTransport, type PeerTransport } from "@tanagercove/keys";
 import type { RoutingTable } from "@tanagercove/routing";
 import { createCallerHandler } from "./caller_handler.ts";
 import {
@@ -33,6 +34,7 @@
   type RequestCounts,
 } from "./request_counters.ts";
 import { createRequestIds } from "./request_ids.ts";
+import { refuse } from "./write_response.ts";
 import { type UpstreamHealth, watchUpstreamHealth } from "./upstream_health.ts";
 
 /** Options of `startProxy`. */
@@ -57,6 +59,8 @@
   readonly isLeaving?: () => boolean;
   /** Called when the upstream starts or stops reporting `draining`. */
   readonly onUpstreamDraining?: (draining: boolean) => void;
+  /** Connections between daemons; without TLS by default. */
+  readonly transport?: PeerTransport;
   readonly balancing?: BalancingPort;
   readonly admission?: AdmissionPort;
   readonly retries?: RetriesPort;
@@ -106,7 +110,10 @@
   readonly callerPort: number;
   /** Takes over connections and framing errors of the peer port's server; call it once. */
   attachPeerServer(server: Server): void;
-  /** Handles a request on the peer port if it is a forwarded one; false if it is not. */
+  /**
+   * Handles a request on the peer port if it is a forwarded one or if its sender may not use the
+   * port; false otherwise.
+   */
   handleForwarded(request: IncomingMessage, response: ServerResponse): boolean;
   /** Refuses new forwarded work from now on; callers are still served. */
   setLeaving(): void;
@@ -149,7 +156,8 @@
     localAddress: options.address,
     maxIdleMs: options.idleConnectionMs ?? 1_000,
   };
-  const peerPools = new ConnectionPools(connection);
+  const transport = options.transport ?? createPlainTransport();
+  const peerPools = new ConnectionPools({ ...connection, transport });
   const upstreamPools = new ConnectionPools({
     ...connection,
     // One connection is left for health polls.
@@ -246,6 +254,12 @@
       peerTracker = trackConnections(peerServer);
     },
     handleForwarded(request, response) {
+      if (!transport.admits(request.socket)) {
+        response.shouldKeepAlive = false;
+        const reason = "connect_failed";
+        refuse({ request, response, outcome: "not_run", reason });
+        return true;
+      }
       if (!request.url!.startsWith(`${FORWARD_PREFIX}/`)) return false;
       if (peerTracker === undefined) {
         throw new Error("Expected attachPeerServer before forwarded requests");
--- a/packages/rpc/src/peer_connection.ts
+++ b/packages/rpc/src/peer_connection.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import {
   createJSONRPCRequest,
   isJSONRPCResponse,
@@ -5,18 +6,22 @@
   type JSONRPCResponse,
 } from "json-rpc-2.0";
 import { Result } from "true-myth";
-import { buildConnector, Client } from "undici";
+import { Client } from "undici";
 import type { RpcError } from "@tanagercove/errors";
+import type { PeerTransport } from "@tanagercove/keys";
 import type { SocketByteCounter } from "@tanagercove/metrics";
 import { decodeBody, encodeBody } from "./body.ts";
 import type { RpcCall, RpcPeer } from "./rpc_client.ts";
-import { RPC_PATH } from "./rpc_methods.ts";
+import { RPC_PATH, speakerOf } from "./rpc_methods.ts";
 
 /** Options of `PeerConnection`. */
 export interface PeerConnectionOptions {
   readonly peer: RpcPeer;
   readonly bytes: SocketByteCounter;
+  readonly transport: PeerTransport;
   readonly localAddress: string | undefined;
+  /** At least the longest deadline of a call. */
+  readonly connectTimeoutMs: number;
   readonly maxBodyBytes: number;
   readonly maxCalls: number;
   readonly idleMs: number;
@@ -41,6 +46,7 @@
   #running = false;
   #wake: () => void = () => {};
   #client: Client | undefined;
+  #socket: Socket | undefined;
   /** Calls completed on the present connection. */
   #completed = 0;
 
@@ -134,7 +140,13 @@
     const request = createJSONRPCRequest(1, open.method, open.params);
     const answer = await rpc.requestAdvanced(request);
     if (failure !== undefined) return Result.err(failure);
-    if (answer.error === undefined) return Result.ok(answer.result);
+    if (answer.error === undefined) {
+      const { result } = answer;
+      const speaker = speakerOf(open.method, { result });
+      return this.#speaksFor(speaker)
+        ? Result.ok(result)
+        : malformed(`The answer names another VM: ${speaker}`);
+    }
     const { code, message } = answer.error;
     return Result.err({ kind: "refused", code, message: String(message) });
   }
@@ -186,9 +198,17 @@
     }
   }
 
+  #speaksFor(vmId: string | undefined): boolean {
+    return vmId === undefined || this.#socket === undefined ||
+      this.#options.transport.speaksFor(this.#socket, vmId);
+  }
+
   #connect(): Client {
-    const { peer, localAddress, bytes, maxBodyBytes, idleMs } = this.#options;
-    const connect = buildConnector({} as buildConnector.BuildOptions);
+    const { peer, localAddress, bytes, transport, maxBodyBytes, idleMs } =
+      this.#options;
+    const connect = transport.connector({
+      timeoutMs: this.#options.connectTimeoutMs,
+    });
     const host = peer.address.includes(":")
       ? `[${peer.address}]`
       : peer.address;
@@ -202,7 +222,8 @@
       connect: (options, callback) =>
         connect(options, (...[error, socket]) => {
           if (error !== null) return callback(error, null);
-          bytes.track(socket);
+          bytes.track(transport.carrierOf(socket));
+          this.#socket = socket;
           callback(null, socket);
         }),
     });
--- a/packages/rpc/src/rpc_client.ts
+++ b/packages/rpc/src/rpc_client.ts
@@ -1,5 +1,6 @@
 import type { Result } from "true-myth";
 import type { RpcError } from "@tanagercove/errors";
+import { createPlainTransport, type PeerTransport } from "@tanagercove/keys";
 import { SocketByteCounter } from "@tanagercove/metrics";
 import { MAX_BODY_BYTES } from "./body.ts";
 import { PeerConnection } from "./peer_connection.ts";
@@ -32,6 +33,8 @@
   /** Address that connections come from; the VM's own. */
   readonly localAddress?: string;
   readonly bytes?: SocketByteCounter;
+  /** Without TLS by default. */
+  readonly transport?: PeerTransport;
   readonly timeoutMsByMethod?: Readonly<Record<RpcMethod, number>>;
   /** Limit on a response body, before and after decompression. */
   readonly maxBodyBytes?: number;
@@ -47,6 +50,7 @@
 export class RpcClient implements RpcCaller {
   readonly #options: RpcClientOptions;
   readonly #bytes: SocketByteCounter;
+  readonly #transport: PeerTransport;
   /** By address and port, the least recently used first. */
   readonly #connections = new Map<string, PeerConnection>();
   readonly #ending = new Set<Promise<void>>();
@@ -55,6 +59,7 @@
   constructor(options: RpcClientOptions = {}) {
     this.#options = options;
     this.#bytes = options.bytes ?? new SocketByteCounter();
+    this.#transport = options.transport ?? createPlainTransport();
   }
 
   /** Connections open or about to open. */
@@ -96,6 +101,12 @@
     const connection: PeerConnection = new PeerConnection({
       peer,
       bytes: this.#bytes,
+      transport: this.#transport,
+      connectTimeoutMs: Math.max(
+        ...Object.values(
+          this.#options.timeoutMsByMethod ?? TIMEOUT_MS_BY_METHOD,
+        ),
+      ),
       localAddress: this.#options.localAddress,
       maxBodyBytes: this.#options.maxBodyBytes ?? MAX_BODY_BYTES,
       maxCalls: this.#options.maxCallsPerPeer ?? 8,
--- a/packages/rpc/src/rpc_server.ts
+++ b/packages/rpc/src/rpc_server.ts
@@ -8,11 +8,13 @@
   JSONRPCServer,
 } from "json-rpc-2.0";
 import type { Result } from "true-myth";
+import { createPlainTransport, type PeerTransport } from "@tanagercove/keys";
 import type { SocketByteCounter } from "@tanagercove/metrics";
 import { decodeBody, encodeBody, MAX_BODY_BYTES } from "./body.ts";
 import {
   isRpcMethod,
   type RpcMethod,
+  speakerOf,
   TIMEOUT_MS_BY_METHOD,
 } from "./rpc_methods.ts";
 
@@ -39,6 +41,8 @@
   readonly handlers: RpcHandlers;
   /** Counts the bytes of the connections that calls arrive on. */
   readonly bytes?: SocketByteCounter;
+  /** Checks that a message comes from the VM that it names; without TLS by default. */
+  readonly transport?: PeerTransport;
   /** Limit on a request body, before and after decompression. */
   readonly maxBodyBytes?: number;
   /** Calls handled at once; above it the answer is 503. */
@@ -64,6 +68,7 @@
   const maxOpenCalls = options.maxOpenCalls ?? 256;
   const receiveTimeoutMs = options.receiveTimeoutMs ?? 1_000;
   const timeoutMsByMethod = options.timeoutMsByMethod ?? TIMEOUT_MS_BY_METHOD;
+  const transport = options.transport ?? createPlainTransport();
   const server = createServer(options);
   let openCalls = 0;
 
@@ -82,7 +87,13 @@
       });
       if (body.isErr) return refuse(response, 400);
       clearTimeout(deadline);
-      const { method } = (body.value ?? {}) as Partial<JSONRPCRequest>;
+      const { method, params } = (body.value ?? {}) as Partial<JSONRPCRequest>;
+      const speaker = isRpcMethod(method)
+        ? speakerOf(method, { params })
+        : undefined;
+      if (
+        speaker !== undefined && !transport.speaksFor(request.socket, speaker)
+      ) return refuse(response, 403);
       deadline = setTimeout(
         close,
         isRpcMethod(method) ? timeoutMsByMethod[method] : receiveTimeoutMs,
@@ -96,7 +107,7 @@
   }
 
   return async (request, response) => {
-    options.bytes?.track(request.socket);
+    options.bytes?.track(transport.carrierOf(request.socket));
     request.on("error", () => {});
     response.on("error", () => {});
     if (request.method !== "POST") return refuse(response, 405);
--- a/packages/settings/src/key_kinds.ts
+++ b/packages/settings/src/key_kinds.ts
@@ -1,4 +1,5 @@
 import { isIP, isIPv4 } from "node:net";
+import { isAbsolute } from "node:path";
 
 /** Definition of one key of the settings file. Parsing, checks and reference are derived from it. */
 export interface KeyDefinition<T> {
@@ -133,6 +134,15 @@
   };
 }
 
+/** Absolute path of a file. */
+export function filePath(options: KeyOptions): KeyDefinition<string> {
+  return {
+    ...options,
+    accepted: "an absolute path",
+    parse: (text) => isAbsolute(text) ? text : undefined,
+  };
+}
+
 /** Address of a daemon's peer port. */
 export interface PeerAddress {
   readonly address: string;
--- /dev/null
+++ b/packages/settings/src/key_problems.ts
@@ -0,0 +1,52 @@
+import type { Settings } from "./key_table.ts";
+import type {
+  KeyFileProblem,
+  ParseSettingsOptions,
+  SettingsProblem,
+} from "./settings.ts";
+
+const KEY_BY_FILE: Readonly<Record<KeyFileProblem["file"], string>> = {
+  caFile: "tls_ca_file",
+  certificateFile: "tls_certificate_file",
+  keyFile: "tls_key_file",
+};
+
+/** Finds key files that are missing or not usable; other keys of the settings may be wrong too. */
+export function findKeyProblems(
+  { daemon, peers }: Settings,
+  checkKeyFiles: NonNullable<ParseSettingsOptions["checkKeyFiles"]>,
+): readonly SettingsProblem[] {
+  const { tls } = peers;
+  if (tls === undefined || tls === "off") return [];
+  const files = {
+    caFile: peers.tlsCaFile,
+    certificateFile: peers.tlsCertificateFile,
+    keyFile: peers.tlsKeyFile,
+  };
+  const missing = Object.entries(files).flatMap(([file, path]) =>
+    path === undefined
+      ? [{
+        file: file as KeyFileProblem["file"],
+        message: `Expected an absolute path, because \`tls\` is \`${tls}\``,
+      }]
+      : []
+  );
+  const { caFile = "", certificateFile = "", keyFile = "" } = files;
+  const found = checkKeyFiles({
+    vmId: daemon.vmId ?? "",
+    address: daemon.address ?? "",
+    caFile,
+    certificateFile,
+    keyFile,
+  });
+  const isMissing = (file: string) =>
+    missing.some((problem) => problem.file === file);
+  return [...missing, ...found.filter(({ file }) => !isMissing(file))].map(
+    ({ file, message }) => ({
+      section: "peers",
+      key: KEY_BY_FILE[file],
+      value: files[file] ?? "",
+      message,
+    }),
+  );
+}
--- a/packages/settings/src/key_table.ts
+++ b/packages/settings/src/key_table.ts
@@ -2,6 +2,7 @@
   addressRanges,
   choice,
   defaultTo,
+  filePath,
   httpUrl,
   identifier,
   ipAddress,
@@ -118,6 +119,40 @@
       presence: defaultTo("3000"),
       doc: "Deadline of fetching a version from another daemon.",
     }),
+    tls: choice(["off", "optional", "required"], {
+      presence: defaultTo("off"),
+      doc:
+        "Mutual TLS on the peer port. `optional` uses it where the other daemon does, for the change from `off` to `required`.",
+    }),
+    tls_ca_file: mayBeUnset(
+      filePath({
+        presence: REQUIRED,
+        example: "/etc/tanagercove/peers_ca.pem",
+        doc: "PEM file with the CA certificates that sign peers.",
+      }),
+      "only accepted with `tls = off`",
+    ),
+    tls_certificate_file: mayBeUnset(
+      filePath({
+        presence: REQUIRED,
+        example: "/etc/tanagercove/peer.pem",
+        doc:
+          "PEM file with this VM's certificate, which names `address` and the URI `urn:tanagercove:vm:VM_ID`.",
+      }),
+      "only accepted with `tls = off`",
+    ),
+    tls_key_file: mayBeUnset(
+      filePath({
+        presence: REQUIRED,
+        example: "/etc/tanagercove/peer_key.pem",
+        doc: "PEM file with the private key of the certificate.",
+      }),
+      "only accepted with `tls = off`",
+    ),
+    tls_reload_interval_ms: wholeNumber({ min: 100, max: MAX_MS }, {
+      presence: defaultTo("10000"),
+      doc: "Time between two readings of the three files.",
+    }),
   },
   distribution: {
     weight: choice(["convergence", "balanced", "bytes"], {
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -4,6 +4,7 @@
 import { type SectionName, SECTIONS, type Settings } from "./key_table.ts";
 import { editDistance, nearest } from "./nearest.ts";
 import { findConflicts } from "./conflicts.ts";
+import { findKeyProblems } from "./key_problems.ts";
 
 /** One wrong or missing key in a settings file. */
 export interface SettingsProblem {
@@ -28,9 +29,31 @@
   .filter(([, definition]) => definition.secret === true)
   .map(([key]) => key);
 
+/** What a check of the files that settings name needs to know. */
+export interface NamedKeyFiles {
+  readonly vmId: string;
+  readonly address: string;
+  readonly caFile: string;
+  readonly certificateFile: string;
+  readonly keyFile: string;
+}
+
+/** One of the key files is not usable. */
+export interface KeyFileProblem {
+  readonly file: "caFile" | "certificateFile" | "keyFile";
+  readonly message: string;
+}
+
+/** Options of `parseSettings`. */
+export interface ParseSettingsOptions {
+  /** Checks the contents of the key files where `tls` is not `off`; they are not read by default. */
+  readonly checkKeyFiles?: (files: NamedKeyFiles) => readonly KeyFileProblem[];
+}
+
 /** Parses a settings file and reports all problems at once, in the order of the file. */
 export function parseSettings(
   text: string,
+  { checkKeyFiles = () => [] }: ParseSettingsOptions = {},
 ): Result<Settings, readonly SettingsProblem[]> {
   const { entries, problems: malformed } = readIni(text);
   const problems: SettingsProblem[] = [...malformed];
@@ -68,11 +91,23 @@
     }
     settings[section] = values;
   }
+  const parsed = settings as unknown as Settings;
+  const keyProblems = findKeyProblems(parsed, checkKeyFiles)
+    .filter(({ section, key }) =>
+      !problems.some((other) => other.section === section && other.key === key)
+    )
+    .map((problem) => ({
+      ...problem,
+      line: entries.find(({ section, key }) =>
+        section === problem.section && key === problem.key
+      )?.line,
+    }));
   if (problems.length === 0) {
-    problems.push(...findConflicts(settings as unknown as Settings));
+    problems.push(...findConflicts(parsed));
   }
+  problems.push(...keyProblems);
   return problems.length === 0
-    ? Result.ok(settings as unknown as Settings)
+    ? Result.ok(parsed)
     : Result.err(inFileOrder(problems.map(hideSecret)));
 }
 
