Refuse work for an upstream that answers nothing

An owner daemon held its slots for requests that a frozen upstream never answers, and its refusals did not count towards ejection, so callers sent on. The daemon now finds such an upstream silent by requests without answer, sooner if health probes fail as well, and refuses new and waiting requests with `upstream_silent`, which ejects the upstream on the caller's daemon for 2 s. Single trials find out whether it answers again. Silence, ejection and return are logged, at most 20 lines per 10 s each; `/metrics` has the mean of the added time.

--- a/packages/admission/src/admission_queue.ts
+++ b/packages/admission/src/admission_queue.ts
@@ -136,16 +136,25 @@
     if (this.#isLeaving) return;
     this.#isLeaving = true;
     this.#leavingTimer = this.#clock.setTimer(
-      () => this.#refuseWaiting(),
+      () => this.refuseWaiting("leaving"),
       this.#leavingGraceMs,
     );
   }
 
+  /** Refuses the requests that wait now. */
+  refuseWaiting(refusal: AdmissionRefusal): void {
+    for (const waiting of Object.values(this.#waiting)) {
+      for (const waiter of waiting.splice(0)) {
+        waiter.settle(Result.err(refusal));
+      }
+    }
+  }
+
   /** Refuses new and waiting requests and returns when no request holds a slot. */
   async close(): Promise<void> {
     this.#isLeaving = true;
     this.#leavingTimer?.cancel();
-    this.#refuseWaiting();
+    this.refuseWaiting("leaving");
     if (this.#runningCount === 0) return;
     await new Promise<void>((resolve) => this.#onIdle.push(resolve));
   }
@@ -248,12 +257,4 @@
     this.#passedOver = isPassedOver ? this.#passedOver + 1 : 0;
     return this.#order.takeNext(this.#waiting[next]);
   }
-
-  #refuseWaiting(): void {
-    for (const waiting of Object.values(this.#waiting)) {
-      for (const waiter of waiting.splice(0)) {
-        waiter.settle(Result.err("leaving"));
-      }
-    }
-  }
 }
--- a/packages/admission/src/decisions.ts
+++ b/packages/admission/src/decisions.ts
@@ -3,6 +3,7 @@
   | "queue_full"
   | "queue_timeout"
   | "leaving"
+  | "upstream_silent"
   | "deadline";
 
 /** Classes of requests; the non-idempotent ones have priority. */
--- a/packages/balancing/src/ejection.ts
+++ b/packages/balancing/src/ejection.ts
@@ -1,5 +1,8 @@
 import type { Vm } from "@tanagercove/types";
-import type { UpstreamObservations } from "./upstream_observations.ts";
+import type {
+  UpstreamObservations,
+  UpstreamState,
+} from "./upstream_observations.ts";
 
 /** Failures in a row that eject an upstream. One or two also happen to healthy upstreams. */
 export const EJECTION_FAILURES = 5;
@@ -10,6 +13,13 @@
 /** Longest ejection; an upstream that is back is then tried again within a minute. */
 export const EJECTION_MAX_MS = 60_000;
 
+/**
+ * Length of an ejection by the owner daemon's verdict. Asking again costs one
+ * refusal and one retry, so it can be short enough for an upstream to get work
+ * within 3 s after it answers again.
+ */
+export const SILENT_EJECTION_MS = 2_000;
+
 /** Options of `decideEjection`. */
 export interface DecideEjectionOptions {
   readonly consecutiveFailures: number;
@@ -44,6 +54,14 @@
   return { ejections, ejectedUntilMs: nowMs + lengthMs };
 }
 
+/** Returns when the last ejection of an upstream ends or ended; -Infinity if there was none. */
+export function ejectionEndMs(
+  state: Pick<UpstreamState, "ejectedUntilMs" | "silentUntilMs"> | undefined,
+): number {
+  if (state === undefined) return -Infinity;
+  return Math.max(state.ejectedUntilMs, state.silentUntilMs);
+}
+
 /** Options of `ejectedUpstreams`. */
 export interface EjectedUpstreamsOptions {
   /** All live VMs of one service, in all zones. */
@@ -60,8 +78,7 @@
 export function ejectedUpstreams(
   { candidates, observations, nowMs }: EjectedUpstreamsOptions,
 ): ReadonlySet<string> {
-  const untilMs = (vm: Vm) =>
-    observations.get(vm.id)?.ejectedUntilMs ?? -Infinity;
+  const untilMs = (vm: Vm) => ejectionEndMs(observations.get(vm.id));
   const ejected = candidates
     .filter((vm) => untilMs(vm) > nowMs)
     .sort((a, b) => untilMs(b) - untilMs(a))
--- a/packages/balancing/src/upstream_observations.ts
+++ b/packages/balancing/src/upstream_observations.ts
@@ -1,6 +1,10 @@
 import type { Vm } from "@tanagercove/types";
 import { type Clock, systemClock } from "./clock.ts";
-import { decideEjection } from "./ejection.ts";
+import {
+  decideEjection,
+  ejectionEndMs,
+  SILENT_EJECTION_MS,
+} from "./ejection.ts";
 import type { ReportedLoad } from "./load_hint.ts";
 
 /**
@@ -9,11 +13,17 @@
  * - `ok`: it answered, whatever the status.
  * - `failed`: no connection, a broken connection, a truncated response or silence.
  * - `cancelled`: the caller went away first, which says nothing about the upstream.
+ * - `silent`: its owner daemon refused the request because the upstream answers none (`upstream_silent`).
  * - `not_run`: it is alive and refused (`queue_full`, `queue_timeout`, `shed`, `leaving`, `starting`).
  *
  * A refused connection is `failed` although the request's outcome is `not_run`.
  */
-export type UpstreamResult = "ok" | "failed" | "not_run" | "cancelled";
+export type UpstreamResult =
+  | "ok"
+  | "failed"
+  | "silent"
+  | "not_run"
+  | "cancelled";
 
 /** The end of a request to an upstream. */
 export interface UpstreamEnd {
@@ -35,13 +45,36 @@
   readonly consecutiveFailures: number;
   readonly ejections: number;
   readonly ejectedUntilMs: number;
+  /** End of the ejection that follows from the owner daemon's verdict. */
+  readonly silentUntilMs: number;
+  /** When the first ejection since the last answer began; undefined if there is none. */
+  readonly ejectedSinceMs: number | undefined;
 }
 
+/** Why an upstream was ejected. */
+export type EjectionCause = "failures" | "upstream_silent";
+
+/** An ejection, or the first answer after one. */
+export type EjectionChange =
+  | {
+    readonly kind: "ejected";
+    readonly vmId: string;
+    readonly cause: EjectionCause;
+  }
+  | {
+    readonly kind: "returned";
+    readonly vmId: string;
+    /** Time since the first ejection. */
+    readonly ejectedMs: number;
+  };
+
 type MutableState = { -readonly [K in keyof UpstreamState]: UpstreamState[K] };
 
 /** Options of `UpstreamObservations`. */
 export interface UpstreamObservationsOptions {
   readonly clock?: Clock;
+  /** Called at the first ejection since an answer, and at the first answer after it. */
+  readonly onChange?: (change: EjectionChange) => void;
 }
 
 /** Weight of a new sample: an average of about the last ten requests follows a slowdown within a second. */
@@ -56,11 +89,16 @@
 /** Records what this daemon sees of each upstream. */
 export class UpstreamObservations {
   readonly #clock: Clock;
+  readonly #onChange: (change: EjectionChange) => void;
   readonly #states = new Map<string, MutableState>();
   #stateByListedVm = new Map<string, Vm["state"]>();
 
-  constructor({ clock = systemClock }: UpstreamObservationsOptions = {}) {
+  constructor(
+    { clock = systemClock, onChange = () => {} }: UpstreamObservationsOptions =
+      {},
+  ) {
     this.#clock = clock;
+    this.#onChange = onChange;
   }
 
   /** Number of upstreams with state: those listed and those with a request in flight. */
@@ -94,7 +132,9 @@
     const state = this.#states.get(vmId);
     if (state === undefined) return;
     state.inFlight = Math.max(0, state.inFlight - 1);
-    RECORDERS[result](state, { nowMs: this.#clock.nowMs(), latencyMs });
+    const nowMs = this.#clock.nowMs();
+    RECORDERS[result](state, { nowMs, latencyMs });
+    this.#noticeChange(vmId, { result, nowMs });
     if (state.inFlight === 0) this.#dropUnlisted(vmId);
   }
 
@@ -110,6 +150,34 @@
     return this.#states.get(vmId);
   }
 
+  /** Returns the ids of the upstreams that are ejected now, before the bound of `ejectedUpstreams`. */
+  ejected(): readonly string[] {
+    const nowMs = this.#clock.nowMs();
+    return [...this.#states]
+      .filter(([, state]) => ejectionEndMs(state) > nowMs)
+      .map(([vmId]) => vmId);
+  }
+
+  #noticeChange(
+    vmId: string,
+    { result, nowMs }: {
+      readonly result: UpstreamResult;
+      readonly nowMs: number;
+    },
+  ): void {
+    const state = this.#states.get(vmId)!;
+    if (result === "ok" && state.ejectedSinceMs !== undefined) {
+      const ejectedMs = nowMs - state.ejectedSinceMs;
+      state.ejectedSinceMs = undefined;
+      this.#onChange({ kind: "returned", vmId, ejectedMs });
+    }
+    if (state.ejectedSinceMs !== undefined) return;
+    if (ejectionEndMs(state) <= nowMs) return;
+    state.ejectedSinceMs = nowMs;
+    const cause = result === "silent" ? "upstream_silent" : "failures";
+    this.#onChange({ kind: "ejected", vmId, cause });
+  }
+
   #stateOf(vmId: string): MutableState {
     const known = this.#states.get(vmId);
     if (known !== undefined) return known;
@@ -141,6 +209,7 @@
   ok: recordAnswer,
   failed: recordFailure,
   cancelled: () => {},
+  silent: recordSilence,
   // A refusal shows that the upstream is alive but not that it can serve, so
   // it neither adds to the failures nor clears them.
   not_run: (state, { nowMs }) => {
@@ -160,11 +229,19 @@
   state.latencyAtMs = nowMs;
 }
 
+// The owner daemon sees all callers' requests and tries the upstream itself, so
+// its verdict replaces this daemon's own count, whose ejections grow too long
+// for an upstream that answers again.
+function recordSilence(state: MutableState, { nowMs }: EndOfRequest): void {
+  state.consecutiveFailures = 0;
+  state.silentUntilMs = nowMs + SILENT_EJECTION_MS;
+}
+
 // The latency of a failure is left out of the average: an upstream that fails
 // at once would otherwise look fast and attract requests.
 function recordFailure(state: MutableState, { nowMs }: EndOfRequest): void {
   // Requests sent before the ejection say nothing new.
-  if (nowMs < state.ejectedUntilMs) return;
+  if (nowMs < ejectionEndMs(state)) return;
   state.consecutiveFailures += 1;
   const ejection = decideEjection({ ...state, nowMs });
   if (ejection === undefined) return;
@@ -193,5 +270,7 @@
     consecutiveFailures: 0,
     ejections: 0,
     ejectedUntilMs: -Infinity,
+    silentUntilMs: -Infinity,
+    ejectedSinceMs: undefined,
   };
 }
--- a/packages/bench/src/policies/policies_test.ts
+++ b/packages/bench/src/policies/policies_test.ts
@@ -19,6 +19,7 @@
   slowness: 1,
   failingCount: 0,
   failure: "refuses_connections",
+  division: "direct",
   ejects: true,
   hasBudget: true,
 };
--- a/packages/bench/src/policies/programs.ts
+++ b/packages/bench/src/policies/programs.ts
@@ -5,11 +5,17 @@
   type Failure,
   type Reports,
   type ServiceSimulationOptions,
+  type SimulatedDivision,
   simulateService,
 } from "./service_simulation.ts";
 
 /** Names of the policy simulations. */
-export type ProgramName = "queue_order" | "priority" | "choice" | "failures";
+export type ProgramName =
+  | "queue_order"
+  | "priority"
+  | "choice"
+  | "failures"
+  | "silent";
 
 /** Options of a program. */
 export interface ProgramOptions {
@@ -29,6 +35,7 @@
   priority: comparePriorities,
   choice: compareChoices,
   failures: compareFailures,
+  silent: compareSilences,
 };
 
 const SLOTS = 10;
@@ -87,6 +94,7 @@
   slowness: 1,
   failingCount: 0,
   failure: "refuses_connections",
+  division: "direct",
   ejects: true,
   hasBudget: true,
 };
@@ -144,3 +152,27 @@
     }
   }
 }
+
+const DIVISIONS: readonly SimulatedDivision[] = [
+  "direct",
+  "owner_without_watch",
+  "owner",
+];
+
+async function compareSilences(options: ProgramOptions): Promise<void> {
+  for (const failure of ["frozen", "hangs"] as const) {
+    for (const load of [0.3, 0.5, 0.6]) {
+      for (const division of DIVISIONS) {
+        const { during, after } = await simulateService({
+          ...SERVICE,
+          ...options,
+          load,
+          division,
+          failure,
+          failingCount: SERVICE.upstreamCount / 3,
+        });
+        options.write({ failure, load, division, during, after });
+      }
+    }
+  }
+}
--- a/packages/bench/src/policies/service_simulation.ts
+++ b/packages/bench/src/policies/service_simulation.ts
@@ -1,4 +1,4 @@
-import { AdmissionQueue } from "@tanagercove/admission";
+import { AdmissionQueue, UpstreamWatch } from "@tanagercove/admission";
 import {
   chooseUpstream,
   UpstreamObservations,
@@ -16,8 +16,14 @@
 /** What upstreams report as their load. */
 export type Reports = "none" | "honest" | "slow_reports_idle" | "all_lie";
 
-/** What a failing upstream does with a request. */
-export type Failure = "refuses_connections" | "frozen";
+/** What a failing upstream does with a request; one that `hangs` goes on answering health probes. */
+export type Failure = "refuses_connections" | "frozen" | "hangs";
+
+/**
+ * Who counts the slots: the upstream itself, or the daemon on its VM, with or
+ * without a watch for silence.
+ */
+export type SimulatedDivision = "direct" | "owner" | "owner_without_watch";
 
 /** Options of `simulateService`. */
 export interface ServiceSimulationOptions {
@@ -34,6 +40,7 @@
   /** Upstreams, from the first, that fail from a third to two thirds of the run. */
   readonly failingCount: number;
   readonly failure: Failure;
+  readonly division: SimulatedDivision;
   readonly ejects: boolean;
   /** Without a budget each request is retried twice. */
   readonly hasBudget: boolean;
@@ -47,6 +54,10 @@
   readonly answered: number;
   /** Share of requests whose first attempt went to the first upstream. */
   readonly toFirstUpstream: number;
+  /** Times that an owner daemon found its upstream silent. */
+  readonly silences: number;
+  /** Ends without an answer by outcome and reason. */
+  readonly unanswered: Readonly<Record<string, number>>;
 }
 
 /** Phases of a run: before, during and after the failure. */
@@ -58,6 +69,10 @@
 const DEADLINE_MS = 1_000;
 const HOP_MS = 0.5;
 const REPORT_EVERY_MS = 1_000;
+const PROBE_EVERY_MS = 1_000;
+const SILENT_PROBE_EVERY_MS = 250;
+const PROBE_TIMEOUT_MS = 500;
+const PROBE_MS = 6;
 const ZONE = "zone-a";
 
 interface Attempt {
@@ -86,6 +101,17 @@
       clock,
     })
   );
+  const watches = queues.map((queue) =>
+    new UpstreamWatch({
+      slots: SLOTS,
+      clock,
+      onChange({ state }) {
+        if (state === "answering") return;
+        phases[phaseAt(clock.nowMs())].silences += 1;
+        queue.refuseWaiting("upstream_silent");
+      },
+    })
+  );
   const callers = Array.from(
     { length: options.callerCount },
     (_, i) => newCaller(clock, vms, i),
@@ -98,6 +124,7 @@
   const perMs = options.load * vms.length * SLOTS / MEAN_SERVICE_MS;
   arrive();
   report();
+  if (options.division === "owner") watches.forEach(probe);
   await clock.advance(options.durationMs);
   await clock.advance(DEADLINE_MS + 1);
   return {
@@ -130,6 +157,30 @@
     }, REPORT_EVERY_MS);
   }
 
+  /** Polls the health endpoint as the daemon does. */
+  function probe(watch: UpstreamWatch, index: number): void {
+    let timer: { cancel(): void } | undefined;
+    const poll = async () => {
+      timer = undefined;
+      watch.probeAsked();
+      const isAnswered = !(isFailing(index) && options.failure === "frozen");
+      await wait(isAnswered ? PROBE_MS : PROBE_TIMEOUT_MS);
+      watch.probeEnded(isAnswered);
+      if (clock.nowMs() >= options.durationMs) return;
+      timer = clock.setTimer(
+        () => void poll(),
+        watch.isSilent ? SILENT_PROBE_EVERY_MS : PROBE_EVERY_MS,
+      );
+    };
+    watch.onProbeWanted(() => {
+      if (timer === undefined) return;
+      timer.cancel();
+      void poll();
+    });
+    // Daemons do not poll in step.
+    timer = clock.setTimer(() => void poll(), random.next() * PROBE_EVERY_MS);
+  }
+
   async function send(caller: Caller): Promise<void> {
     const sentMs = clock.nowMs();
     const phase = phases[phaseAt(sentMs)];
@@ -163,7 +214,11 @@
         timeLeftMs: timeLeftMs(),
         budget: options.hasBudget ? caller.budget : { tryTake: () => true },
       });
-      if (verdict === "give_up") return;
+      if (verdict === "give_up") {
+        const key = `${outcome} ${reason}`;
+        phase.unanswered[key] = (phase.unanswered[key] ?? 0) + 1;
+        return;
+      }
     }
   }
 
@@ -189,16 +244,18 @@
 
   async function run(index: number, timeLeftMs: number): Promise<Attempt> {
     await wait(HOP_MS);
-    const isFailing = index < options.failingCount &&
-      phaseAt(clock.nowMs()) === "during";
-    if (isFailing && options.failure === "refuses_connections") {
+    if (isFailing(index) && options.failure === "refuses_connections") {
       return { outcome: "not_run", reason: "connect_failed" };
     }
-    if (isFailing) {
+    if (isFailing(index) && options.division === "direct") {
       await wait(timeLeftMs - HOP_MS);
       return { outcome: "unknown", reason: "deadline" };
     }
     const deadlineAtMs = clock.nowMs() - HOP_MS + timeLeftMs;
+    const watch = options.division === "owner" ? watches[index] : undefined;
+    if (watch?.admits({ idempotent: true }) === false) {
+      return { outcome: "not_run", reason: "upstream_silent" };
+    }
     const verdict = await queues[index]!.admit({
       idempotent: true,
       deadlineMs: deadlineAtMs - clock.nowMs(),
@@ -208,13 +265,21 @@
     const serviceMs = slowness * (MIN_SERVICE_MS +
       random.exponential(MEAN_SERVICE_MS - MIN_SERVICE_MS));
     const leftMs = deadlineAtMs - clock.nowMs();
-    await wait(Math.min(serviceMs, leftMs));
+    const hangs = isFailing(index);
+    watch?.begin();
+    await wait(hangs ? leftMs : Math.min(serviceMs, leftMs));
+    const isLate = hangs || serviceMs > leftMs;
+    watch?.end(isLate ? "abandoned" : "answered", serviceMs);
     verdict.value.release();
-    return serviceMs > leftMs
+    return isLate
       ? { outcome: "unknown", reason: "deadline" }
       : { outcome: "answered" };
   }
 
+  function isFailing(index: number): boolean {
+    return index < options.failingCount && phaseAt(clock.nowMs()) === "during";
+  }
+
   function wait(ms: number): Promise<void> {
     return new Promise((resolve) => clock.setTimer(resolve, ms));
   }
@@ -273,6 +338,7 @@
 
 function resultOf({ outcome, reason }: Attempt): UpstreamResult {
   if (outcome === "answered") return "ok";
+  if (reason === "upstream_silent") return "silent";
   return reason !== undefined && REFUSALS.has(reason) ? "not_run" : "failed";
 }
 
@@ -281,6 +347,8 @@
   attempts: number;
   answered: number;
   toFirst: number;
+  silences: number;
+  readonly unanswered: Record<string, number>;
   readonly latencies: Latencies;
 }
 
@@ -290,6 +358,8 @@
     attempts: 0,
     answered: 0,
     toFirst: 0,
+    silences: 0,
+    unanswered: {},
     latencies: new Latencies(),
   };
 }
@@ -300,6 +370,8 @@
     attemptsPerRequest: round(phase.attempts / phase.requests),
     answered: round(phase.answered / phase.requests),
     toFirstUpstream: round(phase.toFirst / phase.requests),
+    silences: phase.silences,
+    unanswered: phase.unanswered,
     ...phase.latencies.summary(),
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -41,7 +41,7 @@
   let upstreamDrains = false;
   let announced = Promise.resolve();
   let requestPath: RequestPath | undefined = undefined;
-  const decisions = createRequestDecisions(settings);
+  const decisions = createRequestDecisions({ settings, log });
   const configuration = createConfiguration({
     settings,
     log,
@@ -107,6 +107,7 @@
         vms: stores.vms.held?.texts.vms,
         ...configuration.dump(),
         requests: requestPath?.proxy.state(),
+        ejected_upstreams: decisions.ejected(),
       }),
       metrics: () => {
         const reading = metrics.read();
--- a/packages/daemon/src/request_decisions.ts
+++ b/packages/daemon/src/request_decisions.ts
@@ -1,10 +1,20 @@
-import { AdmissionQueue } from "@tanagercove/admission";
-import { chooseUpstream, UpstreamObservations } from "@tanagercove/balancing";
+import {
+  AdmissionQueue,
+  type SilenceChange,
+  UpstreamWatch,
+} from "@tanagercove/admission";
+import {
+  chooseUpstream,
+  type EjectionChange,
+  UpstreamObservations,
+} from "@tanagercove/balancing";
 import type {
   AdmissionPort,
   BalancingPort,
   RetriesPort,
+  UpstreamWatchPort,
 } from "@tanagercove/proxy";
+import { LineLimit, logEvent, type Logger } from "@tanagercove/logs";
 import { decideRetry, RetryBudget } from "@tanagercove/retries";
 import type { Settings } from "@tanagercove/settings";
 import type { Vm } from "@tanagercove/types";
@@ -13,15 +23,39 @@
 export interface RequestDecisions {
   readonly balancing: BalancingPort;
   readonly admission: AdmissionPort;
+  readonly upstreamWatch: UpstreamWatchPort;
   readonly retries: RetriesPort;
+  /** Ids of the upstreams that are ejected now, for `dump`. */
+  ejected(): readonly string[];
   /** Takes the VM list in force, so that state of VMs that left is dropped. */
   setVms(vms: readonly Vm[]): void;
 }
 
+/** Options of `createRequestDecisions`. */
+export interface CreateRequestDecisionsOptions {
+  readonly settings: Settings;
+  readonly log: Logger;
+}
+
 /** Connects the decision packages to the ports of the request path. */
-export function createRequestDecisions(settings: Settings): RequestDecisions {
+export function createRequestDecisions(
+  { settings, log }: CreateRequestDecisionsOptions,
+): RequestDecisions {
   const { slowStartMs, ...upstream } = settings.upstream;
-  const observations = new UpstreamObservations();
+  const ejectionLines = new LineLimit();
+  const silenceLines = new LineLimit();
+  const observations = new UpstreamObservations({
+    onChange: (change) => logEjection(log, change, ejectionLines),
+  });
+  const admission = new AdmissionQueue(upstream);
+  const upstreamWatch = new UpstreamWatch({
+    slots: upstream.slots,
+    onChange(change) {
+      logSilence(log, change, silenceLines);
+      // Those who wait still have time to be served elsewhere.
+      if (change.state === "silent") admission.refuseWaiting("upstream_silent");
+    },
+  });
   // Upstreams of a deployment have the same slots; the list of VMs does not tell.
   const saturatedInFlight = upstream.slots;
   const budget = new RetryBudget();
@@ -36,7 +70,9 @@
           saturatedInFlight,
         }),
     },
-    admission: new AdmissionQueue(upstream),
+    admission,
+    upstreamWatch,
+    ejected: () => observations.ejected(),
     retries: {
       recordFirstAttempt: () => budget.recordFirstAttempt(),
       decide: (input) => decideRetry({ ...input, budget }),
@@ -44,3 +80,40 @@
     setVms: (vms) => observations.setVms(vms),
   };
 }
+
+function logSilence(
+  log: Logger,
+  change: SilenceChange,
+  lines: LineLimit,
+): void {
+  const unlogged_changes = lines.take();
+  if (unlogged_changes === undefined) return;
+  if (change.state === "answering") {
+    const silent_ms = Math.round(change.silentMs);
+    const event = "upstream_answers";
+    return logEvent(log, { event, silent_ms, unlogged_changes });
+  }
+  logEvent(log, {
+    event: "upstream_silent",
+    unlogged_changes,
+    awaited_ms: Math.round(change.awaitedMs),
+    unanswered_requests: change.unansweredCount,
+    probe: change.probe,
+  });
+}
+
+function logEjection(
+  log: Logger,
+  change: EjectionChange,
+  lines: LineLimit,
+): void {
+  const unlogged_changes = lines.take();
+  if (unlogged_changes === undefined) return;
+  const fields = { upstream_vm_id: change.vmId, unlogged_changes };
+  if (change.kind === "ejected") {
+    const { cause } = change;
+    return logEvent(log, { event: "upstream_ejected", ...fields, cause });
+  }
+  const ejected_ms = Math.round(change.ejectedMs);
+  logEvent(log, { event: "upstream_returned", ...fields, ejected_ms });
+}
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -240,6 +240,45 @@
       "This VM's upstream began (`draining`) or ceased (`ready`) to report that it drains",
     action: NOTHING,
   },
+  upstream_silent: {
+    level: "warn",
+    fields: {
+      awaited_ms: "number",
+      unanswered_requests: "number",
+      probe: "text",
+      unlogged_changes: "number",
+    },
+    meaning:
+      "This VM's upstream holds requests and answers none; new ones are refused with `upstream_silent`, except for single trials. `probe` says what `/health` did meanwhile: `answered`, `unanswered` or `none`",
+    action: "check the upstream process on this VM",
+  },
+  upstream_answers: {
+    level: "info",
+    fields: { silent_ms: "number", unlogged_changes: "number" },
+    meaning: "This VM's upstream answers again after `upstream_silent`",
+    action: NOTHING,
+  },
+  upstream_ejected: {
+    level: "warn",
+    fields: {
+      upstream_vm_id: "text",
+      cause: "text",
+      unlogged_changes: "number",
+    },
+    meaning:
+      "This daemon leaves out an upstream for a while, after `failures` in a row or because its daemon reports `upstream_silent`. `unlogged_changes` counts the changes that a limit of 20 lines per 10 s left out before this line",
+    action: "if it lasts, check the upstream and the daemon of that VM",
+  },
+  upstream_returned: {
+    level: "info",
+    fields: {
+      upstream_vm_id: "text",
+      ejected_ms: "number",
+      unlogged_changes: "number",
+    },
+    meaning: "An ejected upstream answered again",
+    action: NOTHING,
+  },
   requests_not_answered: {
     level: "warn",
     fields: {
--- a/packages/logs/src/index.ts
+++ b/packages/logs/src/index.ts
@@ -5,6 +5,7 @@
   type LogLevel,
   type LogRecord,
 } from "./events.ts";
+export { LineLimit, type LineLimitOptions } from "./line_limit.ts";
 export {
   createLogger,
   type CreateLoggerOptions,
--- a/packages/proxy/src/caller_handler.ts
+++ b/packages/proxy/src/caller_handler.ts
@@ -288,9 +288,15 @@
   }
 }
 
+/** Results of refusals that say more about an upstream than that it is busy. */
+const NOT_RUN_RESULTS: Readonly<Partial<Record<Reason, AttemptResult>>> = {
+  connect_failed: "failed",
+  upstream_silent: "silent",
+};
+
 function attemptResult(verdict: Verdict, cancelled: boolean): AttemptResult {
   if (verdict.outcome === "answered") return "ok";
   if (cancelled) return "cancelled";
   if (verdict.outcome === "unknown") return "failed";
-  return verdict.reason === "connect_failed" ? "failed" : "not_run";
+  return NOT_RUN_RESULTS[verdict.reason] ?? "not_run";
 }
--- a/packages/proxy/src/forwarded_handler.ts
+++ b/packages/proxy/src/forwarded_handler.ts
@@ -3,12 +3,12 @@
 import { HEADERS, type Reason } from "@tanagercove/types";
 import { LOAD_HEADER, UPSTREAM_US_HEADER } from "./answer_head.ts";
 import { isIdempotent } from "./caller_handler.ts";
-import { classifyExchange } from "./classify_exchange.ts";
+import { classifyExchange, type Verdict } from "./classify_exchange.ts";
 import type { ActiveRequest } from "./connection_tracker.ts";
 import type { ConnectionPools } from "./connections.ts";
 import { FORWARD_PREFIX, hopHeaders } from "./divisions.ts";
 import { Exchange, type ExchangeEnd } from "./exchange.ts";
-import type { AdmissionPort } from "./ports.ts";
+import type { AdmissionPort, UpstreamWatchPort } from "./ports.ts";
 import { readRequestBody } from "./request_body.ts";
 import type { RequestCounters } from "./request_counters.ts";
 import { readRequestHead, type RequestHead } from "./request_head.ts";
@@ -30,6 +30,7 @@
   readonly load: () => number | undefined;
   readonly pools: ConnectionPools;
   readonly admission: AdmissionPort;
+  readonly upstreamWatch: UpstreamWatchPort;
   readonly counters: RequestCounters;
 }
 
@@ -47,7 +48,7 @@
 export function createForwardedHandler(
   options: ForwardedHandlerOptions,
 ): (active: ActiveRequest) => Promise<void> {
-  const { admission, counters } = options;
+  const { admission, counters, upstreamWatch } = options;
 
   return async (active) => {
     const receivedAtMs = performance.now();
@@ -97,10 +98,14 @@
 
   async function admit(request: ForwardedRequest): Promise<void> {
     const { active } = request;
+    const idempotent = isIdempotent(active.request.method!);
+    if (!upstreamWatch.admits({ idempotent })) {
+      return fail(active, "upstream_silent");
+    }
     const controller = new AbortController();
     active.onCancel = () => controller.abort();
     const admitted = await admission.admit({
-      idempotent: isIdempotent(active.request.method!),
+      idempotent,
       deadlineMs: request.deadlineAtMs - performance.now(),
       signal: controller.signal,
     });
@@ -120,6 +125,7 @@
     const { active, head, customer } = request;
     const timeLeftMs = request.deadlineAtMs - performance.now();
     if (timeLeftMs <= 0) return fail(active, "deadline");
+    upstreamWatch.begin();
     const exchange = new Exchange({
       dispatcher: options.pools.to(options.upstream),
       method: active.request.method!,
@@ -136,8 +142,9 @@
     });
     active.onCancel = () => exchange.abort("cancelled");
     const end = await exchange.ended;
-    if (active.cancelled) return counters.recordCancelled(end.requestBegan);
     const verdict = classifyExchange({ hop: "upstream", ...end });
+    upstreamWatch.end(watchedEnd(verdict, active.cancelled), end.durationMs);
+    if (active.cancelled) return counters.recordCancelled(end.requestBegan);
     if (verdict.outcome !== "answered") {
       return fail(active, verdict.reason, verdict.outcome);
     }
@@ -186,3 +193,11 @@
     if (load !== undefined) fields.push(LOAD_HEADER, String(load));
   }
 }
+
+function watchedEnd(
+  verdict: Verdict,
+  cancelled: boolean,
+): "answered" | "failed" | "abandoned" {
+  if (verdict.outcome === "answered") return "answered";
+  return cancelled || verdict.reason === "deadline" ? "abandoned" : "failed";
+}
--- a/packages/proxy/src/plain_ports.ts
+++ b/packages/proxy/src/plain_ports.ts
@@ -1,6 +1,11 @@
 import { Result } from "true-myth";
 import type { Vm } from "@tanagercove/types";
-import type { AdmissionPort, BalancingPort, RetriesPort } from "./ports.ts";
+import type {
+  AdmissionPort,
+  BalancingPort,
+  RetriesPort,
+  UpstreamWatchPort,
+} from "./ports.ts";
 
 const MAX_ATTEMPTS = 3;
 
@@ -39,6 +44,21 @@
   };
 }
 
+/** Admits every request to the upstream. */
+export function createPlainUpstreamWatch(): UpstreamWatchPort {
+  return {
+    isSilent: false,
+    onProbeWanted() {},
+    admits: () => true,
+    begin() {},
+    end() {},
+    probeAsked() {},
+    probeEnded() {},
+    state: () => ({ silent: false }),
+    close() {},
+  };
+}
+
 /** Retries without a budget what did not run or is idempotent, if another upstream may do better. */
 export function createPlainRetries(): RetriesPort {
   const elsewhere: ReadonlySet<string> = new Set([
@@ -48,6 +68,7 @@
     "queue_full",
     "queue_timeout",
     "no_upstream",
+    "upstream_silent",
     "cut",
     "answer_truncated",
   ]);
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -2,7 +2,12 @@
 import type { Outcome, Reason, Vm } from "@tanagercove/types";
 
 /** Result of one attempt as the choice of upstream sees it. */
-export type AttemptResult = "ok" | "failed" | "not_run" | "cancelled";
+export type AttemptResult =
+  | "ok"
+  | "failed"
+  | "not_run"
+  | "silent"
+  | "cancelled";
 
 /** Observations of upstreams that the choice depends on. */
 export interface ObservationsPort {
@@ -34,6 +39,7 @@
   | "queue_full"
   | "queue_timeout"
   | "leaving"
+  | "upstream_silent"
   | "deadline";
 
 /** Options of one admission. */
@@ -53,6 +59,23 @@
   close(): Promise<void>;
 }
 
+/** Observes whether the upstream of this VM answers. */
+export interface UpstreamWatchPort {
+  /** Whether the upstream counts as silent; its health is then polled more often. */
+  readonly isSilent: boolean;
+  /** Sets what asks the health endpoint out of turn. */
+  onProbeWanted(ask: () => void): void;
+  /** Whether a request may go to the upstream; a true result counts as a trial while it is silent. */
+  admits(request: { readonly idempotent: boolean }): boolean;
+  begin(): void;
+  end(result: "answered" | "failed" | "abandoned", durationMs: number): void;
+  probeAsked(): void;
+  probeEnded(answered: boolean): void;
+  /** Plain JSON for `dump` and `/metrics`. */
+  state(): { readonly silent: boolean };
+  close(): void;
+}
+
 /** What a retry decision depends on. */
 export interface RetryInput {
   readonly outcome: Exclude<Outcome, "answered">;
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -25,8 +25,14 @@
   createPlainAdmission,
   createPlainBalancing,
   createPlainRetries,
+  createPlainUpstreamWatch,
 } from "./plain_ports.ts";
-import type { AdmissionPort, BalancingPort, RetriesPort } from "./ports.ts";
+import type {
+  AdmissionPort,
+  BalancingPort,
+  RetriesPort,
+  UpstreamWatchPort,
+} from "./ports.ts";
 import {
   type Percentiles,
   RequestCounters,
@@ -59,6 +65,7 @@
   readonly onUpstreamDraining?: (draining: boolean) => void;
   readonly balancing?: BalancingPort;
   readonly admission?: AdmissionPort;
+  readonly upstreamWatch?: UpstreamWatchPort;
   readonly retries?: RetriesPort;
   readonly division?: Division;
   readonly identity?: IdentityOptions;
@@ -85,6 +92,8 @@
   readonly leaving: boolean;
   readonly upstream: UpstreamHealth | undefined;
   readonly upstreamHealthFailures: number;
+  /** Whether the upstream answers the requests that this daemon sends. */
+  readonly upstreamWatch: ReturnType<UpstreamWatchPort["state"]>;
   /** Requests received from callers. */
   readonly callers: RequestCounts;
   /** Requests received from other daemons. */
@@ -126,6 +135,9 @@
 /** Share of the request timeout after which overdue requests are looked for. */
 const CHECKS_PER_TIMEOUT = 20;
 
+/** A silent upstream is polled this often, so that it gets work soon after it answers again. */
+const SILENT_HEALTH_INTERVAL_MS = 250;
+
 const NO_VMS: ReadonlySet<string> = new Set();
 
 /** Options of `node:http` for the server of the peer port. */
@@ -143,6 +155,7 @@
   const upstream = `${options.upstream.address}:${options.upstream.port}`;
   const admission = options.admission ??
     createPlainAdmission(options.slots ?? 10);
+  const upstreamWatch = options.upstreamWatch ?? createPlainUpstreamWatch();
   const callers = new RequestCounters();
   const forwarded = new RequestCounters();
   const connection: ConnectionOptions = {
@@ -192,6 +205,7 @@
     load: () => health?.load,
     pools: upstreamPools,
     admission,
+    upstreamWatch,
     counters: forwarded,
   });
   const trustBySocket = new WeakMap<Socket, boolean>();
@@ -227,11 +241,17 @@
       resolve,
     );
   });
+  const healthIntervalMs = options.healthIntervalMs ?? 1_000;
   const watch = watchUpstreamHealth({
     ...options.upstream,
     connection,
-    intervalMs: options.healthIntervalMs ?? 1_000,
+    intervalMs: () =>
+      upstreamWatch.isSilent
+        ? Math.min(healthIntervalMs, SILENT_HEALTH_INTERVAL_MS)
+        : healthIntervalMs,
     timeoutMs: options.healthTimeoutMs ?? 500,
+    onAsked: () => upstreamWatch.probeAsked(),
+    onEnded: (answered) => upstreamWatch.probeEnded(answered),
     onHealth(next) {
       const drained = health?.state === "draining";
       health = next;
@@ -240,6 +260,8 @@
     },
   });
 
+  upstreamWatch.onProbeWanted(() => watch.pollNow());
+
   return {
     callerPort: (server.address() as AddressInfo).port,
     attachPeerServer(peerServer) {
@@ -263,6 +285,7 @@
         leaving: isLeaving(),
         upstream: health,
         upstreamHealthFailures: watch.failures,
+        upstreamWatch: upstreamWatch.state(),
         callers: callers.counts(),
         forwarded: forwarded.counts(),
         addedTime: callers.addedTime(),
@@ -287,6 +310,7 @@
       server.closeAllConnections();
       peerTracker?.cutActive();
       await closed;
+      upstreamWatch.close();
       await Promise.all([
         watch.close(),
         peerPools.close(),
--- a/packages/proxy/src/refusals.ts
+++ b/packages/proxy/src/refusals.ts
@@ -29,6 +29,7 @@
   queue_full: refusal(503, "The upstream's queue is full"),
   queue_timeout: refusal(503, "The request waited too long for a slot"),
   shed: refusal(503, "The upstream did not start the request"),
+  upstream_silent: refusal(503, "The upstream has stopped answering"),
   connect_failed: refusal(502, "The connection could not be opened"),
   cut: {
     status: 502,
--- a/packages/proxy/src/request_counters.ts
+++ b/packages/proxy/src/request_counters.ts
@@ -16,9 +16,10 @@
   readonly retries: number;
 }
 
-/** Percentiles of a duration, in microseconds. */
+/** Mean and percentiles of a duration, in microseconds. */
 export interface Percentiles {
   readonly count: number;
+  readonly meanUs: number;
   readonly p50Us: number;
   readonly p90Us: number;
   readonly p99Us: number;
@@ -73,6 +74,8 @@
       this.#addedTime.getValueAtPercentile(percentile);
     return {
       count: this.#addedTime.totalCount,
+      // The histogram gives NaN for no values, which JSON and metrics cannot show.
+      meanUs: this.#addedTime.totalCount === 0 ? 0 : this.#addedTime.mean,
       p50Us: at(50),
       p90Us: at(90),
       p99Us: at(99),
--- a/packages/proxy/src/upstream_health.ts
+++ b/packages/proxy/src/upstream_health.ts
@@ -17,15 +17,21 @@
   readonly address: string;
   readonly port: number;
   readonly connection: ConnectionOptions;
-  readonly intervalMs: number;
+  /** Time until the next poll; read after each one. */
+  readonly intervalMs: () => number;
   readonly timeoutMs: number;
   readonly onHealth: (health: UpstreamHealth) => void;
+  readonly onAsked: () => void;
+  /** Called at the end of each poll with whether anything was answered. */
+  readonly onEnded: (answered: boolean) => void;
 }
 
 /** A running poll. */
 export interface UpstreamHealthWatch {
   /** Polls without a valid answer. */
   readonly failures: number;
+  /** Polls at once unless a poll is running. */
+  pollNow(): void;
   close(): Promise<void>;
 }
 
@@ -47,9 +53,11 @@
   );
   let failures = 0;
   let closed = false;
-  let timer: NodeJS.Timeout;
+  let timer: NodeJS.Timeout | undefined;
 
   async function poll(): Promise<void> {
+    timer = undefined;
+    options.onAsked();
     const exchange = new Exchange({
       dispatcher: client,
       method: "GET",
@@ -62,12 +70,13 @@
     const { head, failure, chunks, continues } = await exchange.ended;
     if (continues) exchange.abort("cancelled");
     if (closed) return;
+    options.onEnded(head !== undefined);
     const health = failure === undefined && head?.status === 200
       ? parseHealth(Buffer.concat(chunks).toString())
       : undefined;
     if (health === undefined) failures += 1;
     else options.onHealth(health);
-    timer = setTimeout(() => void poll(), options.intervalMs);
+    timer = setTimeout(() => void poll(), options.intervalMs());
   }
   void poll();
 
@@ -75,6 +84,11 @@
     get failures() {
       return failures;
     },
+    pollNow() {
+      if (timer === undefined) return;
+      clearTimeout(timer);
+      void poll();
+    },
     async close() {
       closed = true;
       clearTimeout(timer);
--- a/packages/retries/src/decide_retry.ts
+++ b/packages/retries/src/decide_retry.ts
@@ -36,6 +36,7 @@
     "queue_timeout",
     "shed",
     "starting",
+    "upstream_silent",
   ]),
   unknown: new Set<Reason>(["answer_truncated", "cut", "deadline"]),
 };
--- a/packages/types/src/requests.ts
+++ b/packages/types/src/requests.ts
@@ -22,6 +22,7 @@
   | "queue_full"
   | "queue_timeout"
   | "shed"
+  | "upstream_silent"
   | "connect_failed"
   | "cut"
   | "answer_truncated"
