--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -46,7 +46,7 @@
   let upstreamDrains = false;
   let announced = Promise.resolve();
   let requestPath: RequestPath | undefined = undefined;
-  const decisions = createRequestDecisions(settings);
+  const decisions = createRequestDecisions({ settings, log });
   const configuration = createConfiguration({
     settings,
     log,
@@ -114,6 +114,7 @@
         ...configuration.dump(),
         requests: requestPath?.proxy.state(),
         peer_keys: withWireNames(transport.state()),
+        ejected_upstreams: decisions.ejected(),
       }),
       metrics: () => {
         const reading = metrics.read();
