--- a/packages/daemon/src/request_decisions.ts
+++ b/packages/daemon/src/request_decisions.ts
@@ -45,13 +45,13 @@
   const ejectionLines = new LineLimit();
   const silenceLines = new LineLimit();
   const observations = new UpstreamObservations({
-    onChange: (change) => logEjection(log, change, ejectionLines),
+    onChange: (change) => logEjection(change, { log, lines: ejectionLines }),
   });
   const admission = new AdmissionQueue(upstream);
   const upstreamWatch = new UpstreamWatch({
     slots: upstream.slots,
     onChange(change) {
-      logSilence(log, change, silenceLines);
+      logSilence(change, { log, lines: silenceLines });
       // Those who wait still have time to be served elsewhere.
       if (change.state === "silent") admission.refuseWaiting("upstream_silent");
     },
@@ -81,11 +81,12 @@
   };
 }
 
-function logSilence(
-  log: Logger,
-  change: SilenceChange,
-  lines: LineLimit,
-): void {
+interface LimitedLog {
+  readonly log: Logger;
+  readonly lines: LineLimit;
+}
+
+function logSilence(change: SilenceChange, { log, lines }: LimitedLog): void {
   const unlogged_changes = lines.take();
   if (unlogged_changes === undefined) return;
   if (change.state === "answering") {
@@ -102,11 +103,7 @@
   });
 }
 
-function logEjection(
-  log: Logger,
-  change: EjectionChange,
-  lines: LineLimit,
-): void {
+function logEjection(change: EjectionChange, { log, lines }: LimitedLog): void {
   const unlogged_changes = lines.take();
   if (unlogged_changes === undefined) return;
   const fields = { upstream_vm_id: change.vmId, unlogged_changes };
