--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,7 @@
 import { run, subcommands } from "cmd-ts";
 import { capacityCommand } from "./capacity/index.ts";
 import { distributionCommand } from "./distribution/index.ts";
+import { peerKeysCommand } from "./peer_keys/index.ts";
 import { requestsCommand } from "./requests/index.ts";
 
 const program = subcommands({
@@ -9,6 +10,7 @@
   cmds: {
     capacity: capacityCommand,
     distribution: distributionCommand,
+    "peer-keys": peerKeysCommand,
     requests: requestsCommand,
   },
 });
--- a/packages/emulator/src/fleet_keys.ts
+++ b/packages/emulator/src/fleet_keys.ts
@@ -14,6 +14,7 @@
 export class FleetKeys {
   readonly #folder: string;
   readonly #vms: readonly FleetVm[];
+  #authority: CertificateAuthority | undefined;
 
   constructor(folder: string, vms: readonly FleetVm[]) {
     this.#folder = folder;
@@ -33,9 +34,16 @@
     };
   }
 
+  /** The CA that issued last. */
+  get authority(): CertificateAuthority {
+    if (this.#authority === undefined) throw new Error("No keys were issued");
+    return this.#authority;
+  }
+
   /** Issues a certificate to each VM, by a new CA by default. */
   async issue(authority?: CertificateAuthority): Promise<void> {
     const issuer = authority ?? await createCertificateAuthority();
+    this.#authority = issuer;
     if (authority === undefined) await this.trust([issuer]);
     await Promise.all(this.#vms.map(async ({ vm, address }) => {
       const { certificate, key } = await issuer.issue({
--- a/packages/keys/src/handshake.ts
+++ b/packages/keys/src/handshake.ts
@@ -9,7 +9,7 @@
   readonly context: SecureContext;
   /** Session of an earlier connection to the same daemon. */
   readonly session: Buffer | undefined;
-  readonly onSession: (session: Buffer) => void;
+  readonly onSession: (session: Buffer, socket: TLSSocket) => void;
   readonly timeoutMs: number;
 }
 
@@ -66,7 +66,7 @@
       fail(timedOut ? "Handshake timed out" : "Closed during the handshake");
     socket.on("error", onError);
     socket.on("close", onClose);
-    socket.on("session", options.onSession);
+    socket.on("session", (session) => options.onSession(session, socket));
     // The event comes from within OpenSSL's reading of the ticket; Node 20 loses what is written then.
     socket.once("session", () =>
       setImmediate(() => {
--- a/packages/keys/src/keys_test.ts
+++ b/packages/keys/src/keys_test.ts
@@ -1,9 +1,7 @@
 import { once } from "node:events";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { writeFileSync } from "node:fs";
 import { createServer } from "node:http";
 import { type AddressInfo, connect, createServer as listenTcp } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import {
   connect as connectTls,
   createServer as createTlsServer,
@@ -12,13 +10,15 @@
 import t, { type Test } from "tap";
 import { Client } from "undici";
 import {
-  type CertificateAuthority,
   createCertificateAuthority,
   type IssueOptions,
 } from "@tanagercove/emulator";
-import { createLogger } from "@tanagercove/logs";
-import { waitFor } from "@tanagercove/test_helpers";
-import { openTlsTransport, type PeerTransport, readPeerKeys } from "./index.ts";
+import {
+  openKeyFiles,
+  openTestTransport,
+  waitFor,
+} from "@tanagercove/test_helpers";
+import { type PeerTransport, readPeerKeys } from "./index.ts";
 
 const ADDRESS = "127.23.1.1";
 const OTHER_ADDRESS = "127.23.1.2";
@@ -27,54 +27,11 @@
 const authority = await createCertificateAuthority();
 const otherAuthority = await createCertificateAuthority();
 
-/** Key files in a folder of their own. */
-function openKeyFiles(t: Test) {
-  const folder = mkdtempSync(join(tmpdir(), "tanagercove-keys-"));
-  t.teardown(() => rmSync(folder, { recursive: true }));
-  const files = {
-    caFile: join(folder, "ca.pem"),
-    certificateFile: join(folder, "own.pem"),
-    keyFile: join(folder, "key.pem"),
-  };
-  return {
-    files,
-    trust: (...trusted: readonly CertificateAuthority[]) =>
-      writeFileSync(
-        files.caFile,
-        trusted.map(({ certificate }) => certificate).join("\n"),
-      ),
-    async issue(options = GOOD, issuer = authority): Promise<void> {
-      const { certificate, key } = await issuer.issue(options);
-      writeFileSync(files.certificateFile, certificate);
-      writeFileSync(files.keyFile, key);
-    },
-  };
-}
-
-async function openTransport(
+function openTransport(
   t: Test,
-  { mode = "required" as "required" | "optional", vmId = "a-1" } = {},
+  mode: "optional" | "required" = "required",
 ) {
-  const keyFiles = openKeyFiles(t);
-  keyFiles.trust(authority);
-  await keyFiles.issue({ vmId, addresses: [ADDRESS] });
-  const events: Record<string, unknown>[] = [];
-  const transport = openTlsTransport({
-    mode,
-    files: keyFiles.files,
-    vmId,
-    address: ADDRESS,
-    reloadIntervalMs: 100,
-    log: createLogger({
-      vmId,
-      zone: "z",
-      write: (line) => void events.push(JSON.parse(line)),
-    }),
-  }).unwrapOrElse((problems) => {
-    throw new Error(JSON.stringify(problems));
-  });
-  t.teardown(() => transport.close());
-  return { transport, events, ...keyFiles };
+  return openTestTransport(t, { ...GOOD, authority, mode });
 }
 
 /** Serves on a peer port; counts requests that were admitted. */
@@ -112,12 +69,14 @@
   { port, timeoutMs = 5_000 }: { port: number; timeoutMs?: number },
 ) {
   let carrier;
+  let proved = false;
   const connector = transport.connector({ timeoutMs });
   const client = new Client(`http://${ADDRESS}:${port}`, {
     connect: (target, callback) =>
       connector(target, (...[error, socket]) => {
         if (error !== null) return callback(error, null);
         carrier = transport.carrierOf(socket);
+        proved = transport.speaksFor(socket, "a-1");
         callback(null, socket);
       }),
   });
@@ -129,11 +88,11 @@
     (error: Error) => error.message,
   );
   await client.destroy();
-  return { outcome, carrier: carrier as TLSSocket | undefined };
+  return { outcome, proved, carrier: carrier as TLSSocket | undefined };
 }
 
 t.test("should report everything that is wrong with the key files at once", async (t) => {
-  const { files, trust, issue } = openKeyFiles(t);
+  const { files, trust, issue } = openKeyFiles(t, { ...GOOD, authority });
   const check = () => {
     const read = readPeerKeys({ files, vmId: "a-1", address: ADDRESS });
     return read.isOk
@@ -176,7 +135,7 @@
   t.ok(unreadBytes >= 0 && unreadBytes < 64, "but for the closing alert");
   t.equal(seen.receivedBytes, first.carrier!.bytesWritten);
   t.ok(seen.receivedBytes > 1_000, "certificates are counted");
-  t.equal((await ask(transport, { port })).outcome, 200);
+  t.match(await ask(transport, { port }), { outcome: 200, proved: true });
   t.match(transport.state(), { handshakes: 4, resumed: 1, refused: 0 });
   const silent = connect(port, ADDRESS);
   await once(silent, "connect");
@@ -255,6 +214,30 @@
   t.equal(seen.admitted, 0);
 });
 
+// Guards against a caller that gets in by an old session after its CA was removed.
+t.test("should not resume sessions from before a change of the server's keys", async (t) => {
+  const server = await openTransport(t);
+  const { port } = await serve(t, server.transport);
+  const caller = await openTransport(t);
+  for (const expected of [200, 200]) {
+    t.equal((await ask(caller.transport, { port })).outcome, expected);
+  }
+  t.equal(caller.transport.state()!.resumed, 1);
+  server.trust(authority, otherAuthority);
+  await waitFor(() => server.events.length === 1);
+  t.equal((await ask(caller.transport, { port })).outcome, 200);
+  t.equal(caller.transport.state()!.resumed, 1);
+  t.equal((await ask(caller.transport, { port })).outcome, 200);
+  t.equal(caller.transport.state()!.resumed, 2, "with a new session");
+  await server.issue(GOOD, otherAuthority);
+  server.trust(otherAuthority);
+  await waitFor(() =>
+    server.events.filter(({ event }) => event === "peer_keys_taken")
+      .length === 2
+  );
+  t.type((await ask(caller.transport, { port })).outcome, "string");
+});
+
 t.test("should refuse the requests of plain callers when TLS is required", async (t) => {
   const { transport, events } = await openTransport(t);
   const { port, seen } = await serve(t, transport);
@@ -269,7 +252,7 @@
 });
 
 t.test("should go on with plain peers while TLS is optional", async (t) => {
-  const { transport, events } = await openTransport(t, { mode: "optional" });
+  const { transport, events } = await openTransport(t, "optional");
   const plain = await serve(t, undefined);
   t.equal((await ask(transport, plain)).outcome, 200);
   t.equal((await ask(transport, plain)).outcome, 200);
@@ -285,7 +268,7 @@
 });
 
 t.test("should give a silent handshake up at its deadline", async (t) => {
-  const { transport } = await openTransport(t, { mode: "optional" });
+  const { transport } = await openTransport(t, "optional");
   const silent = listenTcp((socket) => socket.on("error", () => {}));
   silent.listen(0, ADDRESS);
   await once(silent, "listening");
--- a/packages/keys/src/tls_transport.ts
+++ b/packages/keys/src/tls_transport.ts
@@ -69,6 +69,13 @@
   readonly vmId: string | undefined;
 }
 
+/** A session that can be resumed, which only the process that issued it can accept. */
+interface KnownSession {
+  readonly session: Buffer;
+  /** Node gives a caller no certificate on a resumed connection. */
+  readonly vmId: string | undefined;
+}
+
 class TlsTransport implements PeerTransport {
   readonly #options: TlsTransportOptions;
   readonly #refusals: Refusals;
@@ -78,7 +85,7 @@
   readonly #outgoing = new Set<Socket>();
   readonly #links = new WeakMap<Socket, Link>();
   /** By `IP:PORT`, the oldest first. */
-  readonly #sessions = new Map<string, Buffer>();
+  readonly #sessions = new Map<string, KnownSession>();
   readonly #plainUntilMs = new Map<string, number>();
   #keys: PeerKeys;
   #context: SecureContext;
@@ -214,13 +221,15 @@
     const context = this.#context;
     const address = carrier.remoteAddress ?? "";
     hold(carrier, this.#outgoing);
+    const known = this.#sessions.get(peer);
     const opened = await callSecurely(carrier, {
       address,
       context,
-      session: this.#sessions.get(peer),
+      session: known?.session,
       timeoutMs: Math.max(1, leftMs),
-      onSession: (session) => {
-        if (context === this.#context) this.#remember(peer, session);
+      onSession: (session, socket) => {
+        if (context !== this.#context) return;
+        this.#remember(peer, { session, vmId: vmIdOf(socket) });
       },
     });
     this.#outgoing.delete(carrier);
@@ -233,9 +242,12 @@
       }
       return opened;
     }
-    this.#link(opened.value, { direction: "outgoing", carrier });
+    const socket = opened.value;
+    const resumed = socket.isSessionReused();
+    const vmId = resumed ? known?.vmId : vmIdOf(socket);
+    this.#links.set(socket, { direction: "outgoing", carrier, vmId });
     this.#handshakes += 1;
-    if (opened.value.isSessionReused()) this.#resumed += 1;
+    if (resumed) this.#resumed += 1;
     return opened;
   }
 
@@ -248,9 +260,10 @@
       sessionTimeout: SESSION_TIMEOUT_S,
     });
     server.on("secureConnection", (socket) => {
-      const carrier = this.#pendingCarrierOf(socket);
+      const carrier = this.#carrierOfIncoming(socket);
       if (carrier !== undefined) this.#incoming.delete(carrier);
-      this.#link(socket, { direction: "incoming", carrier });
+      const vmId = vmIdOf(socket);
+      this.#links.set(socket, { direction: "incoming", carrier, vmId });
       this.#handshakes += 1;
       serve(socket);
     });
@@ -266,13 +279,7 @@
     return server;
   }
 
-  #link(socket: TLSSocket, ends: Omit<Link, "vmId">): void {
-    const ids = vmIdsIn(socket.getPeerCertificate().subjectaltname);
-    const vmId = ids.length === 1 ? ids[0] : undefined;
-    this.#links.set(socket, { ...ends, vmId });
-  }
-
-  #pendingCarrierOf(socket: Socket): Socket | undefined {
+  #carrierOfIncoming(socket: Socket): Socket | undefined {
     for (const carrier of this.#incoming) {
       const same = carrier.remotePort === socket.remotePort &&
         carrier.remoteAddress === socket.remoteAddress &&
@@ -301,7 +308,7 @@
     carrier.on("readable", look);
   }
 
-  #remember(peer: string, session: Buffer): void {
+  #remember(peer: string, session: KnownSession): void {
     this.#sessions.delete(peer);
     this.#sessions.set(peer, session);
     dropOldest(this.#sessions, MAX_SESSIONS);
@@ -349,6 +356,12 @@
   return { ca, cert: certificate, key, minVersion: TLS_VERSION } as const;
 }
 
+/** The one VM that the other end's certificate names. */
+function vmIdOf(socket: TLSSocket): string | undefined {
+  const ids = vmIdsIn(socket.getPeerCertificate().subjectaltname);
+  return ids.length === 1 ? ids[0] : undefined;
+}
+
 function describe(problems: readonly KeyProblem[]): string {
   return problems.map(({ file, message }) => `${file}: ${message}`).join("; ");
 }
--- a/packages/proxy/src/mesh_fixture.ts
+++ b/packages/proxy/src/mesh_fixture.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from "node:http";
 import { type AddressInfo, createServer as createTcpServer } from "node:net";
 import { connect, type Server as TcpServer, type Socket } from "node:net";
+import type { PeerTransport } from "@tanagercove/keys";
 import { computeRoutingTable, type RoutingTable } from "@tanagercove/routing";
 import type { Vm } from "@tanagercove/types";
 import {
@@ -77,6 +78,8 @@
   readonly proxy?: Partial<StartProxyOptions>;
   /** Options of the owner daemons only. */
   readonly owner?: Partial<StartProxyOptions>;
+  /** Takes over the connections of the peer ports. */
+  readonly guard?: PeerTransport;
 }
 
 /** A caller's daemon (zone `z0`) and one owner daemon for each upstream. */
@@ -123,6 +126,7 @@
       }
     });
     owner.attachPeerServer(server);
+    options.guard?.guard(server);
     const peerPort = await listen(server, address);
     owners.push(owner);
     servers.push(server);
--- a/packages/rpc/src/rpc_test.ts
+++ b/packages/rpc/src/rpc_test.ts
@@ -6,8 +6,10 @@
 import t, { type Test } from "tap";
 import { Result } from "true-myth";
 import { request } from "undici";
+import { createCertificateAuthority } from "@tanagercove/emulator";
+import { createPlainTransport } from "@tanagercove/keys";
 import { SocketByteCounter } from "@tanagercove/metrics";
-import { waitFor } from "@tanagercove/test_helpers";
+import { openTestTransport, waitFor } from "@tanagercove/test_helpers";
 import {
   createRpcRequestHandler,
   type CreateRpcRequestHandlerOptions,
@@ -203,6 +205,62 @@
   t.equal(received.totals().sentBytes, receivedBytes);
 });
 
+// Guards against a VM that speaks for another one, whether it calls or answers.
+t.test("should refuse messages that name another VM than the one proved", async (t) => {
+  const transport = (provedVmId: string) => ({
+    ...createPlainTransport(),
+    speaksFor: (_socket: unknown, vmId: string) => vmId === provedVmId,
+  });
+  const sender = { vm_id: "a-1", process_id: "p" };
+  const answer: RpcMethodHandler = () =>
+    Promise.resolve(Result.ok({ sender, vm_id: "a-1" }));
+  const handlers = handlersWith({
+    "digest.exchange": answer,
+    "status.summary": answer,
+  });
+  const methods = Object.keys(handlers) as (keyof RpcHandlers)[];
+  const ask = async (caller: string, answering: string) => {
+    const { peer } = await serve(t, {
+      handlers,
+      transport: transport(caller),
+    });
+    const client = openClient(t, { transport: transport(answering) });
+    const results = await Promise.all(
+      methods.map((method) =>
+        client.call(peer, { method, params: { sender, vm_id: "a-1" } })
+      ),
+    );
+    return methods.filter((_, index) => results[index]!.isErr);
+  };
+  t.same(await ask("a-1", "a-1"), []);
+  t.same(await ask("b-1", "a-1"), [
+    "digest.exchange",
+    "versions.push",
+    "versions.fetch",
+    "membership.leaving",
+  ]);
+  t.same(await ask("a-1", "b-1"), ["digest.exchange", "status.summary"]);
+});
+
+t.test("should end a call at its deadline when the handshake stays silent", async (t) => {
+  const { transport } = await openTestTransport(t, {
+    vmId: "a-1",
+    addresses: [ADDRESS],
+    authority: await createCertificateAuthority(),
+  });
+  const silent = listenTcp((socket) => socket.on("error", () => {}).resume());
+  silent.listen(0, ADDRESS);
+  await once(silent, "listening");
+  const { port } = silent.address() as AddressInfo;
+  const result = await openClient(t, { transport }).call(
+    { address: ADDRESS, port },
+    { method: "digest.exchange", params: {}, timeoutMs: 200 },
+  );
+  t.equal(errorOf(result), "timeout");
+  await transport.close();
+  await new Promise((resolve) => silent.close(resolve));
+});
+
 t.test("should survive any response of a hostile peer", async (t) => {
   let body = "";
   const server = createServer((_request, response) => {
--- a/packages/settings/src/settings_test.ts
+++ b/packages/settings/src/settings_test.ts
@@ -55,6 +55,37 @@
   t.end();
 });
 
+// Guards against a daemon that starts with keys which all others refuse.
+t.test("should report missing and unusable key files beside other problems", (t) => {
+  const text = exampleWith(
+    "peers",
+    "tls = required\ntls_ca_file = ca.pem\ntls_certificate_file = /own.pem",
+  ).replace("zone = zone-a", "zone = ?");
+  const problems = parseSettings(text, {
+    checkKeyFiles: ({ vmId, address, certificateFile }) => [
+      { file: "keyFile", message: "not shown, since it is missing" },
+      {
+        file: "certificateFile",
+        message: `Expected ${vmId} and ${address} in ${certificateFile}`,
+      },
+    ],
+  });
+  t.same(
+    problems.isErr &&
+      problems.error.map(({ section, key, value, message }) =>
+        `${section} ${key} ${value}: ${message}`
+      ),
+    [
+      "daemon zone ?: Expected [a-z0-9][a-z0-9_.-]{0,62}",
+      "peers tls_ca_file ca.pem: Expected an absolute path",
+      "peers tls_certificate_file /own.pem: Expected swatches-1 and 127.0.0.1 in /own.pem",
+      "peers tls_key_file : Expected an absolute path, because `tls` is `required`",
+    ],
+  );
+  t.same(problemsOf(exampleWith("peers", "tls = off")), []);
+  t.end();
+});
+
 t.test("should report all problems at once, so that one start shows every mistake", (t) => {
   const text = exampleSettings()
     .replace("caller_port = 8080", "caller_port = 99999")
