Check the extended key usage of a peer's certificate

A certificate for servers only passed check and failed at the daemon's first call. check now names it; a test of the program shows that check reports the key files with section, key, value and line.

--- a/packages/cli/src/program_test.ts
+++ b/packages/cli/src/program_test.ts
@@ -1,10 +1,12 @@
 import { spawnSync } from "node:child_process";
-import { writeFileSync } from "node:fs";
+import { readFileSync, writeFileSync } from "node:fs";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { join } from "node:path";
 import t, { type Test } from "tap";
 import type { DaemonSummary } from "@tanagercove/daemon";
+import { createCertificateAuthority } from "@tanagercove/emulator";
+import { openKeyFiles } from "@tanagercove/test_helpers";
 import { runProgram } from "./program.ts";
 
 /** Writes files into a folder of the test and gives their paths by name. */
@@ -145,6 +147,51 @@
   t.match(errors, /\[upstream\] port: Missing/);
 });
 
+t.test("should check the key files that the settings name", async (t) => {
+  const authority = await createCertificateAuthority();
+  const { files: keyFiles, trust, issue } = openKeyFiles(t, {
+    vmId: "swatches-1",
+    addresses: ["127.0.0.1"],
+    authority,
+  });
+  trust(authority);
+  await issue();
+  const example = readFileSync("docs/example.ini", "utf8");
+  const { settings } = files(t, {
+    settings: example.replace(
+      "[peers]\n",
+      [
+        "[peers]",
+        "tls = required",
+        `tls_ca_file = ${keyFiles.caFile}`,
+        `tls_certificate_file = ${keyFiles.certificateFile}`,
+        `tls_key_file = ${keyFiles.keyFile}`,
+        "",
+      ].join("\n"),
+    ),
+  });
+  t.match(await run("check", "--settings", settings), { exitCode: 0 });
+  await issue({ vmId: "other", addresses: ["127.0.0.2"], validForMs: -1_000 });
+  writeFileSync(keyFiles.caFile, "nothing");
+  const { exitCode, errors } = await run("check", "--settings", settings);
+  t.equal(exitCode, 2);
+  const line = (key: string) =>
+    String.raw`\[peers\] ${key} = \S+ \(line \d+\): `;
+  t.match(errors, new RegExp(`${line("tls_ca_file")}Expected at least one CA`));
+  for (
+    const expected of [
+      "a certificate that is valid now",
+      "the IP address 127.0.0.1",
+      "the URI",
+    ]
+  ) {
+    t.match(
+      errors,
+      new RegExp(`${line("tls_certificate_file")}Expected ${expected}`),
+    );
+  }
+});
+
 t.test("should show versions by zone, laggards, refusals and missing daemons", async (t) => {
   const refused = { revision: 13, hash: "b", reason: "plans:3: \x1b[2Jbad" };
   const old = { revision: 9, hash: "c", reason: "replaced since" };
--- a/packages/emulator/src/certificate_authority.ts
+++ b/packages/emulator/src/certificate_authority.ts
@@ -3,6 +3,7 @@
 import { randomUUID, webcrypto } from "node:crypto";
 import {
   BasicConstraintsExtension,
+  ExtendedKeyUsageExtension,
   SubjectAlternativeNameExtension,
   X509CertificateGenerator,
 } from "@peculiar/x509";
@@ -15,6 +16,8 @@
   readonly addresses: readonly string[];
   /** Time until the certificate expires; one that is not positive has expired already. */
   readonly validForMs?: number;
+  /** Object identifiers of extended key usages; no restriction by default. */
+  readonly usages?: string[];
 }
 
 /** A certificate and its private key in PEM. */
@@ -50,7 +53,7 @@
   });
   return {
     certificate: own.toString("pem"),
-    async issue({ vmId, addresses, validForMs = DAY_MS }) {
+    async issue({ vmId, addresses, validForMs = DAY_MS, usages }) {
       const subjectKeys = await generateKeys();
       const uris = vmId === undefined ? [] : [VM_URI_PREFIX + vmId];
       const certificate = await X509CertificateGenerator.create({
@@ -66,6 +69,9 @@
             ...uris.map((value) => ({ type: "url" as const, value })),
             ...addresses.map((value) => ({ type: "ip" as const, value })),
           ]),
+          ...(usages === undefined
+            ? []
+            : [new ExtendedKeyUsageExtension(usages)]),
         ],
       });
       return {
--- a/packages/keys/src/key_files.ts
+++ b/packages/keys/src/key_files.ts
@@ -44,6 +44,8 @@
 /** Names of a VM in the subject alternative names of a certificate. */
 export const VM_URI_PREFIX = "urn:tanagercove:vm:";
 
+/** Extended key usages "server" and "client" of TLS; a peer port needs both. */
+const PEER_USAGES = ["1.3.6.1.5.5.7.3.1", "1.3.6.1.5.5.7.3.2"];
 const MAX_FILE_BYTES = 1_000_000;
 const PEM_CERTIFICATE =
   /-----BEGIN CERTIFICATE-----[^-]+-----END CERTIFICATE-----/g;
@@ -147,6 +149,12 @@
       `Expected the IP address ${address} of [daemon] address in the subject alternative names`,
     );
   }
+  const { keyUsage: usages } = certificate;
+  if (usages !== undefined && !PEER_USAGES.every((id) => usages.includes(id))) {
+    messages.push(
+      "Expected the extended key usages server and client, or none",
+    );
+  }
   const ids = vmIdsIn(certificate.subjectAltName);
   if (ids.length !== 1 || ids[0] !== vmId) {
     messages.push(
--- a/packages/keys/src/keys_test.ts
+++ b/packages/keys/src/keys_test.ts
@@ -107,6 +107,8 @@
   trust(authority);
   await issue();
   t.same(check(), []);
+  await issue({ ...GOOD, usages: ["1.3.6.1.5.5.7.3.1"] });
+  t.match(check(), [/^certificateFile Expected the extended key usages/]);
   await issue({ vmId: "b-1", addresses: [OTHER_ADDRESS], validForMs: -1_000 });
   writeFileSync(files.keyFile, (await authority.issue(GOOD)).key);
   trust(otherAuthority);
