Let faults meet POSTs that are known to run, and test two faults at once

Cause: a fault that must meet a request had 400 ms from the test's look at the upstream to the fault, and which daemon's request it met was left to two load generators. Two faults at once were shown for few pairs.

Change: holdPosts sends POSTs from one daemon until some of them run on a given upstream, which is slow for these only, and gives what exactly these callers were told. The test of a killed upstream uses it instead of untilHeld and now demands 'unknown cut' of each of them, where any unknown outcome had done. cut() replaces repeated relay rules. untilTold waits for 30 s at most instead of 10 s, since ejected upstreams get no request for seconds. New: an owner daemon killed while another zone is cut; an upstream killed while the caller's daemon is paused.

Seen to fail: both new tests, with a classification of cut connections as not_run.

--- a/packages/daemon/src/faults/requests_network_test.ts
+++ b/packages/daemon/src/faults/requests_network_test.ts
@@ -34,16 +34,9 @@
   async (_t, faultCase) => {
     faultCase.startLoad();
     await faultCase.untilRunning(CALLER);
-    const rules = ["zone-b", "zone-c"].map((zone) =>
-      faultCase.mesh.relay!.addRule({
-        from: { zone: "zone-a" },
-        to: { zone },
-        bothWays: true,
-        action: "cut",
-      })
-    );
+    const heal = faultCase.cut("zone-a", ["zone-b", "zone-c"]);
     await faultCase.servedAgain(undefined, "the cut");
-    for (const rule of rules) rule.remove();
+    heal();
     await faultCase.servedAgain(undefined, "the end of the cut");
   },
 );
--- a/packages/daemon/src/faults/requests_pairs_test.ts
+++ b/packages/daemon/src/faults/requests_pairs_test.ts
@@ -1,24 +1,19 @@
 import { requestFaultTest } from "@tanagercove/test_helpers";
 
 const VICTIM = "reservations-1-1";
+/** Longer than a fault takes to begin on a busy machine. */
+const HOLD = { caller: "reservations-1-2", serviceTimeMs: 5_000 };
 
 // Guards against a second run in another zone of a request whose owner daemon died in a cut zone.
 requestFaultTest(
   "should run nothing twice when an owner daemon is killed while its zone is cut",
   async (_t, faultCase) => {
     faultCase.startLoad(faultCase.others(VICTIM));
-    const rules = ["zone-b", "zone-c"].map((zone) =>
-      faultCase.mesh.relay!.addRule({
-        from: { zone: "zone-a" },
-        to: { zone },
-        bothWays: true,
-        action: "cut",
-      })
-    );
+    const heal = faultCase.cut("zone-a", ["zone-b", "zone-c"]);
     await faultCase.untilRunning(VICTIM);
     await faultCase.daemon(VICTIM).kill();
     await faultCase.servedAgain(faultCase.others(VICTIM), "the kill");
-    for (const rule of rules) rule.remove();
+    heal();
     await faultCase.servedAgain(faultCase.others(VICTIM), "the cut");
   },
 );
@@ -42,3 +37,41 @@
     await faultCase.servedAgain(undefined, "the outage");
   },
 );
+
+requestFaultTest(
+  "should tell the truth about POSTs under two faults",
+  async (t, faultCase) => {
+    faultCase.startLoad();
+    // Guards against a second run when the caller's daemon has fewer zones left to retry in.
+    await t.test(
+      "should tell the truth about POSTs on a killed owner daemon while another zone is cut",
+      async (t) => {
+        const heal = faultCase.cut("zone-b", ["zone-a", "zone-c"]);
+        const held = await faultCase.holdPosts(VICTIM, HOLD);
+        await faultCase.daemon(VICTIM).kill();
+        t.same(await held.told, held.ids.map(() => "unknown cut"));
+        await faultCase.servedAgain(faultCase.others(VICTIM), "the kill");
+        heal();
+        await faultCase.daemon(VICTIM).start();
+      },
+    );
+
+    // Guards against late retries of a daemon that learns of a death only when it resumes.
+    await t.test(
+      "should tell the truth about POSTs on a killed upstream while the caller's daemon is paused",
+      async (t) => {
+        const upstream = faultCase.upstream("reservations-2-1");
+        const held = await faultCase.holdPosts("reservations-2-1", {
+          ...HOLD,
+          caller: "reservations-2-2",
+        });
+        faultCase.daemon("reservations-2-2").pause();
+        await upstream.kill();
+        await upstream.start();
+        faultCase.daemon("reservations-2-2").resume();
+        t.same(await held.told, held.ids.map(() => "unknown cut"));
+        await faultCase.servedAgain(undefined, "the pause");
+      },
+    );
+  },
+);
--- a/packages/daemon/src/faults/requests_upstream_test.ts
+++ b/packages/daemon/src/faults/requests_upstream_test.ts
@@ -7,12 +7,15 @@
   "should run nothing twice when an upstream is killed during requests",
   async (t, faultCase) => {
     faultCase.startLoad();
-    await faultCase.untilHeld(VICTIM);
+    const held = await faultCase.holdPosts(VICTIM, {
+      caller: "reservations-1-2",
+      serviceTimeMs: 5_000,
+    });
     await faultCase.upstream(VICTIM).kill();
+    t.same(await held.told, held.ids.map(() => "unknown cut"));
     await faultCase.servedAgain(undefined, "the kill");
     await faultCase.upstream(VICTIM).start();
     await faultCase.servedAgain(undefined, "the restart");
-    t.ok(faultCase.calls.some(({ outcome }) => outcome === "unknown"));
   },
 );
 
--- a/packages/daemon/src/faults/storm_test.ts
+++ b/packages/daemon/src/faults/storm_test.ts
@@ -14,7 +14,7 @@
 const STEPS = 14;
 const MAX_STEP_MS = 900;
 
-type Fault = (faultCase: FaultCase, zone: string) => Promise<void> | void;
+type Fault = (faultCase: FaultCase, zone: string) => unknown;
 
 const FAULTS: Readonly<Record<string, Fault>> = {
   kill: ({ mesh }, zone) => mesh.fleet.kill(running(mesh.fleet.zone(zone))),
--- a/packages/emulator/src/load.ts
+++ b/packages/emulator/src/load.ts
@@ -19,6 +19,8 @@
   readonly services: readonly string[];
   readonly ratePerSecond: number;
   readonly durationMs: number;
+  /** Ends the run after this many requests; no limit by default. */
+  readonly maxRequests?: number;
   readonly seed: number;
   /** Share of GET requests; the others are POST. Default 0.8. */
   readonly idempotentShare?: number;
@@ -91,7 +93,7 @@
       await sleep(Math.max(0, waitMs), undefined, { signal: options.signal })
         .catch(() => {});
     }
-    if (options.signal?.aborted) break;
+    if (options.signal?.aborted || sent === options.maxRequests) break;
     if (inFlight.size >= maxInFlight) {
       notSent += 1;
       continue;
--- a/packages/test_helpers/src/fault_case.ts
+++ b/packages/test_helpers/src/fault_case.ts
@@ -1,6 +1,11 @@
 import t, { type Test } from "tap";
 import { request } from "undici";
-import type { DaemonProcess, Mesh } from "@tanagercove/emulator";
+import type {
+  DaemonProcess,
+  Mesh,
+  RuleHandle,
+  StartMeshOptions,
+} from "@tanagercove/emulator";
 import { HEADERS } from "@tanagercove/types";
 import { waitFor } from "./wait_for.ts";
 import { openMesh } from "./open_mesh.ts";
@@ -30,6 +35,16 @@
     this.mesh = mesh;
   }
 
+  /** Customer that the newest edit has added. */
+  get newestCustomer(): string {
+    return customerOf(this.#edits);
+  }
+
+  /** The plans as of the newest edit. */
+  get newestPlans(): string {
+    return plansOf(this.#edits);
+  }
+
   /** Publishes a valid edit of the plans and returns its revision. */
   edit(): number {
     this.#edits += 1;
@@ -93,9 +108,9 @@
     }
   }
 
-  /** Cuts a zone from the platform until the relay's rules are cleared. */
-  cutFromPlatform(zone: string): void {
-    this.mesh.relay!.addRule({
+  /** Cuts a zone from the platform until the rule is removed or the relay's rules are cleared. */
+  cutFromPlatform(zone: string): RuleHandle {
+    return this.mesh.relay!.addRule({
       from: { zone },
       to: { kind: "platform" },
       action: "cut",
@@ -154,11 +169,13 @@
 export function faultTest(
   name: string,
   body: (t: Test, faultCase: FaultCase) => Promise<void>,
+  { settings }: Pick<StartMeshOptions, "settings"> = {},
 ): void {
   t.test(name, async (t) => {
     const mesh = await openMesh(t, {
       zones: FAULT_ZONES,
       services: SERVICES,
+      settings,
       plans: plansOf(0),
       allowances: "basic = swatches\nfull = swatches, reservations, fittings\n",
     });
--- a/packages/test_helpers/src/request_fault_case.ts
+++ b/packages/test_helpers/src/request_fault_case.ts
@@ -3,10 +3,13 @@
   type CallRecord,
   compareExecutions,
   type DaemonProcess,
+  type EndpointSelector,
   type Execution,
   executionsOf,
+  mergeSections,
   type Mesh,
   runLoad,
+  type RunLoadOptions,
   type StartMeshOptions,
   UpstreamProcess,
 } from "@tanagercove/emulator";
@@ -34,6 +37,12 @@
 const RATE_PER_DAEMON = 8;
 /** Requests of a burst wait in a full queue, so their deadline must not end them before the fault does. */
 const BURST = { ratePerSecond: 1_000, durationMs: 30, deadlineMs: 10_000 };
+/** Sent at once, so that the choice of upstream by requests in flight reaches a slow one too. */
+const POSTS_AT_ONCE = 4;
+const POSTS_INTERVAL_MS = 200;
+/** Ejected upstreams get no request for seconds, so what a test waits for may come late. */
+const TOLD_TIMEOUT_MS = 30_000;
+const CUSTOMER = "isla";
 /** Time after the bound in which every request must be answered. */
 const STEADY_MS = 1_500;
 const READY_TIMEOUT_MS = 30_000;
@@ -45,6 +54,23 @@
   readonly endedAtMs: number;
 }
 
+/** POSTs that run on an upstream when a fault begins. */
+export interface HeldPosts {
+  readonly ids: readonly string[];
+  /** Whether they all run still. */
+  areRunning(): boolean;
+  /** Outcome and reason that each of their callers was told. */
+  readonly told: Promise<readonly string[]>;
+}
+
+/** Options of `RequestFaultCase.holdPosts`. */
+export interface HoldPostsOptions {
+  /** Daemon whose callers send the POSTs. */
+  readonly caller: string;
+  readonly serviceTimeMs: number;
+  readonly customer?: string;
+}
+
 /** A mesh of daemons and upstream processes under a light load, and the checks of its requests. */
 export class RequestFaultCase {
   readonly mesh: Mesh;
@@ -76,19 +102,82 @@
     return this.mesh.fleet.daemons.filter(({ id }) => !ids.includes(id));
   }
 
+  /** Cuts a zone from other zones, in both directions, or from the platform; the result ends it. */
+  cut(zone: string, from: readonly string[] | "platform"): () => void {
+    const targets: readonly EndpointSelector[] = from === "platform"
+      ? [{ kind: "platform" }]
+      : from.map((other) => ({ zone: other }));
+    const rules = targets.map((to) =>
+      this.mesh.relay!.addRule({
+        from: { zone },
+        to,
+        bothWays: true,
+        action: "cut",
+      })
+    );
+    return () => rules.forEach((rule) => rule.remove());
+  }
+
   /** Starts the light load on each of these daemons. */
-  startLoad(daemons: readonly DaemonProcess[] = this.mesh.fleet.daemons): void {
+  startLoad(
+    daemons: readonly DaemonProcess[] = this.mesh.fleet.daemons,
+    { deadlineMs = LOAD_DEADLINE_MS } = {},
+  ): void {
     for (const { id } of daemons) {
       void this.#run(id, {
         ratePerSecond: RATE_PER_DAEMON,
         durationMs: Infinity,
+        deadlineMs,
       });
     }
   }
 
   /** Sends about 30 requests to a daemon at once; resolves when all have ended. */
   burst(id: string): Promise<unknown> {
-    return this.#run(id, BURST);
+    return this.#run(id, BURST).ended;
+  }
+
+  /** Sends one POST for a customer and returns its outcome and reason. */
+  async ask(id: string, customer: string): Promise<string> {
+    return toldTo(await this.#post(id, customer).told);
+  }
+
+  /**
+   * Sends POSTs to one daemon until some of them run on an upstream, which is slow for these only. A fault
+   * that follows meets them.
+   */
+  async holdPosts(
+    id: string,
+    { caller, serviceTimeMs, customer = CUSTOMER }: HoldPostsOptions,
+  ): Promise<HeldPosts> {
+    await this.#setServiceTime(id, serviceTimeMs);
+    const sent: { readonly seed: string; told: Promise<TimedCall> }[] = [];
+    const running = () =>
+      this.executions(id)
+        .filter(({ endedAtMs }) => endedAtMs === undefined)
+        .map((execution) => execution.id)
+        .filter((running) => sent.some(({ seed }) => seed === seedOf(running)));
+    const ids = await waitFor(() => {
+      const held = running();
+      if (held.length > 0) return held;
+      for (let post = 0; post < POSTS_AT_ONCE; post += 1) {
+        sent.push(this.#post(caller, customer));
+      }
+      return undefined;
+    }, {
+      what: `POST of ${caller} on ${id}`,
+      intervalMs: POSTS_INTERVAL_MS,
+      timeoutMs: TOLD_TIMEOUT_MS,
+    });
+    await this.#setServiceTime(id, SERVICE_TIME_MS);
+    const held = sent.filter(({ seed }) =>
+      ids.some((heldId) => seedOf(heldId) === seed)
+    );
+    const told = Promise.all(
+      held.map(async (post) => toldTo(await post.told)),
+    );
+    const areRunning = () => ids.every((held) => running().includes(held));
+    return { ids, areRunning, told };
   }
 
   executions(id: string): readonly Execution[] {
@@ -105,18 +194,6 @@
     });
   }
 
-  /** Makes an upstream slow and waits until a POST runs on it, so that a fault meets it. */
-  async untilHeld(id: string): Promise<void> {
-    await this.#setServiceTime(id, SLOW_SERVICE_TIME_MS);
-    await waitFor(
-      () =>
-        this.executions(id).some(({ method, endedAtMs }) =>
-          method === "POST" && endedAtMs === undefined
-        ),
-      { what: `running POST on ${id}`, intervalMs: 2 },
-    );
-  }
-
   /** Waits until a POST that came through another daemon runs on an upstream. */
   async untilPostOfOthersRuns(id: string): Promise<void> {
     await waitFor(
@@ -168,7 +245,7 @@
     const sinceMs = performance.now();
     await waitFor(
       () => this.calls.some((call) => call.dueAtMs >= sinceMs && matches(call)),
-      { what },
+      { what, timeoutMs: TOLD_TIMEOUT_MS },
     );
   }
 
@@ -199,7 +276,7 @@
       this.#t.ok(later.length > 0, `${id} has load after the bound`);
       const told = later
         .filter(({ outcome }) => outcome !== "answered")
-        .map(({ outcome, reason }) => `${outcome} ${reason}`);
+        .map(toldTo);
       this.#t.same(told, [], `${id} answers all after the bound of ${what}`);
     }
   }
@@ -254,45 +331,64 @@
 
   #told(): Readonly<Record<string, number>> {
     const counts: Record<string, number> = {};
-    for (const { outcome, reason } of this.calls) {
-      const key = reason === undefined ? outcome : `${outcome} ${reason}`;
+    for (const call of this.calls) {
+      const key = toldTo(call);
       counts[key] = (counts[key] ?? 0) + 1;
     }
     return counts;
   }
 
+  #post(daemonId: string, customer: string) {
+    let told: TimedCall;
+    const { seed, ended } = this.#run(daemonId, {
+      ...BURST,
+      durationMs: Infinity,
+      maxRequests: 1,
+      idempotentShare: 0,
+      customers: [customer],
+      onTold: (call) => told = call,
+    });
+    return { seed, told: ended.then(() => told) };
+  }
+
   #run(
     daemonId: string,
-    load: {
-      readonly ratePerSecond: number;
-      readonly durationMs: number;
-      readonly deadlineMs?: number;
-    },
-  ): Promise<unknown> {
+    { onTold, ...load }:
+      & Pick<RunLoadOptions, "ratePerSecond" | "durationMs">
+      & Partial<RunLoadOptions>
+      & { readonly onTold?: (call: TimedCall) => void },
+  ): { readonly seed: string; readonly ended: Promise<unknown> } {
     const seed = this.#nextSeed;
     this.#nextSeed += 1;
     this.#daemonIdBySeed.set(String(seed), daemonId);
-    const run = runLoad({
+    const ended = runLoad({
       deadlineMs: LOAD_DEADLINE_MS,
+      customers: [CUSTOMER],
+      idempotentShare: 0.5,
       ...load,
       targets: [this.mesh.callerUrl(daemonId)],
-      customers: ["isla"],
       services: [SERVICE],
       seed,
-      idempotentShare: 0.5,
       answerBytes: 2_000,
       signal: this.#stop.signal,
       onCall: (call) => {
         const endedAtMs = performance.now();
         const dueAtMs = endedAtMs - call.latencyMs;
-        this.calls.push({ ...call, daemonId, dueAtMs, endedAtMs });
+        const timed = { ...call, daemonId, dueAtMs, endedAtMs };
+        this.calls.push(timed);
+        onTold?.(timed);
       },
     });
-    this.#runs.push(run);
-    return run;
+    this.#runs.push(ended);
+    return { seed: String(seed), ended };
   }
 }
 
+/** Outcome of a call with its reason, where it has one. */
+function toldTo({ outcome, reason }: TimedCall): string {
+  return reason === undefined ? outcome : `${outcome} ${reason}`;
+}
+
 /** The ids of a run's requests begin with its seed. */
 function seedOf(requestId: string): string {
   return requestId.slice(0, requestId.indexOf("-"));
@@ -302,9 +398,11 @@
 export function requestFaultTest(
   name: string,
   body: (t: Test, faultCase: RequestFaultCase) => Promise<void>,
+  meshOptions: Partial<StartMeshOptions> = {},
 ): void {
   t.test(name, async (t) => {
     t.comment(`seed ${SEED}`);
+    const { settings } = meshOptions;
     const options: StartMeshOptions = {
       zones: FAULT_ZONES,
       services: [SERVICE],
@@ -314,9 +412,14 @@
         slots: SLOTS,
         serviceTime: { shape: "fixed", meanMs: SERVICE_TIME_MS },
       }),
-      plans: "isla = full\n",
+      plans: `${CUSTOMER} = full\n`,
       allowances: `full = ${SERVICE}\n`,
-      settings: { upstream: { slots: SLOTS } },
+      ...meshOptions,
+      settings: (fleetVm) =>
+        mergeSections(
+          { upstream: { slots: SLOTS } },
+          typeof settings === "function" ? settings(fleetVm) : settings ?? {},
+        ),
     };
     const mesh = await openMesh(t, options);
     const faultCase = new RequestFaultCase(t, mesh);
