--- /dev/null
+++ b/packages/daemon/src/faults/requests_returns_test.ts
@@ -0,0 +1,45 @@
+import { requestFaultTest } from "@tanagercove/test_helpers";
+
+/** Long enough for a busy test machine, so that only a refusal or a loss can fail a request. */
+const DEADLINE_MS = 5_000;
+
+// Guards against a group of returning daemons that disturbs other zones or takes their upstreams' work.
+requestFaultTest(
+  "should serve the other zones all along when a zone's daemons are killed and return at once",
+  async (t, faultCase) => {
+    const { fleet, vms } = faultCase.mesh;
+    const zone = fleet.zone("zone-a");
+    const others = fleet.daemons.filter((daemon) => !zone.includes(daemon));
+    faultCase.startLoad(fleet.daemons, { deadlineMs: DEADLINE_MS });
+    const held = await faultCase.holdPosts("reservations-1-1", {
+      caller: "reservations-1-2",
+      serviceTimeMs: DEADLINE_MS,
+    });
+    await fleet.kill(zone);
+    t.same(await held.told, held.ids.map(() => "none"), "the kill met POSTs");
+    for (const { id } of others) {
+      await faultCase.untilTold(
+        `answer of ${id} while the zone is gone`,
+        ({ daemonId, outcome }) => daemonId === id && outcome === "answered",
+      );
+    }
+    await fleet.start(zone);
+    await faultCase.servedAgain(fleet.daemons, "the return");
+
+    const ofOthers = faultCase.calls.filter(({ daemonId }) =>
+      others.some(({ id }) => id === daemonId)
+    );
+    const unserved = ofOthers.filter(({ outcome }) => outcome !== "answered");
+    t.same(unserved, [], "callers of the other zones are served all along");
+    const zoneOf = new Map(vms.map(({ id, zone }) => [id, zone]));
+    const zoneByCall = new Map(
+      ofOthers.map(({ id, daemonId }) => [id, zoneOf.get(daemonId)]),
+    );
+    const strayed = vms.flatMap((vm) =>
+      faultCase.executions(vm.id).filter(({ id }) =>
+        zoneByCall.has(id) && zoneByCall.get(id) !== vm.zone
+      )
+    );
+    t.same(strayed, [], "they are served by upstreams of their own zone");
+  },
+);
