Test requests under faults of the platform and edits that cross them

Guards against requests that wait for the platform, follow what a stale one says, are broken off by a later edit, or are routed by a former plan.

Seen to fail: outage and stale platform with daemons that refuse requests once the last confirmation is older than 2.5 s; the cut zone with daemons that refuse requests while their own watch of the platform fails; the crossing edit with a check of allowances that allows every service, and with an owner daemon that checks the plan again after the upstream's answer.

--- /dev/null
+++ b/packages/daemon/src/faults/requests_configuration_test.ts
@@ -0,0 +1,149 @@
+import type { PlatformMode } from "@tanagercove/emulator";
+import {
+  IN_FORCE_BOUND_MS,
+  type RequestFaultCase,
+  requestFaultTest,
+  waitFor,
+} from "@tanagercove/test_helpers";
+
+const DEADLINE_MS = 5_000;
+/** Longer than the bound in which an edit is in force. */
+const HELD_MS = 2 * IN_FORCE_BOUND_MS;
+
+/** Above `stale_after_ms`, so that daemons act on the fault. */
+const UNCONFIRMED_MS = 3_000;
+
+interface PlatformFault {
+  /** Begins the fault; the result ends it. */
+  readonly begin: (
+    faultCase: RequestFaultCase,
+    beforeLastEdit: number,
+  ) => () => void;
+  /** Waits until the fault has met daemons after the edit of this revision. */
+  readonly met: (faultCase: RequestFaultCase, edit: number) => Promise<unknown>;
+  /** What callers of a customer are told whom an edit adds during the fault. */
+  readonly added: string;
+}
+
+function setMode(
+  { mesh: { platform } }: RequestFaultCase,
+  mode: PlatformMode,
+  staleRevision?: number,
+): () => void {
+  platform.setMode(mode, { staleRevision });
+  return () => platform.setMode("normal");
+}
+
+/** Waits until every daemon has noticed that the platform confirms nothing. */
+async function untilUnconfirmed({ mesh }: RequestFaultCase): Promise<void> {
+  await waitFor(async () => {
+    const statuses = await Promise.all(
+      mesh.fleet.daemons.map((daemon) => daemon.status()),
+    );
+    return statuses.every(({ json }) =>
+      Number(json.confirmation_age_ms) > UNCONFIRMED_MS
+    );
+  }, { timeoutMs: 30_000 });
+}
+
+const FAULTS: Readonly<Record<string, PlatformFault>> = {
+  "the platform is out": {
+    begin: (faultCase) => setMode(faultCase, "outage"),
+    met: untilUnconfirmed,
+    added: "not_run customer_unknown",
+  },
+  "the platform is stale": {
+    begin: (faultCase, staleRevision) =>
+      setMode(faultCase, "stale", staleRevision),
+    met: untilUnconfirmed,
+    added: "not_run customer_unknown",
+  },
+  "a zone is cut from the platform": {
+    begin: (faultCase) => faultCase.cut("zone-a", "platform"),
+    met: ({ mesh }, edit) =>
+      mesh.fleet.waitInForce(edit, { timeoutMs: IN_FORCE_BOUND_MS }),
+    added: "answered",
+  },
+};
+
+requestFaultTest(
+  "should route by the configuration held",
+  async (t, faultCase) => {
+    const { fleet, platform } = faultCase.mesh;
+    const edits: string[] = [];
+    const publish = (nora: "full" | "bare" = "full") =>
+      platform.publish(
+        "plans",
+        `isla = full\nnora = ${nora}\n${edits.join("")}`,
+      );
+    const addCustomer = (): number => {
+      edits.push(`added-${edits.length + 1} = full\n`);
+      return publish();
+    };
+    const askAll = (customer: string) =>
+      Promise.all(fleet.daemons.map(({ id }) => faultCase.ask(id, customer)));
+    const ofAll = (told: string) => fleet.daemons.map(() => told);
+    const inForce = (revision: number) =>
+      fleet.waitInForce(revision, { timeoutMs: IN_FORCE_BOUND_MS });
+    faultCase.startLoad(fleet.daemons, { deadlineMs: DEADLINE_MS });
+
+    for (const [fault, { begin, met, added }] of Object.entries(FAULTS)) {
+      // Guards against requests that wait for the platform or follow what it says wrongly.
+      await t.test(
+        `should answer by the plan held while ${fault}`,
+        async (t) => {
+          const sinceMs = performance.now();
+          const before = platform.revision;
+          await inForce(addCustomer());
+          const held = `added-${edits.length}`;
+          await faultCase.untilRunning("reservations-1-1");
+          const end = begin(faultCase, before);
+          const revision = addCustomer();
+          await met(faultCase, revision);
+          t.same(await askAll(held), ofAll("answered"));
+          t.same(await askAll(`added-${edits.length}`), ofAll(added));
+          for (const { id } of fleet.daemons) {
+            await faultCase.untilTold(
+              `answer of ${id}`,
+              ({ daemonId, outcome }) =>
+                daemonId === id && outcome === "answered",
+            );
+          }
+          end();
+          await inForce(revision);
+          t.same(await askAll(`added-${edits.length}`), ofAll("answered"));
+          const unserved = faultCase.calls.filter((call) =>
+            call.customer === "isla" && call.dueAtMs >= sinceMs &&
+            call.outcome !== "answered"
+          );
+          t.same(unserved, [], "requests are answered all along");
+        },
+      );
+    }
+
+    // Guards against a request that a later edit breaks off, and a route that a former plan allows.
+    await t.test(
+      "should end started requests by their table and refuse new ones when an edit removes a service",
+      async (t) => {
+        const held = await faultCase.holdPosts("reservations-1-1", {
+          caller: "reservations-1-2",
+          serviceTimeMs: HELD_MS,
+          customer: "nora",
+        });
+        await inForce(publish("bare"));
+        const sinceMs = performance.now();
+        t.ok(held.areRunning(), "the edit met the requests");
+        t.same(await askAll("nora"), ofAll("not_run service_not_allowed"));
+        t.same(await held.told, held.ids.map(() => "answered"));
+        const refused = faultCase.calls.filter(({ customer, dueAtMs }) =>
+          customer === "nora" && dueAtMs >= sinceMs
+        );
+        t.ok(refused.every(({ status }) => status === 403));
+      },
+    );
+  },
+  {
+    plans: "isla = full\nnora = full\n",
+    allowances: "full = reservations\nbare = other\n",
+  },
+);
