Test faults at the steps of a configuration change with real daemons

Guards against content that changes under a revision, requests that a resumed daemon routes by an old plan, a version of which only the index was read, a change that only its reader knows in an outage, and a change lost with the connection of its push.

A first form of the pause test passed without the gate, because pushes in the sockets of the stopped daemon were read before the request; the daemon is therefore cut from its peers while it is stopped.

--- /dev/null
+++ b/packages/daemon/src/faults/configuration_steps_test.ts
@@ -0,0 +1,197 @@
+import { once } from "node:events";
+import { type IncomingMessage, request } from "node:http";
+import type { DaemonProcess } from "@tanagercove/emulator";
+import {
+  FAULT_ZONES,
+  type FaultCase,
+  faultTest,
+  waitFor,
+} from "@tanagercove/test_helpers";
+import { HEADERS } from "@tanagercove/types";
+
+/** A pause is detected when the timer of 250 ms is more than 1,000 ms late. */
+const PAUSE_MS = 1_500;
+/** Longer than the default, so that a busy machine cannot end the wait before an exchange does. */
+const PAUSE_GATE_MS = 10_000;
+
+const READERS_PER_ZONE = 2;
+const READERS = READERS_PER_ZONE * FAULT_ZONES.length;
+
+interface Dump {
+  readonly distribution: {
+    readonly pauses: number;
+    readonly replication: {
+      readonly pushes_failed: number;
+      readonly conflicts: number;
+    };
+  };
+}
+
+faultTest(
+  "should change the configuration under faults at its steps",
+  async (t, faultCase) => {
+    const { fleet, platform } = faultCase.mesh;
+    const relay = faultCase.mesh.relay!;
+    const zone = fleet.zone("zone-c");
+    const others = fleet.daemons.filter((daemon) => !zone.includes(daemon));
+
+    // A reader that still reads an earlier edit must not meet the fault instead of the next one.
+    const untilAllWatch = (count: number) =>
+      waitFor(() => platform.waitingWatches === count);
+
+    // Guards against content that changes under a revision, and against a fleet that stays divided.
+    await t.test(
+      "should keep the content held first when a zone reads other content of the same revision",
+      async (t) => {
+        faultCase.cutFromZones("zone-c");
+        const cut = faultCase.cutFromPlatform("zone-c");
+        const revision = await faultCase.editInForce(others);
+        const first = await statusOf("hash", others);
+        platform.replaceWithoutRevision(
+          "plans",
+          `${faultCase.newestPlans}replaced = full\n`,
+        );
+        cut.remove();
+        await faultCase.inForce(revision, zone);
+        const second = await statusOf("hash", zone);
+        t.not(first[0], second[0]);
+        relay.clearRules();
+        await waitFor(async () =>
+          await sum(others, "conflicts") > 0 && await sum(zone, "conflicts") > 0
+        );
+        t.same(await statusOf("hash", others), first);
+        t.same(await statusOf("hash", zone), second);
+        await faultCase.editInForce();
+        t.equal(new Set(await statusOf("hash", fleet.daemons)).size, 1);
+      },
+    );
+
+    // Guards against a request that a resumed daemon routes by the plan it held before the pause.
+    await t.test(
+      "should hold a request that waits for a stopped daemon until it is up to date",
+      async (t) => {
+        const daemon = fleet.daemon("reservations-1-1");
+        const { pauses } = (await dumpOf(daemon)).distribution;
+        const pausedAtMs = performance.now();
+        daemon.pause();
+        // Pushes that wait in its sockets would bring it up to date before it reads the request.
+        const cut = relay.addRule({
+          from: { kind: "vm" },
+          to: { id: daemon.id },
+          bothWays: true,
+          action: "cut",
+        });
+        await faultCase.editInForce();
+        await waitFor(() => performance.now() > pausedAtMs + PAUSE_MS);
+        const told = await sendTo(daemon, faultCase);
+        cut.remove();
+        daemon.resume();
+        t.equal(await told(), "answered");
+        t.ok((await dumpOf(daemon)).distribution.pauses > pauses);
+      },
+    );
+
+    // Guards against a version of which only the index has been read.
+    await t.test(
+      "should take nothing when the platform goes out before the value is read, and all when it returns",
+      async (t) => {
+        const before = await statusOf("revision", fleet.daemons);
+        await untilAllWatch(READERS);
+        const { unavailable } = platform.calls;
+        platform.crossNextRead(() => platform.setMode("outage"));
+        const revision = faultCase.edit();
+        await waitFor(() => platform.calls.unavailable > unavailable);
+        t.same(await statusOf("revision", fleet.daemons), before);
+        platform.setMode("normal");
+        await faultCase.inForce(revision);
+      },
+    );
+
+    // Guards against a change that only its reader knows when the platform goes out.
+    await t.test(
+      "should spread what one reader has read before the platform goes out, by digests to a zone that was cut",
+      async (t) => {
+        faultCase.cutFromZones("zone-c");
+        faultCase.cutFromPlatform("zone-c");
+        await untilAllWatch(READERS - READERS_PER_ZONE);
+        const before = await statusOf("revision", zone);
+        platform.crossNextRead(() =>
+          queueMicrotask(() => platform.setMode("outage"))
+        );
+        const revision = faultCase.edit();
+        await faultCase.inForce(revision, others);
+        t.same(await statusOf("revision", zone), before);
+        relay.clearRules();
+        await faultCase.inForce(revision);
+        platform.setMode("normal");
+        await faultCase.editInForce();
+      },
+    );
+
+    // Guards against a change that is lost with the connection of its push.
+    await t.test(
+      "should distribute a change whose pushes met silent connections",
+      async () => {
+        const silent = { from: { kind: "vm" }, to: { kind: "vm" } } as const;
+        await untilAllWatch(READERS);
+        const failed = await sum(fleet.daemons, "pushes_failed");
+        let rule = { remove() {} };
+        platform.crossNextRead(() => {
+          rule = relay.addRule({ ...silent, action: "silent" });
+        });
+        const revision = faultCase.edit();
+        await waitFor(async () =>
+          await sum(fleet.daemons, "pushes_failed") > failed
+        );
+        relay.addRule({ ...silent, action: "silent", newConnections: "pass" });
+        rule.remove();
+        await faultCase.inForce(revision);
+      },
+    );
+  },
+  { settings: { distribution: { pause_gate_ms: PAUSE_GATE_MS } } },
+);
+
+function statusOf(
+  field: "hash" | "revision",
+  daemons: readonly DaemonProcess[],
+): Promise<readonly unknown[]> {
+  return Promise.all(daemons.map(async (one) => (await one.status())[field]));
+}
+
+async function dumpOf(daemon: DaemonProcess): Promise<Dump> {
+  return await daemon.dump() as Dump;
+}
+
+async function sum(
+  daemons: readonly DaemonProcess[],
+  count: keyof Dump["distribution"]["replication"],
+): Promise<number> {
+  const dumps = await Promise.all(daemons.map(dumpOf));
+  return dumps.reduce(
+    (total, { distribution }) => total + distribution.replication[count],
+    0,
+  );
+}
+
+/** Returns when the request for the newest customer has left; the result waits for the answer. */
+async function sendTo(
+  daemon: DaemonProcess,
+  { mesh, newestCustomer }: FaultCase,
+): Promise<() => Promise<unknown>> {
+  const sent = request(`${mesh.callerUrl(daemon.id)}/fault-case`, {
+    headers: {
+      [HEADERS.customer]: newestCustomer,
+      [HEADERS.service]: "swatches",
+      [HEADERS.deadlineMs]: String(PAUSE_GATE_MS),
+    },
+  });
+  const answered = once(sent, "response");
+  sent.end();
+  await once(sent, "finish");
+  return async () => {
+    const [{ headers }] = await answered as [IncomingMessage];
+    sent.destroy();
+    return headers[HEADERS.reason] ?? headers[HEADERS.outcome];
+  };
+}
