Test that regions stay current when cut off but for one zone, and after a long time apart

Cause: digest partners are kept for 30 to 90 s now, and no test had more than three zones, so partners of a region that was cut off could have kept it from newer versions elsewhere.

Change: regions_test.ts runs 60 daemons in 15 zones of 4 regions in virtual time. A region without the platform, linked to the others by one zone, takes three edits within 3 s each; a region without platform and links for 10 minutes is up to date within 3 s of the links' return.

--- /dev/null
+++ b/packages/distribution/src/regions_test.ts
@@ -0,0 +1,73 @@
+import t, { type Test } from "tap";
+import { seededRandom } from "@tanagercove/emulator";
+import { Fleet, vmsOf } from "./fleet_fixture.ts";
+
+const SEED = 20_261_204;
+
+/** 15 zones in 4 regions, as the fleet is designed for. */
+const REGIONS = ["abcd", "efgh", "ijkl", "mno"] as const;
+const ALL_ZONES = REGIONS.join("");
+const PER_ZONE = 4;
+const VM_COUNT = ALL_ZONES.length * PER_ZONE;
+
+/** All backoffs and terms of partners end well before; an hour takes a minute of processor time. */
+const APART_MS = 600_000;
+
+/** Time in which a version must be in force everywhere. */
+const IN_FORCE_MS = 3_000;
+
+async function startRegions(t: Test) {
+  const fleet = new Fleet(t, vmsOf(ALL_ZONES, PER_ZONE));
+  t.comment(`seed ${SEED}`);
+  fleet.random = seededRandom(SEED);
+  fleet.startAll();
+  await fleet.clock.advance(4_000);
+  t.equal(fleet.at(fleet.platform.revision), VM_COUNT);
+  return fleet;
+}
+
+/** Cuts a region off from the platform, and from all zones outside it but one. */
+function cutRegion(
+  fleet: Fleet,
+  { region, bridge = "" }: {
+    readonly region: string;
+    readonly bridge?: string;
+  },
+): void {
+  const zoneOf = new Map(fleet.vms.map(({ address, zone }) => [address, zone]));
+  for (const { id, zone } of fleet.vms) {
+    if (region.includes(zone)) fleet.cutOff.add(id);
+  }
+  fleet.network.fault = ({ from, to }) => {
+    const zones = [zoneOf.get(from) ?? "", zoneOf.get(to) ?? ""];
+    const inside = zones.filter((zone) => region.includes(zone));
+    if (inside.length !== 1) return undefined;
+    return zones.includes(bridge) ? undefined : "silent";
+  };
+}
+
+// Guards against partners kept from before a cut, of which none can tell anything new.
+t.test("should stay current in a region that is cut off but for one zone", async (t) => {
+  const fleet = await startRegions(t);
+  cutRegion(fleet, { region: REGIONS[3], bridge: "a" });
+  await fleet.clock.advance(60_000);
+  for (const entry of ["d", "e", "f"]) {
+    const revision = fleet.platform.publish("plans", `${entry} = p\n`);
+    await fleet.clock.advance(IN_FORCE_MS);
+    t.equal(fleet.at(revision), VM_COUNT);
+    await fleet.clock.advance(5_000);
+  }
+});
+
+// Guards against a slow return of a region that has heard nothing for long.
+t.test("should bring a region up to date within 3 s after a long time apart", async (t) => {
+  const fleet = await startRegions(t);
+  cutRegion(fleet, { region: REGIONS[3] });
+  const revision = fleet.platform.publish("plans", "d = p\n");
+  await fleet.clock.advance(APART_MS);
+  const inRegion = REGIONS[3].length * PER_ZONE;
+  t.equal(fleet.at(revision), VM_COUNT - inRegion);
+  fleet.network.fault = () => undefined;
+  await fleet.clock.advance(IN_FORCE_MS);
+  t.equal(fleet.at(revision), VM_COUNT, "by other zones alone");
+});
