--- a/packages/distribution/src/digest_partners_test.ts
+++ b/packages/distribution/src/digest_partners_test.ts
@@ -2,28 +2,12 @@
 import { seededRandom } from "@tanagercove/emulator";
 import { Membership } from "@tanagercove/membership";
 import { VirtualClock } from "@tanagercove/test_helpers";
-import type { Vm } from "@tanagercove/types";
 import { DigestPartners, type PartnerPlace } from "./digest_partners.ts";
+import { vmOf, vmsOf } from "./fleet_fixture.ts";
 
 const SEED = 20_261_204;
 
-function vmOf(zone: string, n: number): Vm {
-  return {
-    id: `${zone}${n}`,
-    zone,
-    service: "swatches",
-    region: "r",
-    address: `127.21.${zone.charCodeAt(0)}.${n}`,
-    callerPort: 1,
-    peerPort: 2,
-    upstreamPort: 3,
-    state: "live",
-  };
-}
-
-const VMS = [..."abcd"].flatMap((zone) =>
-  Array.from({ length: 20 }, (_, n) => vmOf(zone, n + 1))
-);
+const VMS = vmsOf("abcd", 20);
 
 function open(vmId: string, seed = SEED) {
   const clock = new VirtualClock();
--- a/packages/distribution/src/fleet_fixture.ts
+++ b/packages/distribution/src/fleet_fixture.ts
@@ -16,7 +16,7 @@
   type SnapshotStores,
 } from "./index.ts";
 
-/** A live VM; a zone has one letter. */
+/** A live VM; zones are named by one character. */
 export function vmOf(zone: string, n: number): Vm {
   return {
     id: `${zone}${n}`,
