Let daemons follow one reader of their zone instead of the platform

Change: the first daemon of a zone by rendezvous order watches the platform; the others hold a long poll to it and get the changed upstreams and routes. A reader without contact, or one that is silent for 1.2 s, is passed over.

--- a/packages/catalog/src/catalog.ts
+++ b/packages/catalog/src/catalog.ts
@@ -38,6 +38,19 @@
   readonly onEvent?: (event: CatalogEvent) => void;
 }
 
+/** Changes of upstreams kept for followers; one further behind gets everything. */
+const MAX_LOGGED_CHANGES = 1_000;
+
+/** Versions kept so that followers get only what differs. */
+const MAX_KEPT_VERSIONS = 4;
+
+/** Changes of upstreams since a position in the log. */
+export interface LoggedChanges {
+  /** Position after these changes. */
+  readonly position: number;
+  readonly changes: readonly CatalogChange[];
+}
+
 /** Removals older than this are forgotten; no reading is that late. */
 const REMOVAL_MEMORY_MS = 60_000;
 
@@ -60,6 +73,11 @@
   readonly #upstreams = new Map<string, HeldUpstream>();
   readonly #byService = new Map<string, HeldUpstream[]>();
   readonly #removals = new Map<string, Removal>();
+  /** Changes of upstreams in the order in which they were taken here. */
+  #log: CatalogChange[] = [];
+  #logStart = 0;
+  #keptVersions: RouteConfiguration[] = [];
+  readonly #waiting = new Set<() => void>();
   /** Removals to carry out unless the entry comes back first, by upstream. */
   readonly #deferred = new Map<string, Removal>();
 
@@ -92,6 +110,11 @@
     return this.#changeRevision;
   }
 
+  /** Revision of the platform that brought the configuration in force. */
+  get configurationRevision(): number {
+    return this.#configurationRevision;
+  }
+
   get deferredRemovals(): number {
     return this.#deferred.size;
   }
@@ -153,6 +176,36 @@
     this.#revision = Math.max(this.#revision, revision);
   }
 
+  /** Position in the log of changes of upstreams. */
+  get position(): number {
+    return this.#logStart + this.#log.length;
+  }
+
+  /** Changes of upstreams since a position; undefined if they are not kept any more. */
+  changesSince(position: number): LoggedChanges | undefined {
+    if (position < this.#logStart || position > this.position) return undefined;
+    const changes = this.#log.slice(position - this.#logStart);
+    return { position: this.position, changes };
+  }
+
+  /** A version that was in force here lately. */
+  keptVersion(version: number): RouteConfiguration | undefined {
+    return this.#keptVersions.find((kept) => kept.version === version);
+  }
+
+  /** Resolves at the next change, or after a time. */
+  whenChanged(timeoutMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const settle = () => {
+        clearTimeout(timer);
+        this.#waiting.delete(settle);
+        resolve();
+      };
+      const timer = setTimeout(settle, timeoutMs);
+      this.#waiting.add(settle);
+    });
+  }
+
   /** Everything held, for another daemon; the configuration only if it has an older one. */
   snapshot(haveVersion: number): CatalogReading {
     const changes: CatalogChange[] = [...this.#upstreams.values()].map((
@@ -186,6 +239,11 @@
       return;
     }
     this.#index = computeRouteIndex(configuration);
+    this.#keptVersions.push(configuration);
+    if (this.#keptVersions.length > MAX_KEPT_VERSIONS) {
+      this.#keptVersions.shift();
+    }
+    this.#wake();
     this.#configurationRevision = revision;
     this.#onEvent({ kind: "configuration_taken", version });
   }
@@ -206,6 +264,7 @@
       seenAtMs: sameLife ? held.seenAtMs : this.#nowMs(),
     });
     this.#byService.clear();
+    this.#record({ kind: "upstream", revision, entry });
     this.#onEvent({ kind: "upstream_taken", entry });
   }
 
@@ -224,10 +283,25 @@
     this.#upstreams.delete(id);
     this.#byService.clear();
     this.#remember(id, revision);
+    this.#record({ kind: "upstream_removed", revision, id });
     const { service } = held.entry;
     this.#onEvent({ kind: "upstream_removed", id, service });
   }
 
+  #record(change: CatalogChange): void {
+    this.#log.push(change);
+    if (this.#log.length > MAX_LOGGED_CHANGES) {
+      const dropped = MAX_LOGGED_CHANGES / 2;
+      this.#log = this.#log.slice(dropped);
+      this.#logStart += dropped;
+    }
+    this.#wake();
+  }
+
+  #wake(): void {
+    for (const settle of [...this.#waiting]) settle();
+  }
+
   #remember(id: string, revision: number): void {
     const atMs = this.#nowMs();
     this.#removals.set(id, { revision, atMs });
--- a/packages/catalog/src/catalog_sync.ts
+++ b/packages/catalog/src/catalog_sync.ts
@@ -2,6 +2,8 @@
 import type { Result } from "true-myth";
 import type { PlatformError } from "@tanagercove/errors";
 import type { Catalog } from "./catalog.ts";
+import type { FeedAnswer, FeedQuestion } from "./catalog_feed.ts";
+import { applyConfigurationDelta } from "./configuration_delta.ts";
 import type { CatalogReading, CatalogSource } from "./source_port.ts";
 
 /** Asks another daemon for what it holds; undefined if it does not answer or is not newer. */
@@ -10,11 +12,22 @@
   have: { readonly version: number; readonly changeRevision: number },
 ) => Promise<CatalogReading | undefined>;
 
+/** Follows another daemon; undefined if it does not answer. */
+export type FollowPeer = (
+  peer: string,
+  question: FeedQuestion,
+) => Promise<FeedAnswer | undefined>;
+
 /** Events of the contact with the platform and other daemons. */
 export type CatalogSyncEvent =
   | { readonly kind: "platform_lost"; readonly error: PlatformError }
   | { readonly kind: "platform_regained"; readonly outageMs: number }
   | { readonly kind: "history_dropped" }
+  | {
+    /** Undefined: this daemon reads the platform itself. */
+    readonly kind: "guide_changed";
+    readonly guide: string | undefined;
+  }
   | {
     readonly kind: "caught_up_from_peer";
     readonly peer: string;
@@ -27,8 +40,11 @@
   readonly catalog: Catalog;
   readonly source: CatalogSource;
   readonly askPeer: AskPeer;
+  readonly followPeer: FollowPeer;
   /** Other daemons, the nearest first. */
   readonly peers: () => readonly string[];
+  /** Daemons of the own zone that come before this one as readers of the platform. */
+  readonly readersBefore: () => readonly string[];
   readonly onEvent: (event: CatalogSyncEvent) => void;
   /** Time after which a watch without changes is renewed. */
   readonly watchWaitMs?: number;
@@ -37,6 +53,12 @@
 /** Bounds the time for which a connection that has gone silent goes unnoticed. */
 const WATCH_WAIT_MS = 3_000;
 
+/** Wait of a follower for changes; bounds the time until a silent reader is noticed. */
+const FOLLOW_WAIT_MS = 800;
+
+/** Time for which a daemon that did not answer is not followed. */
+const READER_AVOIDED_MS = 2_000;
+
 /** First pause after a failed call; doubles up to the longest one, with jitter. */
 const RETRY_MS = 100;
 const RETRY_MAX_MS = 800;
@@ -63,6 +85,10 @@
   #settleUntilMs = 0;
   #settleTimer: NodeJS.Timeout | undefined;
   #isCheckingPeer = false;
+  #guide: string | undefined;
+  #guideFeedId = "";
+  #guidePosition = 0;
+  readonly #avoidedUntilMs = new Map<string, number>();
   #done: Promise<unknown> = Promise.resolve();
 
   constructor(options: CatalogSyncOptions) {
@@ -111,9 +137,7 @@
   async #followPlatform(): Promise<void> {
     let pauseMs = RETRY_MS;
     while (!this.#closing.signal.aborted) {
-      const result = this.#needsFullRead
-        ? await this.#readAll()
-        : await this.#watch();
+      const result = await this.#followOnce();
       if (result === "ok") {
         pauseMs = RETRY_MS;
         continue;
@@ -123,6 +147,66 @@
     }
   }
 
+  /** One step: from the platform at first and as reader of the zone, else from the reader. */
+  async #followOnce(): Promise<"ok" | "failed"> {
+    const isEmpty = this.#options.catalog.revision === 0;
+    const guide = isEmpty ? undefined : this.#chooseGuide();
+    if (guide !== this.#guide) {
+      this.#guide = guide;
+      // What the former guide had not told yet is unknown.
+      this.#needsFullRead ||= guide === undefined;
+      this.#options.onEvent({ kind: "guide_changed", guide });
+    }
+    if (guide !== undefined) return await this.#followGuide(guide);
+    return this.#needsFullRead ? await this.#readAll() : await this.#watch();
+  }
+
+  #chooseGuide(): string | undefined {
+    const nowMs = performance.now();
+    return this.#options.readersBefore().find((reader) =>
+      (this.#avoidedUntilMs.get(reader) ?? 0) <= nowMs
+    );
+  }
+
+  async #followGuide(guide: string): Promise<"ok" | "failed"> {
+    const { catalog, followPeer } = this.#options;
+    const answer = await followPeer(guide, {
+      version: catalog.version,
+      feedId: this.#guideFeedId,
+      position: this.#guidePosition,
+      waitMs: FOLLOW_WAIT_MS,
+    });
+    if (answer === undefined || !answer.isInContact) {
+      const nowMs = performance.now();
+      this.#avoidedUntilMs.set(guide, nowMs + READER_AVOIDED_MS);
+      return "ok";
+    }
+    this.#guideFeedId = answer.feedId;
+    this.#guidePosition = answer.position;
+    this.#answered();
+    if (answer.whole !== undefined) catalog.replace(answer.whole);
+    catalog.apply(answer.changes);
+    return await this.#takeVersion(answer);
+  }
+
+  async #takeVersion(
+    { delta, version, configurationRevision, revision }: FeedAnswer,
+  ): Promise<"ok" | "failed"> {
+    const { catalog } = this.#options;
+    const from = catalog.index?.configuration;
+    if (delta !== undefined && from?.version === delta.fromVersion) {
+      const configuration = applyConfigurationDelta(from, delta);
+      catalog.apply([{
+        kind: "configuration",
+        revision: configurationRevision,
+        configuration,
+      }]);
+    }
+    if (catalog.version < version) return await this.#readAll();
+    catalog.advance(revision);
+    return "ok";
+  }
+
   async #readAll(): Promise<"ok" | "failed"> {
     const result = await this.#options.source.readAll();
     if (result.isErr) return this.#failed(result.error);
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -1,5 +1,9 @@
 import type { Agent } from "node:http";
-import type { CatalogReading } from "@tanagercove/catalog";
+import type {
+  CatalogReading,
+  FeedAnswer,
+  FeedQuestion,
+} from "@tanagercove/catalog";
 import type { Endpoint } from "@tanagercove/types";
 import { type Exchange, type ExchangeEnd, startExchange } from "./exchange.ts";
 import {
@@ -16,6 +20,12 @@
 /** Path on which a daemon tells others what it holds. */
 export const CATALOG_PATH = "/-/tanagercove/catalog";
 
+/** Path on which a daemon tells its followers what has changed. */
+export const FEED_PATH = "/-/tanagercove/feed";
+
+/** Time beyond the wait of a question in which the answer must arrive. */
+const FEED_GRACE_MS = 400;
+
 /** Another VM in the same region answers within milliseconds; a longer wait means it is out of reach. */
 const CONNECT_TIMEOUT_MS = 300;
 
@@ -63,6 +73,10 @@
 /** Calls other daemons. */
 export interface PeerClient {
   forward(options: ForwardOptions): ForwardRun;
+  follow(
+    destination: Endpoint,
+    question: FeedQuestion,
+  ): Promise<FeedAnswer | undefined>;
   readCatalog(
     destination: Endpoint,
     have: { readonly version: number; readonly changeRevision: number },
@@ -97,26 +111,41 @@
       });
       return forwardRun(exchange);
     },
-    async readCatalog(destination, { version, changeRevision }) {
-      const { ended } = startExchange({
-        agent,
-        destination,
-        localAddress,
-        method: "GET",
+    follow: (destination, { version, feedId, position, waitMs }) =>
+      ask<FeedAnswer>(destination, {
+        path: `${FEED_PATH}?version=${version}&feed_id=${feedId}` +
+          `&position=${position}&wait_ms=${waitMs}`,
+        timeoutMs: waitMs + FEED_GRACE_MS,
+      }),
+    readCatalog: (destination, { version, changeRevision }) =>
+      ask<CatalogReading>(destination, {
         path:
           `${CATALOG_PATH}?version=${version}&change_revision=${changeRevision}`,
-        headers: ["host", `${destination.address}:${destination.port}`],
-        body: undefined,
         timeoutMs: CATALOG_TIMEOUT_MS,
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
-        maxAnswerBytes: MAX_CATALOG_BYTES,
-      });
-      const end = await ended;
-      if (end.kind !== "answered" || end.status !== 200) return undefined;
-      // The daemons of one fleet run one program, which wrote this body.
-      return JSON.parse(end.body.toString()) as CatalogReading;
-    },
+      }),
   };
+
+  /** Asks a daemon of the same fleet, which runs the same program, so its JSON has the type expected. */
+  async function ask<T>(
+    destination: Endpoint,
+    { path, timeoutMs }: { readonly path: string; readonly timeoutMs: number },
+  ): Promise<T | undefined> {
+    const { ended } = startExchange({
+      agent,
+      destination,
+      localAddress,
+      method: "GET",
+      path,
+      headers: ["host", `${destination.address}:${destination.port}`],
+      body: undefined,
+      timeoutMs,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      maxAnswerBytes: MAX_CATALOG_BYTES,
+    });
+    const end = await ended;
+    if (end.kind !== "answered" || end.status !== 200) return undefined;
+    return JSON.parse(end.body.toString()) as T;
+  }
 }
 
 function forwardRun(exchange: Exchange): ForwardRun {
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -3,7 +3,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
-import type { Catalog } from "@tanagercove/catalog";
+import { answerFeed, type Catalog } from "@tanagercove/catalog";
 import {
   decodeTicket,
   encodeVerdict,
@@ -14,7 +14,7 @@
 } from "./forwarding.ts";
 import type { OwnedResult, Owner } from "./owner.ts";
 import { endToEndHeaders } from "./passed_headers.ts";
-import { CATALOG_PATH } from "./peer_client.ts";
+import { CATALOG_PATH, FEED_PATH } from "./peer_client.ts";
 import { readBody } from "./read_body.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 import { type HttpListener, listenHttp } from "./http_listener.ts";
@@ -31,6 +31,9 @@
 /** A request that takes longer than this is confirmed with an interim answer. */
 const CONFIRM_AFTER_MS = 120;
 
+/** Longest wait of a follower that is granted. */
+const MAX_FEED_WAIT_MS = 10_000;
+
 /** Options of `startPeerServer`. */
 export interface StartPeerServerOptions {
   readonly address: string;
@@ -38,6 +41,10 @@
   readonly names: RequestHeaderNames;
   readonly owner: Owner;
   readonly catalog: Catalog;
+  /** Names this life of the daemon; positions of its feed belong to it. */
+  readonly feedId: string;
+  /** Whether this daemon knows what the platform publishes now. */
+  readonly isInContact: () => boolean;
   readonly state: () => OwnerState;
   /** Decides whether a ticket still fits this VM's upstream. */
   readonly admits: (ticket: ForwardTicket) => boolean;
@@ -64,6 +71,8 @@
       void forwarded(request, response, decodeTicket(ticketText));
     } else if (request.url!.startsWith(`${CATALOG_PATH}?`)) {
       answerCatalog(request, response);
+    } else if (request.url!.startsWith(`${FEED_PATH}?`)) {
+      void answerFollower(request, response);
     } else {
       response.writeHead(404).end();
     }
@@ -88,6 +97,28 @@
     response.end(body);
   }
 
+  async function answerFollower(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { searchParams } = new URL(request.url!, "http://daemon");
+    const number = (name: string) => Number(searchParams.get(name));
+    const answer = await answerFeed({
+      catalog: options.catalog,
+      feedId: options.feedId,
+      question: {
+        version: number("version"),
+        feedId: searchParams.get("feed_id") ?? "",
+        position: number("position"),
+        waitMs: Math.min(MAX_FEED_WAIT_MS, number("wait_ms")),
+      },
+      isInContact: options.isInContact,
+    });
+    if (response.destroyed) return;
+    response.writeHead(200, { "content-type": "application/json" });
+    response.end(JSON.stringify(answer));
+  }
+
   async function forwarded(
     request: IncomingMessage,
     response: ServerResponse,
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,3 +1,4 @@
+import { randomBytes } from "node:crypto";
 import { createServer } from "node:http";
 import {
   Catalog,
@@ -6,6 +7,7 @@
   CatalogSync,
   type CatalogSyncEvent,
 } from "@tanagercove/catalog";
+import { rankByRendezvous } from "@tanagercove/membership";
 import { UpstreamReports } from "@tanagercove/placement";
 import { ServiceBudgets } from "@tanagercove/retries";
 import { TargetShares } from "@tanagercove/routing";
@@ -104,7 +106,9 @@
     catalog,
     source,
     askPeer: (peer, have) => peers.readCatalog(endpointOf(peer), have),
+    followPeer: (peer, question) => peers.follow(endpointOf(peer), question),
     peers: () => peerAddresses(catalog, settings),
+    readersBefore: () => readersBefore(catalog, settings),
     onEvent: (event) => events.onSync(event),
   });
   let stoppingSinceMs: number | undefined;
@@ -193,6 +197,9 @@
       names,
       owner,
       catalog,
+      feedId: randomBytes(6).toString("hex"),
+      isInContact: () =>
+        catalog.revision > 0 && sync.lostAtMs === undefined && !isStopping(),
       state: ownerState,
       admits,
       isStopping,
@@ -246,6 +253,20 @@
   };
 }
 
+/** Daemons of the own zone that come before this one in the order of readers. */
+function readersBefore(
+  catalog: Catalog,
+  settings: SidecarSettings,
+): readonly string[] {
+  const addresses = new Set([settings.address]);
+  for (const { entry } of catalog.upstreams.values()) {
+    if (entry.zone === settings.zone) addresses.add(entry.address);
+  }
+  const ranked = rankByRendezvous(settings.zone, [...addresses]);
+  return ranked.slice(0, ranked.indexOf(settings.address))
+    .map((address) => `${address}:${settings.peer.port}`);
+}
+
 /** Other daemons, those of the own zone first, then the seeds. */
 function peerAddresses(
   catalog: Catalog,
