Answer what a stopping daemon cuts, and tell a reset from the end of an answer

Ruled out for MIXED: a reset after the last bytes, which Node reports as an error; only one that arrives together with them is taken for an end.

Change: the address of the other end is gone after a reset, which the exchange checks where only the connection delimits an answer. A stopping daemon refuses what waits and ends what runs just before it exits, and answers each. Order in the queue counts from the caller's first attempt; a request that is late wherever it goes waits where it is.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -7,3 +7,4 @@
 export * from "./ranked_admission.ts";
 export * from "./ranked_decisions.ts";
 export * from "./ranked_order.ts";
+export * from "./caller_waits.ts";
--- a/packages/placement/src/choose_placement.ts
+++ b/packages/placement/src/choose_placement.ts
@@ -29,6 +29,9 @@
 /** An ejected upstream is used only if nothing else is left. */
 const EJECTED_LOSS = 2;
 
+/** Loss by time even within the objective, so that the faster upstream is ahead. */
+const LOSS_AT_OBJECTIVE = 0.1;
+
 /** Predicted share of the objective up to which an answer is taken to be on time. */
 const SAFE_SHARE = 0.55;
 
@@ -62,8 +65,8 @@
 ): number {
   const share = (candidate.waitMs + candidate.serviceMs) / latencyObjectiveMs;
   const lateness = (share - SAFE_SHARE) / (LATE_SHARE - SAFE_SHARE);
-  // The small slope keeps the fastest upstream ahead where none would be late.
-  return LATE_LOSS * Math.min(1, Math.max(0, lateness)) + 0.1 * share +
+  return LATE_LOSS * Math.min(1, Math.max(0, lateness)) +
+    LOSS_AT_OBJECTIVE * share +
     candidate.failureShare +
     (candidate.isOwnZone ? 0 : OTHER_ZONE_LOSS) +
     (candidate.isEjected ? EJECTED_LOSS : 0);
--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { CallerWaits } from "@tanagercove/admission";
 import type { Catalog, HeldUpstream } from "@tanagercove/catalog";
 import {
+  acceptableWaitMs,
   choosePlacement,
   type PlacementCandidate,
   type PlacementResult,
@@ -78,6 +80,15 @@
   readonly onResult: (result: CallerResult) => void;
 }
 
+/** Handles the requests of this VM's clients and upstream. */
+export interface CallerHandler {
+  handle(request: IncomingMessage, response: ServerResponse): void;
+  /** Requests that have no answer yet. */
+  readonly inFlight: number;
+  /** Ends the attempts of all requests in flight; each is answered at once. */
+  cutAll(): void;
+}
+
 /** A caller's request from its head on. */
 interface CallerRequest {
   readonly request: IncomingMessage;
@@ -98,6 +109,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer | undefined;
   readonly endAtMs: number;
+  /** Time at which an answer loses most of its value; counted from the caller's first attempt. */
+  readonly objectiveAtMs: number;
 }
 
 interface Attempt {
@@ -108,9 +121,11 @@
 /** Creates the handler of requests from this VM's clients and upstream. */
 export function createCallerHandler(
   options: CreateCallerHandlerOptions,
-): (request: IncomingMessage, response: ServerResponse) => void {
+): CallerHandler {
   const { names, catalog, reports } = options;
   const own = ownFields(names);
+  const waits = new CallerWaits();
+  const active = new Set<CallerRequest>();
 
   async function handle(
     request: IncomingMessage,
@@ -126,7 +141,9 @@
       isGone: false,
       cancel: undefined,
     };
+    active.add(caller);
     response.on("close", () => {
+      active.delete(caller);
       if (response.writableFinished) return;
       caller.isGone = true;
       caller.cancel?.();
@@ -158,6 +175,8 @@
       headers: endToEndHeaders(request.rawHeaders, own),
       body: body.value,
       endAtMs: caller.startedMs + Math.min(deadlineMs, route.timeoutMs),
+      objectiveAtMs: caller.startedMs + route.latencyObjectiveMs -
+        waits.waitedMs(route.name, deadlineMs),
     });
     await serve(routed);
   }
@@ -253,7 +272,7 @@
   ): Promise<Attempt> {
     const { route, rank } = routed;
     const nowMs = performance.now();
-    const objectiveLeftMs = routed.startedMs + route.latencyObjectiveMs - nowMs;
+    const objectiveLeftMs = routed.objectiveAtMs - nowMs;
     const timeLeftMs = routed.endAtMs - nowMs;
     const ticket: ForwardTicket = {
       upstreamId: chosen.id,
@@ -263,9 +282,12 @@
       rank,
       timeLeftMs,
       objectiveLeftMs,
-      maxWaitMs: untried === 0
-        ? timeLeftMs
-        : Math.max(50, objectiveLeftMs - chosen.serviceMs),
+      maxWaitMs: acceptableWaitMs({
+        serviceMs: chosen.serviceMs,
+        timeLeftMs,
+        objectiveLeftMs,
+        untried,
+      }),
       callerService: options.service,
       version: routed.version,
     };
@@ -392,7 +414,15 @@
     });
   }
 
-  return (request, response) => void handle(request, response);
+  return {
+    handle: (request, response) => void handle(request, response),
+    get inFlight() {
+      return active.size;
+    },
+    cutAll() {
+      for (const caller of active) caller.cancel?.();
+    },
+  };
 }
 
 function placementResult(
--- a/packages/sidecar/src/decide_next_step.ts
+++ b/packages/sidecar/src/decide_next_step.ts
@@ -50,7 +50,12 @@
     return last;
   }
   if (verdict.kind !== "not_run" && requestClass !== "idempotent") return last;
-  if (options.untried === 0) return last;
+  if (
+    options.untried === 0 ||
+    verdict.kind !== "answered" && verdict.reason === "cancelled"
+  ) {
+    return last;
+  }
   if (options.timeLeftMs < options.neededMs / 2) return last;
   const wasReached = verdict.kind !== "not_run" || verdict.reachedUpstream;
   if (!wasReached) return { kind: "try_another" };
--- a/packages/sidecar/src/exchange.ts
+++ b/packages/sidecar/src/exchange.ts
@@ -1,4 +1,5 @@
 import { type Agent, type IncomingMessage, request as open } from "node:http";
+import type { Socket } from "node:net";
 import type { Endpoint } from "@tanagercove/types";
 
 /** Why an exchange has no whole answer. */
@@ -59,9 +60,17 @@
   const startedMs = performance.now();
   let mayHaveLeft = false;
   let settled = false;
+  let wasReset = false;
   let resolveEnded!: (end: ExchangeEnd) => void;
   const ended = new Promise<ExchangeEnd>((resolve) => resolveEnded = resolve);
 
+  /**
+   * Node reports a reset that arrives together with the last bytes as an orderly
+   * end. The system then knows no other end of the connection any more.
+   */
+  function noteEndOfConnection(this: Socket): void {
+    wasReset = this.remoteAddress === undefined;
+  }
   function settle(end: ExchangeEnd): void {
     if (settled) return;
     settled = true;
@@ -97,6 +106,8 @@
     setTimeout(options.onSilent, options.silentAfterMs);
   request.on("information", () => clearTimeout(silence));
   request.on("socket", (socket) => {
+    socket.prependListener("end", noteEndOfConnection);
+    request.once("close", () => socket.off("end", noteEndOfConnection));
     if (!socket.connecting) {
       mayHaveLeft = true;
       return;
@@ -113,6 +124,9 @@
     hasHead = true;
     void readBody(response, options.maxAnswerBytes).then((body) => {
       if (typeof body === "string") return fail(body);
+      if (wasReset && !isDelimited(options.method, response)) {
+        return fail("cut");
+      }
       settle({
         kind: "answered",
         status: response.statusCode!,
@@ -127,6 +141,14 @@
   return { ended, cancel: () => fail("cancelled") };
 }
 
+/** Whether the end of a body can be told without the end of its connection. */
+function isDelimited(method: string, response: IncomingMessage): boolean {
+  const { statusCode, headers } = response;
+  return method === "HEAD" || statusCode === 204 || statusCode === 304 ||
+    headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
 function readBody(
   response: IncomingMessage,
   maxBytes: number,
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -49,10 +49,13 @@
 const STOP_IDLE_MS = 300;
 
 /** Time before the kill at which the process ends, whatever is in flight. */
-const STOP_MARGIN_MS = 250;
+const STOP_MARGIN_MS = 400;
+
+/** Time for the last answers to leave before their connections are closed. */
+const STOP_FLUSH_MS = 100;
 
 /** Share of the drain timeout after which new requests are refused. */
-const REFUSE_NEW_SHARE = 0.55;
+const REFUSE_NEW_SHARE = 0.45;
 
 /** Requests in flight and bounded state, for logs and metrics. */
 export interface SidecarEvents {
@@ -112,7 +115,6 @@
     onEvent: (event) => events.onSync(event),
   });
   let stoppingSinceMs: number | undefined;
-  let callersInFlight = 0;
 
   const ownerState = (): OwnerState => ({
     load: owner.load(),
@@ -143,7 +145,7 @@
     return catalog.upstreams.get(ticket.upstreamId)?.entry.state !== "draining";
   }
 
-  const handleCaller = createCallerHandler({
+  const callers = createCallerHandler({
     names,
     zone: settings.zone,
     address: settings.address,
@@ -176,9 +178,7 @@
     requestTimeout: 0,
     connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
   }, (request, response) => {
-    callersInFlight += 1;
-    response.once("close", () => callersInFlight -= 1);
-    handleCaller(request, response);
+    callers.handle(request, response);
   });
 
   function applyLimits(): void {
@@ -229,15 +229,17 @@
     let idleSinceMs = stoppingSinceMs;
     while (performance.now() < endAtMs) {
       const nowMs = performance.now();
-      if (callersInFlight > 0 || owner.running > 0) idleSinceMs = nowMs;
+      if (callers.inFlight > 0 || owner.running > 0) idleSinceMs = nowMs;
       if (
         nowMs - idleSinceMs >= STOP_IDLE_MS &&
         nowMs - stoppingSinceMs >= STOP_MIN_MS
       ) break;
       await new Promise((resolve) => setTimeout(resolve, 50));
     }
-    await Promise.all(listeners.map((listener) => listener.close()));
     owner.close();
+    callers.cutAll();
+    await new Promise((resolve) => setTimeout(resolve, STOP_FLUSH_MS));
+    await Promise.all(listeners.map((listener) => listener.close()));
     await sync.close();
     await source.close();
     peerAgent.destroy();
