Log and count the decisions of a sidecar, and refuse what waits for a leaving upstream

Two processes outlived the grace time, since a question to another daemon delayed the end of the sync.

Change: an entry that is draining or removed refuses the waiting requests of that upstream's daemon; connections to daemons close before the sync ends. Decisions go to a bounded log that drops lines rather than delay requests, to counters and histograms at /metrics, and the state to /dump. SIGHUP reads the settings again.

--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -8,6 +8,7 @@
   readonly optional_text: string | undefined;
   readonly optional_number: number | undefined;
   readonly counts: Readonly<Record<string, number>>;
+  readonly records: readonly Readonly<Record<string, string | number>>[];
 }
 
 /** Definition of one log event. */
@@ -305,6 +306,166 @@
     meaning: "An upstream answered again after the end of its ejection",
     action: NOTHING,
   },
+  sidecar_started: {
+    level: "info",
+    fields: {
+      version: "text",
+      service: "text",
+      caller_address: "text",
+      peer_address: "text",
+      metrics_port: "number",
+      start_ms: "number",
+    },
+    meaning: "All ports of a sidecar are open",
+    action: NOTHING,
+  },
+  settings_reloaded: {
+    level: "info",
+    fields: { changed: "text" },
+    meaning:
+      "The settings file was read again; `changed` names the settings that differ, of which only `seeds` takes effect without a restart",
+    action: "restart the sidecar if other settings changed",
+  },
+  settings_refused: {
+    level: "error",
+    fields: { problems: "text" },
+    meaning:
+      "The settings file has faults; at a start the process ends with exit code 2, at a reload the former settings stay in force",
+    action: "mend the keys named",
+  },
+  history_dropped: {
+    level: "warn",
+    fields: { catalog_revision: "number" },
+    meaning:
+      "The platform no longer keeps the changes after this revision; everything is read again",
+    action: NOTHING,
+  },
+  reader_changed: {
+    level: "info",
+    fields: { reader: "text" },
+    meaning:
+      "This daemon takes routes and upstreams from another daemon of its zone, or from the platform itself",
+    action: NOTHING,
+  },
+  caught_up_from_peer: {
+    level: "info",
+    fields: {
+      peer: "text",
+      configuration_version: "number",
+      catalog_revision: "number",
+    },
+    meaning: "Another daemon held something newer than this one",
+    action: NOTHING,
+  },
+  configuration_taken: {
+    level: "info",
+    fields: { configuration_version: "number", routes: "number" },
+    meaning: "A version of the routes is in force on this daemon",
+    action: NOTHING,
+  },
+  configuration_ignored: {
+    level: "info",
+    fields: { configuration_version: "number", held_version: "number" },
+    meaning: "An older version of the routes arrived late",
+    action: NOTHING,
+  },
+  upstream_taken: {
+    level: "info",
+    fields: {
+      upstream_id: "text",
+      service: "text",
+      address: "text",
+      zone: "text",
+      state: "text",
+      unlogged_changes: "number",
+    },
+    meaning: "The entry of an upstream is new or differs",
+    action: NOTHING,
+  },
+  upstream_removed: {
+    level: "info",
+    fields: {
+      upstream_id: "text",
+      service: "text",
+      unlogged_changes: "number",
+    },
+    meaning: "An upstream has left, or its entry lapsed",
+    action: NOTHING,
+  },
+  removal_deferred: {
+    level: "info",
+    fields: { upstream_id: "text" },
+    meaning:
+      "An entry is missing right after an outage of the platform; the upstream is used for about two more seconds, in which live ones register again",
+    action: NOTHING,
+  },
+  value_unreadable: {
+    level: "warn",
+    fields: { key: "text", problem: "text", unlogged_changes: "number" },
+    meaning: "A value of the platform cannot be read; it names nothing to use",
+    action: "mend the value at its writer",
+  },
+  upstream_avoided: {
+    level: "warn",
+    fields: {
+      upstream_id: "text",
+      failures: "number",
+      avoided_ms: "number",
+      unlogged_changes: "number",
+    },
+    meaning:
+      "An upstream or its daemon could not be reached, so requests go elsewhere for a while",
+    action: "if it lasts, check the VM and its links",
+  },
+  request_ended: {
+    level: "warn",
+    fields: {
+      request_id: "text",
+      outcome: "text",
+      status: "number",
+      route: "optional_text",
+      service: "optional_text",
+      configuration_version: "number",
+      rank: "optional_number",
+      waited_before_ms: "optional_number",
+      time_left_ms: "optional_number",
+      duration_ms: "number",
+      attempts: "records",
+      unlogged_requests: "number",
+    },
+    meaning:
+      "A caller's request that was refused, failed, was cancelled, or needed more than one attempt; `attempts` tells for each upstream what decided it. Plain successes are counted only. `unlogged_requests` counts what a limit of 100 lines per second left out before this line",
+    action: "see docs/OPERATIONS.md",
+  },
+  forwarded_request_ended: {
+    level: "warn",
+    fields: {
+      request_id: "text",
+      upstream_id: "text",
+      route: "text",
+      outcome: "text",
+      reason: "text",
+      rank: "number",
+      configuration_version: "number",
+      time_left_ms: "number",
+      max_wait_ms: "number",
+      duration_ms: "number",
+      running: "number",
+      waiting: "number",
+      slots: "number",
+      unlogged_requests: "number",
+    },
+    meaning:
+      "The daemon beside an upstream refused a request or got no whole answer for it; the numbers of requests are those at the end",
+    action: "see docs/OPERATIONS.md",
+  },
+  log_lines_dropped: {
+    level: "warn",
+    fields: { lines: "number" },
+    meaning:
+      "Standard output was not read fast enough; lines were dropped rather than requests delayed",
+    action: "read the output of the process faster",
+  },
   requests_not_answered: {
     level: "warn",
     fields: {
--- a/packages/logs/src/index.ts
+++ b/packages/logs/src/index.ts
@@ -7,6 +7,8 @@
 } from "./events.ts";
 export { LineLimit, type LineLimitOptions } from "./line_limit.ts";
 export {
+  type BoundedLogger,
+  createBoundedLogger,
   createLogger,
   type CreateLoggerOptions,
   logEvent,
--- a/packages/logs/src/logger.ts
+++ b/packages/logs/src/logger.ts
@@ -33,6 +33,75 @@
   );
 }
 
+/** A logger that never waits for its reader. */
+export interface BoundedLogger {
+  readonly log: Logger;
+  /** Lines dropped so far because the output was not read. */
+  readonly droppedLines: number;
+  /** Writes what is held back; lines that the reader does not take are lost. */
+  close(): Promise<void>;
+}
+
+/** Bytes held for a reader that is behind; further lines are dropped. */
+const MAX_HELD_BYTES = 512 * 1024;
+
+/** Lines are written together, at the latest after this time. */
+const FLUSH_INTERVAL_MS = 250;
+const FLUSH_BYTES = 4 * 1024;
+
+/** How often dropped lines are reported. */
+const DROP_REPORT_INTERVAL_MS = 5_000;
+
+/** Time in which the last lines must be taken when the process ends. */
+const CLOSE_TIMEOUT_MS = 200;
+
+/** Creates a logger that drops lines rather than delay requests. */
+export function createBoundedLogger(
+  options: Omit<CreateLoggerOptions, "write"> & { readonly fd?: number },
+): BoundedLogger {
+  const destination = pino.destination({
+    fd: options.fd ?? STANDARD_OUTPUT,
+    sync: false,
+    minLength: FLUSH_BYTES,
+    maxLength: MAX_HELD_BYTES,
+  });
+  let droppedLines = 0;
+  let reportedLines = 0;
+  destination.on("drop", () => droppedLines += 1);
+  // A reader that has gone away must not stop the daemon.
+  destination.on("error", () => droppedLines += 1);
+  const log = createLogger({
+    ...options,
+    write: (line) => void destination.write(line),
+  });
+  const flushing = setInterval(() => destination.flush(), FLUSH_INTERVAL_MS);
+  const reporting = setInterval(() => {
+    if (droppedLines === reportedLines) return;
+    const lines = droppedLines - reportedLines;
+    reportedLines = droppedLines;
+    logEvent(log, { event: "log_lines_dropped", lines });
+  }, DROP_REPORT_INTERVAL_MS);
+  flushing.unref();
+  reporting.unref();
+  return {
+    log,
+    get droppedLines() {
+      return droppedLines;
+    },
+    close() {
+      clearInterval(flushing);
+      clearInterval(reporting);
+      return new Promise((resolve) => {
+        const timer = setTimeout(resolve, CLOSE_TIMEOUT_MS);
+        destination.flush(() => {
+          clearTimeout(timer);
+          resolve();
+        });
+      });
+    },
+  };
+}
+
 /** Writes one event with the level that the event table gives it. */
 export function logEvent(log: Logger, record: LogRecord): void {
   log[LOG_EVENTS[record.event].level](record);
--- a/packages/placement/src/upstream_reports.ts
+++ b/packages/placement/src/upstream_reports.ts
@@ -28,6 +28,15 @@
 export interface UpstreamReportsOptions {
   /** Monotonic time in milliseconds. */
   readonly nowMs?: () => number;
+  /** Called when an upstream is left out for a while. */
+  readonly onEjected?: (ejection: UpstreamEjection) => void;
+}
+
+/** An upstream that is left out for a while. */
+export interface UpstreamEjection {
+  readonly id: string;
+  readonly failures: number;
+  readonly lengthMs: number;
 }
 
 /** A report older than this says nothing any more: a queue of that age has drained or grown. */
@@ -64,10 +73,12 @@
 /** What this daemon has learnt of the upstreams that it sends requests to. */
 export class UpstreamReports {
   readonly #nowMs: () => number;
+  readonly #onEjected: (ejection: UpstreamEjection) => void;
   readonly #records = new Map<string, UpstreamRecord>();
 
   constructor(options: UpstreamReportsOptions = {}) {
     this.#nowMs = options.nowMs ?? (() => performance.now());
+    this.#onEjected = options.onEjected ?? (() => {});
   }
 
   begin(id: string): void {
@@ -86,7 +97,7 @@
   end(id: string, { result, route, serviceMs }: EndAttemptOptions): void {
     const record = this.#record(id);
     record.inFlight -= 1;
-    this.#recordResult(record, result);
+    this.#recordResult(id, result);
     if (serviceMs === undefined) return;
     const known = record.serviceMsByRoute.get(route);
     record.serviceMsByRoute.set(
@@ -140,7 +151,8 @@
     }
   }
 
-  #recordResult(record: UpstreamRecord, result: PlacementResult): void {
+  #recordResult(id: string, result: PlacementResult): void {
+    const record = this.#record(id);
     const nowMs = this.#nowMs();
     if (result === "served" || result === "failed") {
       const ageMs = nowMs - record.failureAtMs;
@@ -151,8 +163,14 @@
     }
     if (result === "unreachable") {
       record.unreachableInRow += 1;
-      const lengthMs = EJECTION_MS * 2 ** (record.unreachableInRow - 1);
-      record.ejectedUntilMs = nowMs + Math.min(EJECTION_MAX_MS, lengthMs);
+      const failures = record.unreachableInRow;
+      const lengthMs = Math.min(
+        EJECTION_MAX_MS,
+        EJECTION_MS * 2 ** (failures - 1),
+      );
+      const wasEjected = record.ejectedUntilMs > nowMs;
+      record.ejectedUntilMs = nowMs + lengthMs;
+      if (!wasEjected) this.#onEjected({ id, failures, lengthMs });
     } else if (result === "served") {
       record.unreachableInRow = 0;
       record.ejectedUntilMs = 0;
--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -44,9 +44,13 @@
   readonly outcome: "answered" | "gone" | RefusalReason;
   readonly status: number;
   readonly route: Route | undefined;
+  readonly service: string | undefined;
+  readonly rank: number | undefined;
   readonly version: number;
   readonly attempts: readonly AttemptRecord[];
-  readonly timeLeftMs: number;
+  /** Time since the caller's first attempt when this one arrived. */
+  readonly waitedBeforeMs: number | undefined;
+  readonly timeLeftMs: number | undefined;
   readonly durationMs: number;
 }
 
@@ -56,6 +60,7 @@
   readonly verdict: OwnerVerdict["kind"];
   readonly reason: string;
   readonly predictedWaitMs: number;
+  readonly predictedServiceMs: number;
   readonly durationMs: number;
 }
 
@@ -111,6 +116,7 @@
   readonly endAtMs: number;
   /** Time at which an answer loses most of its value; counted from the caller's first attempt. */
   readonly objectiveAtMs: number;
+  readonly waitedBeforeMs: number;
 }
 
 interface Attempt {
@@ -153,18 +159,19 @@
     const body = await readBody(request, limits?.maxBodyBytes ?? 1_048_576);
     if (body.isErr) {
       if (body.error === "gone") return;
-      return refuse(caller, undefined, "body_too_large");
+      return refuse(caller, "body_too_large");
     }
     if (caller.requestId === "") {
-      return refuse(caller, undefined, "bad_request");
+      return refuse(caller, "bad_request");
     }
-    if (index === undefined) return refuse(caller, undefined, "starting");
-    if (options.refusesNew()) return refuse(caller, undefined, "stopping");
+    if (index === undefined) return refuse(caller, "starting");
+    if (options.refusesNew()) return refuse(caller, "stopping");
     const host = request.headers.host ?? "";
     const route = matchRoute(index, { host, path: request.url! });
-    if (route === undefined) return refuse(caller, undefined, "no_route");
+    if (route === undefined) return refuse(caller, "no_route");
     const deadlineMs = Number(request.headers[names.timeLeftMs]) ||
       DEFAULT_DEADLINE_MS;
+    const waitedBeforeMs = waits.waitedMs(route.name, deadlineMs);
     const service = options.shares.next(route);
     options.budgets.recordRequest(service);
     const routed: RoutedRequest = Object.assign(caller, {
@@ -176,7 +183,8 @@
       body: body.value,
       endAtMs: caller.startedMs + Math.min(deadlineMs, route.timeoutMs),
       objectiveAtMs: caller.startedMs + route.latencyObjectiveMs -
-        waits.waitedMs(route.name, deadlineMs),
+        waitedBeforeMs,
+      waitedBeforeMs,
     });
     await serve(routed);
   }
@@ -229,7 +237,7 @@
     }
     if (fallback !== undefined) return deliver(routed, fallback);
     if (mayHaveRun && REFUSALS[reason].status === 503) reason = "cut";
-    refuse(routed, route, reason, retryAfterMs);
+    refuse(routed, reason, retryAfterMs);
   }
 
   function candidatesFor(
@@ -328,6 +336,7 @@
         ? `${verdict.reason}, silent`
         : verdict.reason,
       predictedWaitMs: Math.round(chosen.waitMs),
+      predictedServiceMs: Math.round(chosen.serviceMs),
       durationMs: Math.round(performance.now() - nowMs),
     });
     return { verdict, answer };
@@ -368,7 +377,6 @@
 
   function refuse(
     caller: CallerRequest,
-    route: Route | undefined,
     reason: RefusalReason,
     retryAfterMs = RETRY_AFTER_MS,
   ): void {
@@ -392,24 +400,27 @@
     }
     response.writeHead(status, fields);
     response.end(body);
-    finish(caller, reason, status, route);
+    finish(caller, reason, status);
   }
 
   function finish(
     caller: CallerRequest | RoutedRequest,
     outcome: CallerResult["outcome"],
     status: number,
-    route = "route" in caller ? caller.route : undefined,
   ): void {
     const nowMs = performance.now();
+    const routed = "route" in caller ? caller : undefined;
     options.onResult({
       requestId: caller.requestId,
       outcome,
       status,
-      route,
-      version: "version" in caller ? caller.version : catalog.version,
+      route: routed?.route,
+      service: routed?.service,
+      rank: routed?.rank,
+      version: routed?.version ?? catalog.version,
       attempts: caller.attempts,
-      timeLeftMs: "endAtMs" in caller ? Math.round(caller.endAtMs - nowMs) : 0,
+      waitedBeforeMs: routed && Math.round(routed.waitedBeforeMs),
+      timeLeftMs: routed && Math.round(routed.endAtMs - nowMs),
       durationMs: Math.round(nowMs - caller.startedMs),
     });
   }
--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -1,8 +1,7 @@
-export type { CallerResult } from "./caller_handler.ts";
 export type { RequestHeaderNames, SidecarSettings } from "./settings.ts";
+export { runSidecar, type RunSidecarOptions } from "./run_sidecar.ts";
 export {
   type Sidecar,
-  type SidecarEvents,
   startSidecar,
   type StartSidecarOptions,
 } from "./sidecar.ts";
--- /dev/null
+++ b/packages/sidecar/src/observer.ts
@@ -0,0 +1,245 @@
+import type { CatalogEvent, CatalogSyncEvent } from "@tanagercove/catalog";
+import { formatPlatformError } from "@tanagercove/errors";
+import {
+  LineLimit,
+  logEvent,
+  type Logger,
+  type LogRecord,
+} from "@tanagercove/logs";
+import type { Metrics } from "@tanagercove/metrics";
+import type { UpstreamEjection } from "@tanagercove/placement";
+import type { CallerResult } from "./caller_handler.ts";
+import type { ForwardedResult } from "./peer_server.ts";
+
+/** Lines on requests in a second; at most as many again come from the owner's side. */
+const REQUEST_LINES_PER_SECOND = 100;
+
+/** Lines on upstreams in ten seconds; a zone that returns changes all of them at once. */
+const CHANGE_LINES = 100;
+
+/** Where a sidecar's decisions are logged and counted. */
+export interface SidecarObserver {
+  onCatalog(event: CatalogEvent): void;
+  onSync(event: CatalogSyncEvent): void;
+  onEjected(ejection: UpstreamEjection): void;
+  onResult(result: CallerResult): void;
+  onForwarded(result: ForwardedResult): void;
+}
+
+/** Options of `createObserver`. */
+export interface CreateObserverOptions {
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  readonly catalogRevision: () => number;
+  readonly routes: () => number;
+}
+
+/** Logs decisions within bounds and counts all of them. */
+export function createObserver(
+  { log, metrics, catalogRevision, routes }: CreateObserverOptions,
+): SidecarObserver {
+  const requestLimit = new LineLimit({
+    lines: REQUEST_LINES_PER_SECOND,
+    intervalMs: 1_000,
+  });
+  const forwardedLimit = new LineLimit({
+    lines: REQUEST_LINES_PER_SECOND,
+    intervalMs: 1_000,
+  });
+  const changeLimit = new LineLimit({ lines: CHANGE_LINES });
+  const durations = metrics.histogram("request_duration_us");
+  const waits = metrics.histogram("forwarded_duration_us");
+
+  function change(
+    record: (unlogged_changes: number) => LogRecord,
+  ): void {
+    const unlogged = changeLimit.take();
+    if (unlogged !== undefined) logEvent(log, record(unlogged));
+  }
+
+  return {
+    onCatalog(event) {
+      metrics.counter("catalog_events", { kind: event.kind }).add();
+      CATALOG_LINES[event.kind](event as never, { log, change, routes });
+    },
+    onSync(event) {
+      metrics.counter("platform_events", { kind: event.kind }).add();
+      SYNC_LINES[event.kind](event as never, { log, catalogRevision });
+    },
+    onEjected({ id, failures, lengthMs }) {
+      metrics.counter("upstreams_avoided").add();
+      change((unlogged_changes) => ({
+        event: "upstream_avoided",
+        upstream_id: id,
+        failures,
+        avoided_ms: lengthMs,
+        unlogged_changes,
+      }));
+    },
+    onResult(result) {
+      metrics.counter("requests", { outcome: result.outcome }).add();
+      metrics.counter("attempts").add(result.attempts.length);
+      durations.record(result.durationMs * 1_000);
+      if (isPlain(result)) return;
+      const unlogged = requestLimit.take();
+      if (unlogged !== undefined) logEvent(log, requestLine(result, unlogged));
+    },
+    onForwarded(result) {
+      const { verdict } = result;
+      const reason = verdict.kind === "answered" ? "" : verdict.reason;
+      metrics.counter("forwarded", { outcome: verdict.kind, reason }).add();
+      waits.record(result.durationMs * 1_000);
+      if (verdict.kind === "answered") return;
+      const unlogged = forwardedLimit.take();
+      if (unlogged !== undefined) {
+        logEvent(log, forwardedLine(result, reason, unlogged));
+      }
+    },
+  };
+}
+
+function isPlain({ outcome, status, attempts }: CallerResult): boolean {
+  return outcome === "answered" && status < 500 && attempts.length <= 1;
+}
+
+function requestLine(
+  result: CallerResult,
+  unlogged_requests: number,
+): LogRecord {
+  return {
+    event: "request_ended",
+    request_id: result.requestId,
+    outcome: result.outcome,
+    status: result.status,
+    route: result.route?.name,
+    service: result.service,
+    configuration_version: result.version,
+    rank: result.rank,
+    waited_before_ms: result.waitedBeforeMs,
+    time_left_ms: result.timeLeftMs,
+    duration_ms: result.durationMs,
+    attempts: result.attempts.map((attempt) => ({
+      upstream_id: attempt.upstreamId,
+      outcome: attempt.verdict,
+      reason: attempt.reason,
+      predicted_wait_ms: attempt.predictedWaitMs,
+      predicted_service_ms: attempt.predictedServiceMs,
+      duration_ms: attempt.durationMs,
+    })),
+    unlogged_requests,
+  };
+}
+
+function forwardedLine(
+  { requestId, ticket, verdict, load, durationMs }: ForwardedResult,
+  reason: string,
+  unlogged_requests: number,
+): LogRecord {
+  return {
+    event: "forwarded_request_ended",
+    request_id: requestId,
+    upstream_id: ticket.upstreamId,
+    route: ticket.route,
+    outcome: verdict.kind,
+    reason,
+    rank: ticket.rank,
+    configuration_version: ticket.version,
+    time_left_ms: Math.round(ticket.timeLeftMs - durationMs),
+    max_wait_ms: Math.round(ticket.maxWaitMs),
+    duration_ms: Math.round(durationMs),
+    running: load.running,
+    waiting: load.waitingByRank.reduce((sum, count) => sum + count, 0),
+    slots: load.slots,
+    unlogged_requests,
+  };
+}
+
+interface CatalogLineContext {
+  readonly log: Logger;
+  readonly change: (record: (unlogged_changes: number) => LogRecord) => void;
+  readonly routes: () => number;
+}
+
+type CatalogLines = {
+  readonly [K in CatalogEvent["kind"]]: (
+    event: Extract<CatalogEvent, { kind: K }>,
+    context: CatalogLineContext,
+  ) => void;
+};
+
+const CATALOG_LINES: CatalogLines = {
+  configuration_taken: ({ version }, { log, routes }) =>
+    logEvent(log, {
+      event: "configuration_taken",
+      configuration_version: version,
+      routes: routes(),
+    }),
+  configuration_ignored: ({ version, heldVersion }, { log }) =>
+    logEvent(log, {
+      event: "configuration_ignored",
+      configuration_version: version,
+      held_version: heldVersion,
+    }),
+  upstream_taken: ({ entry }, { change }) =>
+    change((unlogged_changes) => ({
+      event: "upstream_taken",
+      upstream_id: entry.id,
+      service: entry.service,
+      address: `${entry.address}:${entry.port}`,
+      zone: entry.zone,
+      state: entry.state,
+      unlogged_changes,
+    })),
+  upstream_removed: ({ id, service }, { change }) =>
+    change((unlogged_changes) => ({
+      event: "upstream_removed",
+      upstream_id: id,
+      service,
+      unlogged_changes,
+    })),
+  removal_deferred: ({ id }, { log }) =>
+    logEvent(log, { event: "removal_deferred", upstream_id: id }),
+  unreadable: ({ key, problem }, { change }) =>
+    change((unlogged_changes) => ({
+      event: "value_unreadable",
+      key,
+      problem,
+      unlogged_changes,
+    })),
+};
+
+interface SyncLineContext {
+  readonly log: Logger;
+  readonly catalogRevision: () => number;
+}
+
+type SyncLines = {
+  readonly [K in CatalogSyncEvent["kind"]]: (
+    event: Extract<CatalogSyncEvent, { kind: K }>,
+    context: SyncLineContext,
+  ) => void;
+};
+
+const SYNC_LINES: SyncLines = {
+  platform_lost: ({ error }, { log }) =>
+    logEvent(log, {
+      event: "platform_lost",
+      reason: formatPlatformError(error),
+    }),
+  platform_regained: ({ outageMs }, { log }) =>
+    logEvent(log, { event: "platform_back", outage_ms: Math.round(outageMs) }),
+  history_dropped: (_event, { log, catalogRevision }) =>
+    logEvent(log, {
+      event: "history_dropped",
+      catalog_revision: catalogRevision(),
+    }),
+  guide_changed: ({ guide }, { log }) =>
+    logEvent(log, { event: "reader_changed", reader: guide ?? "platform" }),
+  caught_up_from_peer: ({ peer, version, changeRevision }, { log }) =>
+    logEvent(log, {
+      event: "caught_up_from_peer",
+      peer,
+      configuration_version: version,
+      catalog_revision: changeRevision,
+    }),
+};
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -4,6 +4,7 @@
   type ServerResponse,
 } from "node:http";
 import { answerFeed, type Catalog } from "@tanagercove/catalog";
+import type { ReportedLoad } from "@tanagercove/placement";
 import {
   decodeTicket,
   encodeVerdict,
@@ -11,6 +12,7 @@
   type ForwardTicket,
   OUTCOME_HEADER,
   type OwnerState,
+  type OwnerVerdict,
 } from "./forwarding.ts";
 import type { OwnedResult, Owner } from "./owner.ts";
 import { endToEndHeaders } from "./passed_headers.ts";
@@ -34,6 +36,15 @@
 /** Longest wait of a follower that is granted. */
 const MAX_FEED_WAIT_MS = 10_000;
 
+/** How a forwarded request ended at this daemon. */
+export interface ForwardedResult {
+  readonly requestId: string;
+  readonly ticket: ForwardTicket;
+  readonly verdict: OwnerVerdict;
+  readonly load: ReportedLoad;
+  readonly durationMs: number;
+}
+
 /** Options of `startPeerServer`. */
 export interface StartPeerServerOptions {
   readonly address: string;
@@ -50,8 +61,7 @@
   readonly admits: (ticket: ForwardTicket) => boolean;
   readonly isStopping: () => boolean;
   readonly maxBodyBytes: () => number;
-  /** Called with the result of each forwarded request. */
-  readonly onResult: (ticket: ForwardTicket, result: OwnedResult) => void;
+  readonly onForwarded: (result: ForwardedResult) => void;
 }
 
 /** Serves other daemons: forwarded requests and the catalog. */
@@ -124,6 +134,7 @@
     response: ServerResponse,
     ticket: ForwardTicket | undefined,
   ): Promise<void> {
+    const startedMs = performance.now();
     const requestId = request.headers[options.names.requestId];
     const body = await readBody(request, options.maxBodyBytes());
     if (body.isErr) {
@@ -135,8 +146,18 @@
       response.writeHead(400).end();
       return;
     }
+    const finish = (result: OwnedResult) => {
+      options.onForwarded({
+        requestId,
+        ticket,
+        verdict: result.verdict,
+        load: options.owner.load(),
+        durationMs: performance.now() - startedMs,
+      });
+      respond(response, result);
+    };
     if (!options.admits(ticket)) {
-      return respond(response, ticket, {
+      return finish({
         verdict: {
           kind: "not_run",
           reason: "leaving",
@@ -163,15 +184,10 @@
     });
     const result = await run.ended;
     clearTimeout(confirm);
-    respond(response, ticket, result);
+    finish(result);
   }
 
-  function respond(
-    response: ServerResponse,
-    ticket: ForwardTicket,
-    result: OwnedResult,
-  ): void {
-    options.onResult(ticket, result);
+  function respond(response: ServerResponse, result: OwnedResult): void {
     if (response.destroyed) return;
     const { verdict, answer } = result;
     const outcome = encodeVerdict(verdict, options.state());
--- /dev/null
+++ b/packages/sidecar/src/run_sidecar.ts
@@ -0,0 +1,101 @@
+import type { Result } from "true-myth";
+import type { CatalogSource } from "@tanagercove/catalog";
+import { createBoundedLogger, logEvent } from "@tanagercove/logs";
+import type { RequestHeaderNames, SidecarSettings } from "./settings.ts";
+import { type Sidecar, startSidecar } from "./sidecar.ts";
+
+/** Settings as read, or all their problems. */
+export type SettingsReading = Result<SidecarSettings, readonly string[]>;
+
+/** Options of `runSidecar`. */
+export interface RunSidecarOptions {
+  readonly programVersion: string;
+  /** Reads the settings file; called at the start and on SIGHUP. */
+  readonly readSettings: () => SettingsReading;
+  readonly names: RequestHeaderNames;
+  readonly openSource: (settings: SidecarSettings) => CatalogSource;
+}
+
+/** Exit code for settings with faults. */
+const EXIT_CODE_SETTINGS = 2;
+
+/** Exit code for a fault in this program (EX_SOFTWARE of sysexits.h). */
+const EXIT_CODE_FAULT = 70;
+
+/** Runs a sidecar until a stop signal, and returns the exit code. */
+export async function runSidecar(options: RunSidecarOptions): Promise<number> {
+  const startedMs = performance.now();
+  const reading = options.readSettings();
+  if (reading.isErr) {
+    const { log, close } = createBoundedLogger({ vmId: "", zone: "" });
+    const problems = reading.error.join("; ");
+    logEvent(log, { event: "settings_refused", problems });
+    await close();
+    return EXIT_CODE_SETTINGS;
+  }
+  const settings = reading.value;
+  const { vmId, zone } = settings;
+  const logger = createBoundedLogger({ vmId, zone });
+  const { log } = logger;
+  const stopped = new Promise<NodeJS.Signals>((resolve) => {
+    for (const signal of ["SIGTERM", "SIGINT"] as const) {
+      process.on(signal, resolve);
+    }
+  });
+  // A signal before the start is complete must not end the process.
+  process.on("SIGHUP", () => {});
+  process.on("uncaughtException", (error) => {
+    const { message, stack } = error;
+    logEvent(log, { event: "invariant_broken", message, stack });
+    void logger.close().then(() => process.exit(EXIT_CODE_FAULT));
+  });
+
+  function reload(running: Sidecar): void {
+    const next = options.readSettings();
+    if (next.isErr) {
+      const problems = next.error.join("; ");
+      logEvent(log, { event: "settings_refused", problems });
+      return;
+    }
+    running.reload(next.value);
+    const changed = changedKeys(settings, next.value).join(",");
+    logEvent(log, { event: "settings_reloaded", changed });
+  }
+
+  const sidecar = await startSidecar({
+    settings,
+    names: options.names,
+    source: options.openSource(settings),
+    log,
+  });
+  process.on("SIGHUP", () => reload(sidecar));
+  logEvent(log, {
+    event: "sidecar_started",
+    version: options.programVersion,
+    service: settings.service,
+    caller_address: `${settings.caller.address}:${settings.caller.port}`,
+    peer_address: `${settings.peer.address}:${settings.peer.port}`,
+    metrics_port: settings.metricsPort,
+    start_ms: Math.round(performance.now() - startedMs),
+  });
+  const signal = await stopped;
+  const drain_timeout_ms = settings.drainTimeoutMs;
+  logEvent(log, { event: "drain_started", signal, drain_timeout_ms });
+  await sidecar.close();
+  logEvent(log, {
+    event: "daemon_stopped",
+    outcome: "stopped",
+    uptime_ms: Math.round(performance.now() - startedMs),
+  });
+  await logger.close();
+  return 0;
+}
+
+function changedKeys(
+  before: SidecarSettings,
+  after: SidecarSettings,
+): readonly string[] {
+  return (Object.keys(after) as (keyof SidecarSettings)[]).filter((key) =>
+    JSON.stringify(before[key]) !== JSON.stringify(after[key])
+  );
+}
--- a/packages/sidecar/src/settings.ts
+++ b/packages/sidecar/src/settings.ts
@@ -39,6 +39,8 @@
   /** Other daemons that may be known at the start; they may be out of date. */
   readonly seeds: readonly Endpoint[];
   readonly metricsPort: number;
+  /** Where the platform publishes routes and upstreams. */
+  readonly platform: Endpoint;
   /** Time from a stop signal until the process is killed. */
   readonly drainTimeoutMs: number;
   readonly retryBudgetRatio: number;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -5,17 +5,20 @@
   type CatalogEvent,
   type CatalogSource,
   CatalogSync,
-  type CatalogSyncEvent,
 } from "@tanagercove/catalog";
+import type { Logger } from "@tanagercove/logs";
 import { rankByRendezvous } from "@tanagercove/membership";
+import { Metrics } from "@tanagercove/metrics";
 import { UpstreamReports } from "@tanagercove/placement";
 import { ServiceBudgets } from "@tanagercove/retries";
 import { TargetShares } from "@tanagercove/routing";
 import type { Endpoint } from "@tanagercove/types";
-import { type CallerResult, createCallerHandler } from "./caller_handler.ts";
+import { createCallerHandler } from "./caller_handler.ts";
 import { ConnectionAgent } from "./connection_agent.ts";
 import type { ForwardTicket, OwnerState } from "./forwarding.ts";
 import { type HttpListener, listenHttp } from "./http_listener.ts";
+import { createObserver } from "./observer.ts";
+import { startOperatorsListener } from "./operators_listener.ts";
 import { createOwner } from "./owner.ts";
 import { createPeerClient } from "./peer_client.ts";
 import { startPeerServer } from "./peer_server.ts";
@@ -57,42 +60,47 @@
 /** Share of the drain timeout after which new requests are refused. */
 const REFUSE_NEW_SHARE = 0.45;
 
-/** Requests in flight and bounded state, for logs and metrics. */
-export interface SidecarEvents {
-  onCatalog(event: CatalogEvent): void;
-  onSync(event: CatalogSyncEvent): void;
-  onResult(result: CallerResult): void;
-}
-
 /** Options of `startSidecar`. */
 export interface StartSidecarOptions {
   readonly settings: SidecarSettings;
   readonly names: RequestHeaderNames;
   readonly source: CatalogSource;
-  readonly events: SidecarEvents;
+  readonly log: Logger;
 }
 
 /** A running sidecar. */
 export interface Sidecar {
   readonly catalog: Catalog;
   readonly isReady: boolean;
+  /** Takes what can change without a restart. */
+  reload(settings: SidecarSettings): void;
   /** Ends when no request is in flight, or at the latest before the drain timeout. */
   close(): Promise<void>;
 }
 
 /** Starts the daemon beside one upstream. */
 export async function startSidecar(
-  { settings, names, source, events }: StartSidecarOptions,
+  { settings, names, source, log }: StartSidecarOptions,
 ): Promise<Sidecar> {
+  const metrics = new Metrics();
   const catalog = new Catalog({
     onEvent(event) {
-      events.onCatalog(event);
+      observer.onCatalog(event);
       onCatalogEvent(event);
     },
   });
+  const observer = createObserver({
+    log,
+    metrics,
+    catalogRevision: () => catalog.revision,
+    routes: () => catalog.index?.configuration.routes.length ?? 0,
+  });
+  let seeds = settings.seeds;
   const peerAgent = new ConnectionAgent({ maxIdleMs: PEER_IDLE_MS });
   const upstreamAgent = new ConnectionAgent({ maxIdleMs: UPSTREAM_IDLE_MS });
-  const reports = new UpstreamReports();
+  const reports = new UpstreamReports({
+    onEjected: (ejection) => observer.onEjected(ejection),
+  });
   const peers = createPeerClient({
     agent: peerAgent,
     localAddress: settings.address,
@@ -110,11 +118,12 @@
     source,
     askPeer: (peer, have) => peers.readCatalog(endpointOf(peer), have),
     followPeer: (peer, question) => peers.follow(endpointOf(peer), question),
-    peers: () => peerAddresses(catalog, settings),
+    peers: () => peerAddresses(catalog, { ...settings, seeds }),
     readersBefore: () => readersBefore(catalog, settings),
-    onEvent: (event) => events.onSync(event),
+    onEvent: (event) => observer.onSync(event),
   });
   let stoppingSinceMs: number | undefined;
+  let ownUpstreamId: string | undefined;
 
   const ownerState = (): OwnerState => ({
     load: owner.load(),
@@ -129,8 +138,12 @@
     if (event.kind === "configuration_taken") return applyLimits();
     if (event.kind === "upstream_taken" && isOwn(event.entry)) {
       owner.setSlots(event.entry.slots);
+      ownUpstreamId = event.entry.id;
+      owner.setLeaving(isStopping() || event.entry.state === "draining");
     }
     if (event.kind === "upstream_removed") {
+      // What waits for an upstream that has left would reach it too late.
+      if (event.id === ownUpstreamId) owner.setLeaving(true);
       reports.retain((id) => catalog.upstreams.has(id));
     }
   }
@@ -169,7 +182,7 @@
       performance.now() - stoppingSinceMs >
         REFUSE_NEW_SHARE * settings.drainTimeoutMs,
     onPeerState: notePeer,
-    onResult: (result) => events.onResult(result),
+    onResult: (result) => observer.onResult(result),
   });
   const callerServer = createServer({
     maxHeaderSize: DEFAULT_MAX_HEADER_BYTES,
@@ -204,7 +217,7 @@
       admits,
       isStopping,
       maxBodyBytes: () => PEER_MAX_BODY_BYTES,
-      onResult: () => {},
+      onForwarded: (result) => observer.onForwarded(result),
     }),
     await listenHttp(callerServer, {
       address: settings.caller.address,
@@ -221,6 +234,52 @@
     ),
   ];
   sync.start();
+  registerGauges();
+  listeners.push(
+    await startOperatorsListener({
+      address: settings.address,
+      port: settings.metricsPort,
+      metrics,
+      dump,
+    }),
+  );
+
+  function registerGauges(): void {
+    const gauges: Readonly<Record<string, () => number>> = {
+      configuration_version: () => catalog.version,
+      catalog_revision: () => catalog.revision,
+      platform_lost_ms: () =>
+        sync.lostAtMs === undefined ? 0 : performance.now() - sync.lostAtMs,
+      slots_running: () => owner.running,
+      slots_waiting: () => owner.waiting,
+      callers_in_flight: () => callers.inFlight,
+      connections_opened_to_upstream: () => upstreamAgent.opened,
+      connections_opened_to_daemons: () => peerAgent.opened,
+      ready: () => isReady() ? 1 : 0,
+    };
+    for (const [name, read] of Object.entries(gauges)) {
+      metrics.gauge(name, read);
+    }
+  }
+
+  function dump(): unknown {
+    return {
+      vm_id: settings.vmId,
+      zone: settings.zone,
+      service: settings.service,
+      ready: isReady(),
+      stopping: isStopping(),
+      configuration: catalog.index?.configuration,
+      catalog_revision: catalog.revision,
+      upstreams: [...catalog.upstreams.values()].map((held) => ({
+        ...held,
+        ejected: reports.isEjected(held.entry.id),
+        failure_share: reports.failureShare(held.entry.id),
+        in_flight: reports.inFlight(held.entry.id),
+      })),
+      load: owner.load(),
+    };
+  }
 
   async function close(): Promise<void> {
     stoppingSinceMs = performance.now();
@@ -240,10 +299,11 @@
     callers.cutAll();
     await new Promise((resolve) => setTimeout(resolve, STOP_FLUSH_MS));
     await Promise.all(listeners.map((listener) => listener.close()));
-    await sync.close();
-    await source.close();
+    // Ends the questions to other daemons, which would delay the end of the sync.
     peerAgent.destroy();
     upstreamAgent.destroy();
+    await sync.close();
+    await source.close();
   }
 
   return {
@@ -251,6 +311,9 @@
     get isReady() {
       return isReady();
     },
+    reload(next) {
+      seeds = next.seeds;
+    },
     close,
   };
 }
