Admit requests by their latency objective, and calls within requests first

Change: a request waits only while it can be answered within its objective, else it is refused at once with a Retry-After by the backlog; a returned caller, late in any case, waits for a pause; calls of requests at work go first and always wait. Daemons use 0.3 of the budget's ratio and slack themselves.

A trial that told calls by the caller's address took every request for a call, since clients have the VM's address too; ids of calls begin with the id of their request.

Refused callers that return and are refused again cost most.

--- a/packages/admission/src/ranked_admission.ts
+++ b/packages/admission/src/ranked_admission.ts
@@ -2,6 +2,7 @@
 import {
   decideRankedAdmission,
   decideRankedStart,
+  decideRetryAfterMs,
 } from "./ranked_decisions.ts";
 import {
   isServedBefore,
@@ -116,22 +117,30 @@
       freeSlots: this.#slots - this.#running,
       waitMs: this.#predictWaitMs(request),
       neededMs: request.neededMs,
+      objectiveLeftMs: request.objectiveAtMs - nowMs,
       timeLeftMs: request.deadlineAtMs - nowMs,
-      maxWaitMs: request.maxWaitMs,
+      lateWaiting: this.#lateWaiting(nowMs),
+      slots: this.#slots,
+      isNested: request.isNested,
     });
-    if (verdict === "run") {
-      const granted = Promise.resolve(Result.ok<Grant, RankedRefusal>(
-        this.#grant(nowMs),
-      ));
-      return { granted, cancel: () => {} };
-    }
-    if (verdict !== "wait") {
-      const granted = Promise.resolve(
-        Result.err<Grant, RankedRefusal>(verdict),
-      );
-      return { granted, cancel: () => {} };
+    if (verdict.kind === "wait") {
+      return this.#enqueue(request, nowMs, verdict.maxWaitMs);
     }
-    return this.#enqueue(request, nowMs);
+    const granted = Promise.resolve(
+      verdict.kind === "run"
+        ? Result.ok<Grant, RankedRefusal>(this.#grant(nowMs))
+        : Result.err<Grant, RankedRefusal>(verdict.reason),
+    );
+    return { granted, cancel: () => {} };
+  }
+
+  /** When a caller that was refused now shall return. */
+  retryAfterMs(request: RankedRequest): number {
+    return decideRetryAfterMs({
+      backlogMs: this.#predictWaitMs(request),
+      neededMs: request.neededMs,
+      objectiveLeftMs: request.objectiveAtMs - this.#nowMs(),
+    });
   }
 
   /** Refuses whatever still waits. */
@@ -144,7 +153,15 @@
     return ahead * this.#serviceTimeMs / this.#slots;
   }
 
-  #enqueue(request: AdmitOptions, nowMs: number) {
+  #lateWaiting(nowMs: number): number {
+    let late = 0;
+    for (const { objectiveAtMs, neededMs } of this.#waiting) {
+      if (objectiveAtMs - nowMs < neededMs) late += 1;
+    }
+    return late;
+  }
+
+  #enqueue(request: AdmitOptions, nowMs: number, maxWaitMs: number) {
     let settle!: (result: Result<Grant, RankedRefusal>) => void;
     const granted = new Promise<Result<Grant, RankedRefusal>>((resolve) => {
       settle = resolve;
@@ -155,11 +172,9 @@
       timer: undefined,
       settle,
     };
-    // With less time left than the request needs, a slot would be wasted on it.
-    const lastStartMs = request.deadlineAtMs - request.neededMs - nowMs;
     waiter.timer = setTimeout(
-      () => this.#refuse(waiter, "deadline"),
-      Math.max(0, lastStartMs),
+      () => this.#refuse(waiter, "busy"),
+      Math.max(0, maxWaitMs),
     );
     this.#waiting.add(waiter);
     return { granted, cancel: () => this.#refuse(waiter, "cancelled") };
@@ -217,8 +232,6 @@
 /** A request that wants a slot. */
 export interface AdmitOptions extends RankedRequest {
   readonly deadlineAtMs: number;
-  /** Time that the request is expected to hold the slot. */
-  readonly neededMs: number;
-  /** Longest wait that is worth it for the caller's daemon, which may know better places. */
-  readonly maxWaitMs: number;
+  /** Whether a request that is already at work waits for this one. */
+  readonly isNested: boolean;
 }
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -448,7 +448,7 @@
       rank: "number",
       configuration_version: "number",
       time_left_ms: "number",
-      max_wait_ms: "number",
+      objective_left_ms: "number",
       duration_ms: "number",
       running: "number",
       waiting: "number",
--- a/packages/retries/src/service_budgets.ts
+++ b/packages/retries/src/service_budgets.ts
@@ -13,12 +13,16 @@
 
 /**
  * Share of the ratio that a daemon uses. The rest covers the calls that a
- * repeated run makes, which count as repeats at the service that they go to.
+ * repeated run makes: they count as repeats at the service that they go to,
+ * which may have fewer requests than the services that call it.
  */
-const RATIO_USED = 0.5;
+const RATIO_USED = 0.3;
 
 /** Share of the slack that daemons use together, for the same reason. */
-const SLACK_USED = 0.5;
+const SLACK_USED = 0.3;
+
+/** Tokens that a daemon may always save up, so that a small part of the slack allows a repeat at all. */
+const MIN_SAVED_TOKENS = 1.5;
 
 interface Tokens {
   count: number;
@@ -43,8 +47,9 @@
   recordRequest(service: string): void {
     const tokens = this.#refilled(service);
     tokens.count += this.#options.ratio * RATIO_USED;
-    // Twice the slack part: what was earned long ago counts in no window.
-    tokens.count = Math.min(tokens.count, 2 * this.#slackPart() + 2);
+    // What was earned long ago counts in no window.
+    const savedMax = Math.max(MIN_SAVED_TOKENS, 2 * this.#slackPart());
+    tokens.count = Math.min(tokens.count, savedMax);
   }
 
   /** Takes a token for one repeat and returns true, or returns false if there is none. */
--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -2,7 +2,6 @@
 import { CallerWaits } from "@tanagercove/admission";
 import type { Catalog, HeldUpstream } from "@tanagercove/catalog";
 import {
-  acceptableWaitMs,
   choosePlacement,
   type PlacementCandidate,
   type PlacementResult,
@@ -35,7 +34,10 @@
 /** Spread of Retry-After, so that refused callers do not return together. */
 const RETRY_AFTER_SPREAD = 0.5;
 
-/** Ranks below those of routes' priorities are free for calls within requests. */
+/** Rank of calls within requests: the work done so far is lost without them. */
+const NESTED_RANK = 0;
+
+/** Lowest priority that is told apart; ranks of callers' requests begin at 1. */
 const MAX_PRIORITY = 3;
 
 /** How a request of a caller ended. */
@@ -117,6 +119,8 @@
   /** Time at which an answer loses most of its value; counted from the caller's first attempt. */
   readonly objectiveAtMs: number;
   readonly waitedBeforeMs: number;
+  /** Whether this VM's upstream makes the request while it works on another. */
+  readonly isNested: boolean;
 }
 
 interface Attempt {
@@ -172,19 +176,23 @@
     const deadlineMs = Number(request.headers[names.timeLeftMs]) ||
       DEFAULT_DEADLINE_MS;
     const waitedBeforeMs = waits.waitedMs(route.name, deadlineMs);
+    const isNested = options.owner.runsParentOf(caller.requestId);
     const service = options.shares.next(route);
     options.budgets.recordRequest(service);
     const routed: RoutedRequest = Object.assign(caller, {
       route,
       version: index.configuration.version,
       service,
-      rank: 1 + Math.min(MAX_PRIORITY, Math.floor(route.priority)),
+      rank: isNested
+        ? NESTED_RANK
+        : 1 + Math.min(MAX_PRIORITY, Math.floor(route.priority)),
       headers: endToEndHeaders(request.rawHeaders, own),
       body: body.value,
       endAtMs: caller.startedMs + Math.min(deadlineMs, route.timeoutMs),
       objectiveAtMs: caller.startedMs + route.latencyObjectiveMs -
         waitedBeforeMs,
       waitedBeforeMs,
+      isNested,
     });
     await serve(routed);
   }
@@ -207,7 +215,7 @@
       if (chosen === undefined) break;
       tried.add(chosen.id);
       const untried = candidates.length - 1;
-      const attempt = await send(routed, chosen, untried);
+      const attempt = await send(routed, chosen);
       if (routed.isGone) return finish(routed, "gone", 0);
       const { verdict, answer } = attempt;
       if (answer !== undefined) fallback = answer;
@@ -226,7 +234,11 @@
         maxAttempts: route.maxAttempts,
         timeLeftMs: routed.endAtMs - performance.now(),
         neededMs: chosen.serviceMs,
-        untried,
+        untried: verdict.kind === "not_run" && verdict.reason === "busy"
+          ? candidates.filter((other) =>
+            other !== chosen && mayHaveRoom(routed, other)
+          ).length
+          : untried,
         takeToken: () => options.budgets.tryTake(routed.service),
       });
       if (step.kind === "deliver") return deliver(routed, answer!);
@@ -240,6 +252,15 @@
     refuse(routed, reason, retryAfterMs);
   }
 
+  /** Whether asking another upstream after a refusal for lack of room is worth the bytes. */
+  function mayHaveRoom(
+    { objectiveAtMs, isNested, endAtMs }: RoutedRequest,
+    { waitMs, serviceMs }: PlacementCandidate,
+  ): boolean {
+    const finishedAtMs = performance.now() + waitMs + serviceMs;
+    return waitMs === 0 || finishedAtMs <= (isNested ? endAtMs : objectiveAtMs);
+  }
+
   function candidatesFor(
     { service, route, rank }: RoutedRequest,
     tried: ReadonlySet<string>,
@@ -276,7 +297,6 @@
   async function send(
     routed: RoutedRequest,
     chosen: PlacementCandidate,
-    untried: number,
   ): Promise<Attempt> {
     const { route, rank } = routed;
     const nowMs = performance.now();
@@ -290,12 +310,7 @@
       rank,
       timeLeftMs,
       objectiveLeftMs,
-      maxWaitMs: acceptableWaitMs({
-        serviceMs: chosen.serviceMs,
-        timeLeftMs,
-        objectiveLeftMs,
-        untried,
-      }),
+      isNested: routed.isNested,
       callerService: options.service,
       version: routed.version,
     };
--- a/packages/sidecar/src/forwarding.ts
+++ b/packages/sidecar/src/forwarding.ts
@@ -19,8 +19,8 @@
   readonly timeLeftMs: number;
   /** Time until the answer loses most of its value; negative if that has passed. */
   readonly objectiveLeftMs: number;
-  /** Longest wait for a slot that is worth it for the caller. */
-  readonly maxWaitMs: number;
+  /** Whether the request is a call of a request that is already at work. */
+  readonly isNested: boolean;
   readonly callerService: string;
   /** Configuration version that the route comes from. */
   readonly version: number;
@@ -68,7 +68,7 @@
     ticket.rank,
     Math.round(ticket.timeLeftMs),
     Math.round(ticket.objectiveLeftMs),
-    Math.round(ticket.maxWaitMs),
+    ticket.isNested ? 1 : 0,
     encodeURIComponent(ticket.callerService),
     ticket.version,
   ].join(",");
@@ -88,7 +88,7 @@
     rank: numbers[1]!,
     timeLeftMs: numbers[2]!,
     objectiveLeftMs: numbers[3]!,
-    maxWaitMs: numbers[4]!,
+    isNested: numbers[4] === 1,
     callerService: decodeURIComponent(parts[8]!),
     version: numbers[5]!,
   };
--- a/packages/sidecar/src/observer.ts
+++ b/packages/sidecar/src/observer.ts
@@ -145,7 +145,7 @@
     rank: ticket.rank,
     configuration_version: ticket.version,
     time_left_ms: Math.round(ticket.timeLeftMs - durationMs),
-    max_wait_ms: Math.round(ticket.maxWaitMs),
+    objective_left_ms: Math.round(ticket.objectiveLeftMs - durationMs),
     duration_ms: Math.round(durationMs),
     running: load.running,
     waiting: load.waitingByRank.reduce((sum, count) => sum + count, 0),
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -1,9 +1,13 @@
 import type { Agent } from "node:http";
-import { RankedAdmission } from "@tanagercove/admission";
+import { RankedAdmission, type RankedRequest } from "@tanagercove/admission";
 import type { ReportedLoad } from "@tanagercove/placement";
 import type { Endpoint } from "@tanagercove/types";
 import { type Exchange, type ExchangeEnd, startExchange } from "./exchange.ts";
-import type { ForwardTicket, OwnerVerdict } from "./forwarding.ts";
+import type {
+  ForwardTicket,
+  NotRunReason,
+  OwnerVerdict,
+} from "./forwarding.ts";
 import { deliveredHeaders, requestHeaders } from "./passed_headers.ts";
 import { RouteTimes } from "./route_times.ts";
 import type { RequestHeaderNames } from "./settings.ts";
@@ -52,6 +56,11 @@
 /** Runs requests on the upstream of this VM. */
 export interface Owner {
   run(request: OwnedRequest): OwnedRun;
+  /**
+   * Whether the upstream makes a call for a request that it is running: the id
+   * of a call is that of its request, a dot and an id of its own.
+   */
+  runsParentOf(requestId: string): boolean;
   load(): ReportedLoad;
   readonly running: number;
   readonly waiting: number;
@@ -69,13 +78,11 @@
 /** Time in which the upstream's own word on the deadline may still arrive. */
 const UPSTREAM_GRACE_MS = 20;
 
-/** Least time after which a refused caller is told to return. */
-const MIN_RETRY_AFTER_MS = 50;
-
 /** Creates the owner of this VM's upstream. */
 export function createOwner(options: CreateOwnerOptions): Owner {
   const admission = new RankedAdmission({ slots: INITIAL_SLOTS });
   const times = new RouteTimes();
+  const runningIds = new Set<string>();
 
   function run(request: OwnedRequest): OwnedRun {
     const { ticket } = request;
@@ -83,21 +90,24 @@
     const deadlineAtMs = nowMs + ticket.timeLeftMs;
     let cancelled = false;
     let exchange: Exchange | undefined;
-    const admitted = admission.admit({
+    const ranked = {
       rank: ticket.rank,
       objectiveAtMs: nowMs + ticket.objectiveLeftMs,
-      deadlineAtMs,
       neededMs: times.expectedMs(ticket.route),
-      maxWaitMs: ticket.maxWaitMs,
+    };
+    const admitted = admission.admit({
+      ...ranked,
+      deadlineAtMs,
+      isNested: ticket.isNested,
     });
 
     async function result(): Promise<OwnedResult> {
       const granted = await admitted.granted;
-      if (granted.isErr) return refused(granted.error);
+      if (granted.isErr) return refused(granted.error, ranked);
       const grant = granted.value;
       if (cancelled) {
         grant.release({ serviceTimeMs: undefined });
-        return refused("cancelled");
+        return refused("cancelled", ranked);
       }
       const timeLeftMs = deadlineAtMs - performance.now();
       exchange = startExchange({
@@ -112,8 +122,10 @@
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         maxAnswerBytes: options.maxAnswerBytes,
       });
+      runningIds.add(request.requestId);
       const end = await exchange.ended;
-      const judged = conclude(request, end);
+      runningIds.delete(request.requestId);
+      const judged = conclude(request, end, ranked);
       const isAnswered = judged.verdict.kind === "answered";
       if (isAnswered) times.record(ticket.route, end.durationMs);
       grant.release({
@@ -133,23 +145,22 @@
   }
 
   function refused(
-    reason: Extract<OwnerVerdict, { kind: "not_run" }>["reason"],
+    reason: NotRunReason,
+    ranked: RankedRequest,
     reachedUpstream = false,
   ): OwnedResult {
-    const { running, slots, waitingByRank, serviceTimeMs } = admission.load();
-    const waiting = waitingByRank.reduce((sum, count) => sum + count, 0);
-    const ahead = running + waiting + 1 - slots;
-    const retryAfterMs = Math.max(
-      MIN_RETRY_AFTER_MS,
-      ahead * serviceTimeMs / slots,
-    );
+    const retryAfterMs = admission.retryAfterMs(ranked);
     return {
       verdict: { kind: "not_run", reason, reachedUpstream, retryAfterMs },
       answer: undefined,
     };
   }
 
-  function conclude(request: OwnedRequest, end: ExchangeEnd): OwnedResult {
+  function conclude(
+    request: OwnedRequest,
+    end: ExchangeEnd,
+    ranked: RankedRequest,
+  ): OwnedResult {
     const { requestId } = request;
     const verdict = judgeUpstreamAnswer({
       end,
@@ -157,7 +168,7 @@
       names: options.names,
     });
     if (verdict.kind === "not_run") {
-      return refused(verdict.reason, verdict.reachedUpstream);
+      return refused(verdict.reason, ranked, verdict.reachedUpstream);
     }
     if (verdict.kind === "unknown") {
       return { verdict, answer: undefined };
@@ -175,6 +186,10 @@
 
   return {
     run,
+    runsParentOf(requestId) {
+      const dot = requestId.lastIndexOf(".");
+      return dot > 0 && runningIds.has(requestId.slice(0, dot));
+    },
     load: () => admission.load(),
     get running() {
       return admission.running;
