--- a/packages/catalog/src/catalog.ts
+++ b/packages/catalog/src/catalog.ts
@@ -243,7 +243,7 @@
     if (this.#keptVersions.length > MAX_KEPT_VERSIONS) {
       this.#keptVersions.shift();
     }
-    this.#wake();
+    this.wakeFollowers();
     this.#configurationRevision = revision;
     this.#onEvent({ kind: "configuration_taken", version });
   }
@@ -295,10 +295,11 @@
       this.#log = this.#log.slice(dropped);
       this.#logStart += dropped;
     }
-    this.#wake();
+    this.wakeFollowers();
   }
 
-  #wake(): void {
+  /** Ends the waits of `whenChanged`. */
+  wakeFollowers(): void {
     for (const settle of [...this.#waiting]) settle();
   }
 
--- a/packages/catalog/src/catalog_sync.ts
+++ b/packages/catalog/src/catalog_sync.ts
@@ -50,14 +50,17 @@
   readonly watchWaitMs?: number;
 }
 
-/** Bounds the time for which a connection that has gone silent goes unnoticed. */
-const WATCH_WAIT_MS = 3_000;
+/**
+ * Bounds the time for which a reader whose connection has gone silent goes on
+ * telling its followers that it is in contact.
+ */
+const WATCH_WAIT_MS = 1_000;
 
 /** Wait of a follower for changes; bounds the time until a silent reader is noticed. */
 const FOLLOW_WAIT_MS = 800;
 
 /** Time for which a daemon that did not answer is not followed. */
-const READER_AVOIDED_MS = 2_000;
+const READER_AVOIDED_MS = 4_000;
 
 /** First pause after a failed call; doubles up to the longest one, with jitter. */
 const RETRY_MS = 100;
@@ -86,8 +89,8 @@
   #settleTimer: NodeJS.Timeout | undefined;
   #isCheckingPeer = false;
   #guide: string | undefined;
-  #guideFeedId = "";
-  #guidePosition = 0;
+  /** How far this daemon has followed each reader, so that a return to one costs little. */
+  readonly #followed = new Map<string, { feedId: string; position: number }>();
   readonly #avoidedUntilMs = new Map<string, number>();
   #done: Promise<unknown> = Promise.resolve();
 
@@ -170,10 +173,11 @@
 
   async #followGuide(guide: string): Promise<"ok" | "failed"> {
     const { catalog, followPeer } = this.#options;
+    const followed = this.#followed.get(guide);
     const answer = await followPeer(guide, {
       version: catalog.version,
-      feedId: this.#guideFeedId,
-      position: this.#guidePosition,
+      feedId: followed?.feedId ?? "",
+      position: followed?.position ?? 0,
       waitMs: FOLLOW_WAIT_MS,
     });
     if (answer === undefined || !answer.isInContact) {
@@ -181,8 +185,10 @@
       this.#avoidedUntilMs.set(guide, nowMs + READER_AVOIDED_MS);
       return "ok";
     }
-    this.#guideFeedId = answer.feedId;
-    this.#guidePosition = answer.position;
+    this.#followed.set(guide, {
+      feedId: answer.feedId,
+      position: answer.position,
+    });
     this.#answered();
     if (answer.whole !== undefined) catalog.replace(answer.whole);
     catalog.apply(answer.changes);
@@ -244,6 +250,7 @@
   #failed(error: PlatformError): "failed" {
     if (this.#lostAtMs === undefined) {
       this.#lostAtMs = performance.now();
+      this.#options.catalog.wakeFollowers();
       this.#options.onEvent({ kind: "platform_lost", error });
     }
     return "failed";
--- a/packages/catalog/src/catalog_test.ts
+++ b/packages/catalog/src/catalog_test.ts
@@ -200,3 +200,19 @@
   catalog.apply([upstream("u2", 6)]);
   t.equal((await answer).changes.length, 1);
 });
+
+// A reader whose store had gone silent kept its followers waiting past the
+// time in which a version must be in force.
+t.test("should tell a waiting follower at once that contact to the platform is lost", async (t) => {
+  const catalog = new Catalog();
+  let isInContact = true;
+  const answer = answerFeed({
+    catalog,
+    feedId: "f",
+    question: { version: 0, feedId: "f", position: 0, waitMs: 60_000 },
+    isInContact: () => isInContact,
+  });
+  isInContact = false;
+  catalog.wakeFollowers();
+  t.equal((await answer).isInContact, false);
+});
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -2,6 +2,7 @@
 import { checkCommand } from "./check/check_command.ts";
 import { dumpCommand } from "./dump/dump_command.ts";
 import { type CommandEnd, EXIT_CODES } from "./exit_codes.ts";
+import { explainCommand } from "./explain/explain_command.ts";
 import { PROGRAM_VERSION } from "./program_version.ts";
 import { runCommand } from "./run/run_command.ts";
 import { statusCommand } from "./status/status_command.ts";
@@ -16,6 +17,7 @@
     check: checkCommand,
     status: statusCommand,
     dump: dumpCommand,
+    explain: explainCommand,
   },
   examples: [
     {
--- a/packages/logs/src/logger.ts
+++ b/packages/logs/src/logger.ts
@@ -92,11 +92,13 @@
       clearInterval(flushing);
       clearInterval(reporting);
       return new Promise((resolve) => {
-        const timer = setTimeout(resolve, CLOSE_TIMEOUT_MS);
-        destination.flush(() => {
+        const end = () => {
           clearTimeout(timer);
+          destination.destroy();
           resolve();
-        });
+        };
+        const timer = setTimeout(end, CLOSE_TIMEOUT_MS);
+        destination.flush(end);
       });
     },
   };
--- a/packages/logs/src/logs_test.ts
+++ b/packages/logs/src/logs_test.ts
@@ -1,7 +1,9 @@
+import { spawn } from "node:child_process";
 import { readFileSync, writeFileSync } from "node:fs";
 import t from "tap";
 import { waitFor } from "@tanagercove/test_helpers";
 import {
+  createBoundedLogger,
   createLogger,
   eventsReference,
   LineLimit,
@@ -104,3 +106,28 @@
   t.equal(limit.take(), 0);
   t.end();
 });
+
+// Guards against requests that wait for a collector of logs that has stopped reading.
+t.test("should drop and count lines rather than wait for a reader that stalls", async (t) => {
+  const reader = spawn(
+    process.execPath,
+    ["-e", "setTimeout(() => {}, 60_000)"],
+    {
+      stdio: ["pipe", "ignore", "ignore"],
+    },
+  );
+  t.teardown(() => reader.kill());
+  const { fd } =
+    (reader.stdin as unknown as { _handle: { fd: number } })._handle;
+  const logger = createBoundedLogger({ vmId: "a-1", zone: "zone-a", fd });
+  const startedMs = performance.now();
+  for (let i = 0; i < 20_000; i += 1) {
+    logEvent(logger.log, { event: "peer_back", peer_vm_id: `b-${i}` });
+  }
+  const elapsedMs = performance.now() - startedMs;
+  t.ok(logger.droppedLines > 1_000, `${logger.droppedLines} dropped`);
+  t.ok(elapsedMs < 2_000, `${elapsedMs} ms`);
+  const closingMs = performance.now();
+  await logger.close();
+  t.ok(performance.now() - closingMs < 1_000, "the end does not wait either");
+});
--- a/packages/sidecar/src/run_sidecar.ts
+++ b/packages/sidecar/src/run_sidecar.ts
@@ -1,6 +1,11 @@
-import type { Result } from "true-myth";
+import { Result } from "true-myth";
 import type { CatalogSource } from "@tanagercove/catalog";
-import { createBoundedLogger, logEvent } from "@tanagercove/logs";
+import {
+  formatListenError,
+  type ListenError,
+  listenErrorOf,
+} from "@tanagercove/errors";
+import { createBoundedLogger, logEvent, type Logger } from "@tanagercove/logs";
 import type { RequestHeaderNames, SidecarSettings } from "./settings.ts";
 import { type Sidecar, startSidecar } from "./sidecar.ts";
 
@@ -62,12 +67,14 @@
     logEvent(log, { event: "settings_reloaded", changed });
   }
 
-  const sidecar = await startSidecar({
-    settings,
-    names: options.names,
-    source: options.openSource(settings),
-    log,
-  });
+  const started = await start(options, { settings, log });
+  if (started.isErr) {
+    const reason = formatListenError(started.error);
+    logEvent(log, { event: "daemon_start_failed", reason });
+    await logger.close();
+    return EXIT_CODE_SETTINGS;
+  }
+  const sidecar = started.value;
   process.on("SIGHUP", () => reload(sidecar));
   logEvent(log, {
     event: "sidecar_started",
@@ -91,6 +98,21 @@
   return 0;
 }
 
+/** Gives the error of a port that could not be opened as a value. */
+async function start(
+  { names, openSource }: RunSidecarOptions,
+  { settings, log }: { settings: SidecarSettings; log: Logger },
+): Promise<Result<Sidecar, ListenError>> {
+  try {
+    const source = openSource(settings);
+    return Result.ok(await startSidecar({ settings, names, source, log }));
+  } catch (error) {
+    const listenError = listenErrorOf(error);
+    if (listenError === undefined) throw error;
+    return Result.err(listenError);
+  }
+}
+
 function changedKeys(
   before: SidecarSettings,
   after: SidecarSettings,
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -201,48 +201,66 @@
   }
 
   const isReady = () => !isStopping() && catalog.index !== undefined;
-  const listeners: HttpListener[] = [
-    await startPeerServer({
-      address: settings.address,
-      ports: settings.control === undefined
-        ? [settings.peer.port]
-        : [settings.peer.port, settings.control.port],
-      names,
-      owner,
-      catalog,
-      feedId: randomBytes(6).toString("hex"),
-      isInContact: () =>
-        catalog.revision > 0 && sync.lostAtMs === undefined && !isStopping(),
-      state: ownerState,
-      admits,
-      isStopping,
-      maxBodyBytes: () => PEER_MAX_BODY_BYTES,
-      onForwarded: (result) => observer.onForwarded(result),
-    }),
-    await listenHttp(callerServer, {
-      address: settings.caller.address,
-      ports: [settings.caller.port],
-    }),
-    await listenHttp(
-      createServer((_request, response) => {
-        response.writeHead(isReady() ? 200 : 503).end();
+  const listeners: HttpListener[] = [];
+  await openListeners().catch(async (error) => {
+    await closeListeners();
+    await source.close();
+    throw error;
+  });
+
+  async function openListeners(): Promise<void> {
+    listeners.push(
+      await startPeerServer({
+        address: settings.address,
+        ports: settings.control === undefined
+          ? [settings.peer.port]
+          : [settings.peer.port, settings.control.port],
+        names,
+        owner,
+        catalog,
+        feedId: randomBytes(6).toString("hex"),
+        isInContact: () =>
+          catalog.revision > 0 && sync.lostAtMs === undefined && !isStopping(),
+        state: ownerState,
+        admits,
+        isStopping,
+        maxBodyBytes: () => PEER_MAX_BODY_BYTES,
+        onForwarded: (result) => observer.onForwarded(result),
+      }),
+    );
+    listeners.push(
+      await listenHttp(callerServer, {
+        address: settings.caller.address,
+        ports: [settings.caller.port],
+      }),
+    );
+    listeners.push(
+      await listenHttp(
+        createServer((_request, response) => {
+          response.writeHead(isReady() ? 200 : 503).end();
+        }),
+        {
+          address: settings.readiness.address,
+          ports: [settings.readiness.port],
+        },
+      ),
+    );
+    listeners.push(
+      await startOperatorsListener({
+        address: settings.address,
+        port: settings.metricsPort,
+        metrics,
+        dump,
       }),
-      {
-        address: settings.readiness.address,
-        ports: [settings.readiness.port],
-      },
-    ),
-  ];
+    );
+  }
+
+  async function closeListeners(): Promise<void> {
+    await Promise.all(listeners.map((listener) => listener.close()));
+  }
+
   sync.start();
   registerGauges();
-  listeners.push(
-    await startOperatorsListener({
-      address: settings.address,
-      port: settings.metricsPort,
-      metrics,
-      dump,
-    }),
-  );
 
   function registerGauges(): void {
     const gauges: Readonly<Record<string, () => number>> = {
@@ -298,7 +316,7 @@
     owner.close();
     callers.cutAll();
     await new Promise((resolve) => setTimeout(resolve, STOP_FLUSH_MS));
-    await Promise.all(listeners.map((listener) => listener.close()));
+    await closeListeners();
     // Ends the questions to other daemons, which would delay the end of the sync.
     peerAgent.destroy();
     upstreamAgent.destroy();
