Split addresses, drain and candidates off the sidecar's request path

Change: daemon_addresses.ts, drain.ts, placement_candidates.ts and caller_request.ts hold what was moved; no behaviour changes.

--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { CallerWaits } from "@tanagercove/admission";
-import type { Catalog, HeldUpstream } from "@tanagercove/catalog";
+import type { Catalog } from "@tanagercove/catalog";
 import {
   choosePlacement,
   type PlacementCandidate,
@@ -9,12 +9,18 @@
 } from "@tanagercove/placement";
 import type { ServiceBudgets } from "@tanagercove/retries";
 import { matchRoute, type TargetShares } from "@tanagercove/routing";
-import type { Endpoint, Route } from "@tanagercove/types";
+import type { Endpoint } from "@tanagercove/types";
+import type {
+  CallerRequest,
+  CallerResult,
+  RoutedRequest,
+} from "./caller_request.ts";
 import { decideNextStep } from "./decide_next_step.ts";
 import type { ForwardTicket, OwnerState, OwnerVerdict } from "./forwarding.ts";
 import type { OwnedAnswer, OwnedRequest, Owner } from "./owner.ts";
 import { endToEndHeaders, ownFields } from "./passed_headers.ts";
 import type { ForwardRun, PeerClient } from "./peer_client.ts";
+import { placementCandidates } from "./placement_candidates.ts";
 import { readBody } from "./read_body.ts";
 import { type RefusalReason, REFUSALS } from "./refusals.ts";
 import type { RequestHeaderNames } from "./settings.ts";
@@ -25,9 +31,6 @@
 /** Daemons that are asked for one request; refusals of daemons cost little, but not nothing. */
 const MAX_HOPS = 4;
 
-/** Expected share of the objective that an upstream takes for a route never seen there. */
-const UNKNOWN_SERVICE_SHARE = 0.4;
-
 /** Time after which a caller refused without a known wait may return. */
 const RETRY_AFTER_MS = 250;
 
@@ -40,32 +43,6 @@
 /** Lowest priority that is told apart; ranks of callers' requests begin at 1. */
 const MAX_PRIORITY = 3;
 
-/** How a request of a caller ended. */
-export interface CallerResult {
-  readonly requestId: string;
-  readonly outcome: "answered" | "gone" | RefusalReason;
-  readonly status: number;
-  readonly route: Route | undefined;
-  readonly service: string | undefined;
-  readonly rank: number | undefined;
-  readonly version: number;
-  readonly attempts: readonly AttemptRecord[];
-  /** Time since the caller's first attempt when this one arrived. */
-  readonly waitedBeforeMs: number | undefined;
-  readonly timeLeftMs: number | undefined;
-  readonly durationMs: number;
-}
-
-/** One attempt of a request. */
-export interface AttemptRecord {
-  readonly upstreamId: string;
-  readonly verdict: OwnerVerdict["kind"];
-  readonly reason: string;
-  readonly predictedWaitMs: number;
-  readonly predictedServiceMs: number;
-  readonly durationMs: number;
-}
-
 /** Options of `createCallerHandler`. */
 export interface CreateCallerHandlerOptions {
   readonly names: RequestHeaderNames;
@@ -96,33 +73,6 @@
   cutAll(): void;
 }
 
-/** A caller's request from its head on. */
-interface CallerRequest {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly requestId: string;
-  readonly startedMs: number;
-  readonly attempts: AttemptRecord[];
-  isGone: boolean;
-  cancel: (() => void) | undefined;
-}
-
-/** A caller's request with its route. */
-interface RoutedRequest extends CallerRequest {
-  readonly route: Route;
-  readonly version: number;
-  readonly service: string;
-  readonly rank: number;
-  readonly headers: readonly string[];
-  readonly body: Buffer | undefined;
-  readonly endAtMs: number;
-  /** Time at which an answer loses most of its value; counted from the caller's first attempt. */
-  readonly objectiveAtMs: number;
-  readonly waitedBeforeMs: number;
-  /** Whether this VM's upstream makes the request while it works on another. */
-  readonly isNested: boolean;
-}
-
 interface Attempt {
   readonly verdict: OwnerVerdict;
   readonly answer: OwnedAnswer | undefined;
@@ -206,7 +156,15 @@
     let retryAfterMs = RETRY_AFTER_MS;
     let reason: RefusalReason = "no_upstream";
     for (let hop = 0; hop < MAX_HOPS; hop += 1) {
-      const candidates = candidatesFor(routed, tried);
+      const candidates = placementCandidates({
+        route,
+        service: routed.service,
+        rank: routed.rank,
+        catalog,
+        reports,
+        ownZone: options.zone,
+        tried,
+      });
       const chosen = choosePlacement({
         candidates,
         latencyObjectiveMs: route.latencyObjectiveMs,
@@ -261,39 +219,6 @@
     return waitMs === 0 || finishedAtMs <= (isNested ? endAtMs : objectiveAtMs);
   }
 
-  function candidatesFor(
-    { service, route, rank }: RoutedRequest,
-    tried: ReadonlySet<string>,
-  ): PlacementCandidate[] {
-    const upstreams = catalog.upstreamsOf(service);
-    const known = upstreams.map(({ entry }) =>
-      reports.serviceMs(entry.id, route.name)
-    ).filter((serviceMs) => serviceMs !== undefined);
-    const usualMs = known.length === 0
-      ? UNKNOWN_SERVICE_SHARE * route.latencyObjectiveMs
-      : known.reduce((sum, ms) => sum + ms, 0) / known.length;
-    return upstreams
-      .filter(({ entry }) => entry.state === "ready" && !tried.has(entry.id))
-      .map((held) => ({
-        id: held.entry.id,
-        isOwnZone: held.entry.zone === options.zone,
-        waitMs: reports.waitMs(held.entry.id, rank),
-        serviceMs: serviceMs(held, route, usualMs),
-        failureShare: reports.failureShare(held.entry.id),
-        isEjected: reports.isEjected(held.entry.id),
-      }));
-  }
-
-  function serviceMs(
-    { entry, seenAtMs }: HeldUpstream,
-    route: Route,
-    usualMs: number,
-  ): number {
-    const averageMs = reports.serviceMs(entry.id, route.name) ?? usualMs;
-    const isCold = performance.now() - seenAtMs < entry.coldMs;
-    return isCold ? Math.max(averageMs, 2 * usualMs) : averageMs;
-  }
-
   async function send(
     routed: RoutedRequest,
     chosen: PlacementCandidate,
--- /dev/null
+++ b/packages/sidecar/src/caller_request.ts
@@ -0,0 +1,57 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Route } from "@tanagercove/types";
+import type { OwnerVerdict } from "./forwarding.ts";
+import type { RefusalReason } from "./refusals.ts";
+
+/** How a request of a caller ended. */
+export interface CallerResult {
+  readonly requestId: string;
+  readonly outcome: "answered" | "gone" | RefusalReason;
+  readonly status: number;
+  readonly route: Route | undefined;
+  readonly service: string | undefined;
+  readonly rank: number | undefined;
+  readonly version: number;
+  readonly attempts: readonly AttemptRecord[];
+  /** Time since the caller's first attempt when this one arrived. */
+  readonly waitedBeforeMs: number | undefined;
+  readonly timeLeftMs: number | undefined;
+  readonly durationMs: number;
+}
+
+/** One attempt of a request. */
+export interface AttemptRecord {
+  readonly upstreamId: string;
+  readonly verdict: OwnerVerdict["kind"];
+  readonly reason: string;
+  readonly predictedWaitMs: number;
+  readonly predictedServiceMs: number;
+  readonly durationMs: number;
+}
+
+/** A caller's request from its head on. */
+export interface CallerRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly requestId: string;
+  readonly startedMs: number;
+  readonly attempts: AttemptRecord[];
+  isGone: boolean;
+  cancel: (() => void) | undefined;
+}
+
+/** A caller's request with its route. */
+export interface RoutedRequest extends CallerRequest {
+  readonly route: Route;
+  readonly version: number;
+  readonly service: string;
+  readonly rank: number;
+  readonly headers: readonly string[];
+  readonly body: Buffer | undefined;
+  readonly endAtMs: number;
+  /** Time at which an answer loses most of its value; counted from the caller's first attempt. */
+  readonly objectiveAtMs: number;
+  readonly waitedBeforeMs: number;
+  /** Whether this VM's upstream makes the request while it works on another. */
+  readonly isNested: boolean;
+}
--- a/packages/sidecar/src/observer.ts
+++ b/packages/sidecar/src/observer.ts
@@ -8,7 +8,7 @@
 } from "@tanagercove/logs";
 import type { Metrics } from "@tanagercove/metrics";
 import type { UpstreamEjection } from "@tanagercove/placement";
-import type { CallerResult } from "./caller_handler.ts";
+import type { CallerResult } from "./caller_request.ts";
 import type { ForwardedResult } from "./peer_server.ts";
 
 /** Lines on requests in a second; at most as many again come from the owner's side. */
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -7,7 +7,6 @@
   CatalogSync,
 } from "@tanagercove/catalog";
 import type { Logger } from "@tanagercove/logs";
-import { rankByRendezvous } from "@tanagercove/membership";
 import { Metrics } from "@tanagercove/metrics";
 import { UpstreamReports } from "@tanagercove/placement";
 import { ServiceBudgets } from "@tanagercove/retries";
@@ -15,6 +14,12 @@
 import type { Endpoint } from "@tanagercove/types";
 import { createCallerHandler } from "./caller_handler.ts";
 import { ConnectionAgent } from "./connection_agent.ts";
+import {
+  endpointOf,
+  peerAddresses,
+  readersBefore,
+} from "./daemon_addresses.ts";
+import { whenDrained } from "./drain.ts";
 import type { ForwardTicket, OwnerState } from "./forwarding.ts";
 import { type HttpListener, listenHttp } from "./http_listener.ts";
 import { createObserver } from "./observer.ts";
@@ -45,15 +50,6 @@
 /** A forwarded body may be as large as the configuration's bound, which other daemons may know earlier. */
 const PEER_MAX_BODY_BYTES = 256 * 1024 * 1024;
 
-/** Time for which a stopping daemon stays, so that clients see that it is not ready. */
-const STOP_MIN_MS = 2_300;
-
-/** Time for which a stopping daemon must be without requests before it ends. */
-const STOP_IDLE_MS = 300;
-
-/** Time before the kill at which the process ends, whatever is in flight. */
-const STOP_MARGIN_MS = 400;
-
 /** Time for the last answers to leave before their connections are closed. */
 const STOP_FLUSH_MS = 100;
 
@@ -301,18 +297,11 @@
 
   async function close(): Promise<void> {
     stoppingSinceMs = performance.now();
-    const endAtMs = stoppingSinceMs + settings.drainTimeoutMs - STOP_MARGIN_MS;
     owner.setLeaving(true);
-    let idleSinceMs = stoppingSinceMs;
-    while (performance.now() < endAtMs) {
-      const nowMs = performance.now();
-      if (callers.inFlight > 0 || owner.running > 0) idleSinceMs = nowMs;
-      if (
-        nowMs - idleSinceMs >= STOP_IDLE_MS &&
-        nowMs - stoppingSinceMs >= STOP_MIN_MS
-      ) break;
-      await new Promise((resolve) => setTimeout(resolve, 50));
-    }
+    await whenDrained({
+      drainTimeoutMs: settings.drainTimeoutMs,
+      isBusy: () => callers.inFlight > 0 || owner.running > 0,
+    });
     owner.close();
     callers.cutAll();
     await new Promise((resolve) => setTimeout(resolve, STOP_FLUSH_MS));
@@ -335,44 +324,3 @@
     close,
   };
 }
-
-/** Daemons of the own zone that come before this one in the order of readers. */
-function readersBefore(
-  catalog: Catalog,
-  settings: SidecarSettings,
-): readonly string[] {
-  const addresses = new Set([settings.address]);
-  for (const { entry } of catalog.upstreams.values()) {
-    if (entry.zone === settings.zone) addresses.add(entry.address);
-  }
-  const ranked = rankByRendezvous(settings.zone, [...addresses]);
-  return ranked.slice(0, ranked.indexOf(settings.address))
-    .map((address) => `${address}:${settings.peer.port}`);
-}
-
-/** Other daemons, those of the own zone first, then the seeds. */
-function peerAddresses(
-  catalog: Catalog,
-  settings: SidecarSettings,
-): readonly string[] {
-  const entries = [...catalog.upstreams.values()].map(({ entry }) => entry)
-    .filter(({ address }) => address !== settings.address);
-  const isOwnZone = ({ zone }: { readonly zone: string }) =>
-    zone === settings.zone;
-  const ordered = [
-    ...shuffled(entries.filter(isOwnZone)),
-    ...shuffled(entries.filter((entry) => !isOwnZone(entry))),
-  ].map(({ address }) => `${address}:${settings.peer.port}`);
-  const seeds = settings.seeds.map(({ address, port }) => `${address}:${port}`);
-  return [...new Set([...ordered, ...seeds])];
-}
-
-function shuffled<T>(items: readonly T[]): readonly T[] {
-  return items.map((item) => ({ item, at: Math.random() }))
-    .sort((a, b) => a.at - b.at).map(({ item }) => item);
-}
-
-function endpointOf(text: string): Endpoint {
-  const colon = text.lastIndexOf(":");
-  return { address: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
-}
