Eject an upstream at the first connection that cannot be opened

Five failures in a row were needed for an ejection, and each took a retry of a budget that starts at 2 and earns 0.08 a request; at 8 requests per second it was empty before the fifth. Ruled out: a missing candidate (five others served) and the deadline (5 ms used). Change: a refused connection ejects for 2 s at once, as upstream_silent does, and counts towards the longer ejection after five. The cap of half the service stays. Test: balancing_test.ts, "should eject at the first refused connection for 2 s". Conclusion: one retry per daemon and 2 s instead of five in a row. The share answered when a third of the upstreams is killed was not measured again.

--- a/packages/balancing/src/balancing_test.ts
+++ b/packages/balancing/src/balancing_test.ts
@@ -89,6 +89,7 @@
     result: fc.constantFrom<UpstreamResult>(
       "ok",
       "failed",
+      "unreachable",
       "silent",
       "not_run",
     ),
@@ -210,6 +211,27 @@
   t.end();
 });
 
+// Guards against a retry budget that a killed upstream empties: five refused connections
+// took five retries, and the requests after them were refused although others had room.
+t.test("should eject at the first refused connection for 2 s, and for longer from five on", (t) => {
+  const { time, changes, call, shareOf } = setUp(vmsInOwnZone(3));
+  const { id } = vm(1);
+  time.nowMs = SLOW_START_MS;
+  for (let refused = 1; refused < EJECTION_FAILURES; refused += 1) {
+    call(id, "unreachable");
+    t.equal(shareOf(id), 0);
+    time.nowMs += 2_001;
+    t.ok(shareOf(id) > 0.2, "tried again soon");
+  }
+  call(id, "unreachable");
+  time.nowMs += 2_001;
+  t.equal(shareOf(id), 0, "ejected for longer");
+  t.same(changes, [
+    { kind: "ejected", vmId: id, cause: "connect_failed" },
+  ]);
+  t.end();
+});
+
 t.test("should leave the own zone only when its upstreams are saturated, ejected or excluded", (t) => {
   const vms = [0, 1, 2, 3].map((i) => vm(i));
   const inOwnZone = () => choose()?.zone === ownZone;
--- a/packages/balancing/src/ejection.ts
+++ b/packages/balancing/src/ejection.ts
@@ -14,11 +14,11 @@
 export const EJECTION_MAX_MS = 60_000;
 
 /**
- * Length of an ejection by the owner daemon's verdict. Asking again costs one
- * refusal and one retry, so it can be short enough for an upstream to get work
- * within 3 s after it answers again.
+ * Length of an ejection after a refused connection or the owner daemon's verdict.
+ * Trying again costs one refusal and one retry, so it can be short enough for
+ * an upstream to get work within 3 s after it answers again.
  */
-export const SILENT_EJECTION_MS = 2_000;
+export const BRIEF_EJECTION_MS = 2_000;
 
 /** Options of `decideEjection`. */
 export interface DecideEjectionOptions {
@@ -56,10 +56,12 @@
 
 /** Returns when the last ejection of an upstream ends or ended; -Infinity if there was none. */
 export function ejectionEndMs(
-  state: Pick<UpstreamState, "ejectedUntilMs" | "silentUntilMs"> | undefined,
+  state:
+    | Pick<UpstreamState, "ejectedUntilMs" | "brieflyEjectedUntilMs">
+    | undefined,
 ): number {
   if (state === undefined) return -Infinity;
-  return Math.max(state.ejectedUntilMs, state.silentUntilMs);
+  return Math.max(state.ejectedUntilMs, state.brieflyEjectedUntilMs);
 }
 
 /** Options of `ejectedUpstreams`. */
--- a/packages/balancing/src/upstream_observations.ts
+++ b/packages/balancing/src/upstream_observations.ts
@@ -1,9 +1,9 @@
 import type { Vm } from "@tanagercove/types";
 import { type Clock, systemClock } from "./clock.ts";
 import {
+  BRIEF_EJECTION_MS,
   decideEjection,
   ejectionEndMs,
-  SILENT_EJECTION_MS,
 } from "./ejection.ts";
 import type { ReportedLoad } from "./load_hint.ts";
 
@@ -11,16 +11,18 @@
  * How a request to an upstream ended, as evidence about that upstream.
  *
  * - `ok`: it answered, whatever the status.
- * - `failed`: no connection, a broken connection, a truncated response or silence.
+ * - `failed`: a broken connection, a truncated response or silence.
+ * - `unreachable`: no connection could be opened, to its daemon or from its daemon to it.
  * - `cancelled`: the caller went away first, which says nothing about the upstream.
  * - `silent`: its owner daemon refused the request because the upstream answers none (`upstream_silent`).
  * - `not_run`: it is alive and refused (`queue_full`, `queue_timeout`, `shed`, `leaving`, `starting`).
  *
- * A refused connection is `failed` although the request's outcome is `not_run`.
+ * A refused connection is `unreachable` although the request's outcome is `not_run`.
  */
 export type UpstreamResult =
   | "ok"
   | "failed"
+  | "unreachable"
   | "silent"
   | "not_run"
   | "cancelled";
@@ -45,14 +47,14 @@
   readonly consecutiveFailures: number;
   readonly ejections: number;
   readonly ejectedUntilMs: number;
-  /** End of the ejection that follows from the owner daemon's verdict. */
-  readonly silentUntilMs: number;
+  /** End of the ejection that follows from a refused connection or the owner daemon's verdict. */
+  readonly brieflyEjectedUntilMs: number;
   /** When the first ejection since the last answer began; undefined if there is none. */
   readonly ejectedSinceMs: number | undefined;
 }
 
 /** Why an upstream was ejected. */
-export type EjectionCause = "failures" | "upstream_silent";
+export type EjectionCause = "connect_failed" | "failures" | "upstream_silent";
 
 /** An ejection, or the first answer after its end. */
 export type EjectionChange =
@@ -176,7 +178,7 @@
     }
     if (!isEjected) return;
     state.ejectedSinceMs = nowMs;
-    const cause = result === "silent" ? "upstream_silent" : "failures";
+    const cause = EJECTION_CAUSES[result] ?? "failures";
     this.#onChange({ kind: "ejected", vmId, cause });
   }
 
@@ -199,6 +201,10 @@
   }
 }
 
+const EJECTION_CAUSES: Readonly<
+  Partial<Record<UpstreamResult, EjectionCause>>
+> = { silent: "upstream_silent", unreachable: "connect_failed" };
+
 interface EndOfRequest {
   readonly nowMs: number;
   readonly latencyMs: number;
@@ -212,6 +218,7 @@
   failed: recordFailure,
   cancelled: () => {},
   silent: recordSilence,
+  unreachable: recordUnreachable,
   // A refusal shows that the upstream is alive but not that it can serve, so
   // it neither adds to the failures nor clears them.
   not_run: (state, { nowMs }) => {
@@ -236,7 +243,15 @@
 // for an upstream that answers again.
 function recordSilence(state: MutableState, { nowMs }: EndOfRequest): void {
   state.consecutiveFailures = 0;
-  state.silentUntilMs = nowMs + SILENT_EJECTION_MS;
+  state.brieflyEjectedUntilMs = nowMs + BRIEF_EJECTION_MS;
+}
+
+// Each further connection to a killed upstream is refused too and costs a retry
+// of a budget that five failures in a row would empty, so one is enough. They
+// count as failures as well, so that a lasting outage is tried less and less.
+function recordUnreachable(state: MutableState, end: EndOfRequest): void {
+  recordFailure(state, end);
+  state.brieflyEjectedUntilMs = end.nowMs + BRIEF_EJECTION_MS;
 }
 
 // The latency of a failure is left out of the average: an upstream that fails
@@ -272,7 +287,7 @@
     consecutiveFailures: 0,
     ejections: 0,
     ejectedUntilMs: -Infinity,
-    silentUntilMs: -Infinity,
+    brieflyEjectedUntilMs: -Infinity,
     ejectedSinceMs: undefined,
   };
 }
--- a/packages/bench/src/policies/service_simulation.ts
+++ b/packages/bench/src/policies/service_simulation.ts
@@ -339,6 +339,7 @@
 function resultOf({ outcome, reason }: Attempt): UpstreamResult {
   if (outcome === "answered") return "ok";
   if (reason === "upstream_silent") return "silent";
+  if (reason === "connect_failed") return "unreachable";
   return reason !== undefined && REFUSALS.has(reason) ? "not_run" : "failed";
 }
 
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -293,7 +293,7 @@
       unlogged_changes: "number",
     },
     meaning:
-      "This daemon leaves out an upstream for a while, after `failures` in a row or because its daemon reports `upstream_silent`. `unlogged_changes` counts the changes that a limit of 20 lines per 10 s left out before this line",
+      "This daemon leaves out an upstream for a while, after `failures` in a row, a connection that could not be opened (`connect_failed`) or because its daemon reports `upstream_silent`. `unlogged_changes` counts the changes that a limit of 20 lines per 10 s left out before this line",
     action: "if it lasts, check the upstream and the daemon of that VM",
   },
   upstream_returned: {
--- a/packages/proxy/src/caller_handler.ts
+++ b/packages/proxy/src/caller_handler.ts
@@ -293,7 +293,7 @@
 
 /** Results of refusals that say more about an upstream than that it is busy. */
 const NOT_RUN_RESULTS: Readonly<Partial<Record<Reason, AttemptResult>>> = {
-  connect_failed: "failed",
+  connect_failed: "unreachable",
   upstream_silent: "silent",
 };
 
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -7,6 +7,7 @@
   | "failed"
   | "not_run"
   | "silent"
+  | "unreachable"
   | "cancelled";
 
 /** Observations of upstreams that the choice depends on. */
