Read what callers have sent before the listener closes in a stop

Two turns of the event loop were waited before the listener and unused connections were closed; on a busy host connections still waited in its backlog or were not read yet. Change: the stop goes on accepting, and refusing with 'leaving', until no connection or request has arrived for 100 ms, at most 1 s. Test: drain_test.ts, "requests that wait in the listener's backlog", failed first. Conclusion: connections opened before the stop are answered or refused.

--- a/packages/proxy/src/connection_tracker.ts
+++ b/packages/proxy/src/connection_tracker.ts
@@ -1,5 +1,9 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import {
+  setImmediate as nextTurn,
+  setTimeout as sleep,
+} from "node:timers/promises";
 import type { Reason } from "@tanagercove/types";
 import { refusalMessage, refuse } from "./write_response.ts";
 
@@ -19,6 +23,11 @@
 export interface ConnectionTracker {
   /** Registers a request until its response closes. */
   track(request: IncomingMessage, response: ServerResponse): ActiveRequest;
+  /**
+   * Resolves when no connection or request has arrived for `quietMs`, or after `timeoutMs`. What callers
+   * sent before that has then been read.
+   */
+  whenQuiet(options: WhenQuietOptions): Promise<void>;
   /** Closes connections on which no request was received. */
   closeUnused(): void;
   /** Resolves to true when no request is active, or to false after the timeout. */
@@ -27,6 +36,12 @@
   cutActive(): void;
 }
 
+/** Options of `ConnectionTracker.whenQuiet`. */
+export interface WhenQuietOptions {
+  readonly quietMs: number;
+  readonly timeoutMs: number;
+}
+
 /** Error of Node's parser. */
 interface FramingError extends NodeJS.ErrnoException {
   readonly rawPacket?: Buffer;
@@ -51,6 +66,7 @@
   const activeBySocket = new Map<Socket, Set<ActiveRequest>>();
   const failed = new WeakSet<Socket>();
   let activeCount = 0;
+  let arrivalCount = 0;
   let onIdle: (() => void) | undefined;
 
   function activeOn(socket: Socket): Set<ActiveRequest> {
@@ -75,7 +91,10 @@
     if (activeCount === 0) onIdle?.();
   }
 
-  server.on("connection", activeOn);
+  server.on("connection", (socket) => {
+    arrivalCount += 1;
+    activeOn(socket);
+  });
   server.on("clientError", (error: FramingError, socket: Socket) => {
     if (failed.has(socket)) return;
     failed.add(socket);
@@ -109,9 +128,23 @@
       const active = activeOn(request.socket);
       active.add(entry);
       activeCount += 1;
+      arrivalCount += 1;
       response.once("close", () => end(entry, active));
       return entry;
     },
+    async whenQuiet({ quietMs, timeoutMs }) {
+      const endAtMs = performance.now() + timeoutMs;
+      let arrivedBefore: number;
+      do {
+        arrivedBefore = arrivalCount;
+        await sleep(
+          Math.min(quietMs, Math.max(0, endAtMs - performance.now())),
+        );
+        // After a delay of this process the timer ends before sockets are read.
+        await nextTurn();
+        await nextTurn();
+      } while (arrivalCount > arrivedBefore && performance.now() < endAtMs);
+    },
     closeUnused() {
       for (const socket of activeBySocket.keys()) {
         if (socket.bytesRead === 0) socket.destroy();
--- a/packages/proxy/src/drain_test.ts
+++ b/packages/proxy/src/drain_test.ts
@@ -40,6 +40,29 @@
   await mesh.close();
 });
 
+// Guards against a stop that resets connections whose requests have arrived and are not read yet.
+t.test("should answer requests that wait in the listener's backlog when the stop begins", async (t) => {
+  const upstream = await startScriptedServer("127.22.4.1", (socket) => {
+    socket.write(ANSWER);
+  });
+  const mesh = await startMesh({ net: "22.4", upstreamPorts: [upstream.port] });
+  const requests = Array.from({ length: 30 }, () => sendRaw(mesh, GET));
+  // The connections open in the kernel while this process is busy.
+  await new Promise((resolve) => process.nextTick(resolve));
+  const closing = mesh.caller.close({ drainTimeoutMs: 5_000 });
+  const busyUntilMs = performance.now() + 300;
+  while (performance.now() < busyUntilMs);
+  const answers = await Promise.all(requests);
+  t.same(
+    answers.filter(({ status }) => status !== 503 && status !== 200),
+    [],
+    "each request is answered or refused",
+  );
+  await closing;
+  await mesh.close();
+  await upstream.close();
+});
+
 t.test("should cut what is still in flight after the bound", async (t) => {
   const upstream = await startScriptedServer("127.22.4.1", () => {});
   const mesh = await startMesh({ net: "22.4", upstreamPorts: [upstream.port] });
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -6,7 +6,6 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { setImmediate as nextTurn } from "node:timers/promises";
 import { createPlainTransport, type PeerTransport } from "@tanagercove/keys";
 import type { RoutingTable } from "@tanagercove/routing";
 import { createCallerHandler } from "./caller_handler.ts";
@@ -149,6 +148,16 @@
 /** A silent upstream is polled this often, so that it gets work soon after it answers again. */
 const SILENT_HEALTH_INTERVAL_MS = 250;
 
+/**
+ * Closing the listener resets connections that wait in its backlog, and closing
+ * idle ones loses requests that are on their way. A loaded host delays both by
+ * some tens of milliseconds.
+ */
+const CLOSE_QUIET_MS = 100;
+
+/** Callers that never pause are refused for this time at most, a small part of the drain's 30 s. */
+const CLOSE_QUIET_TIMEOUT_MS = 1_000;
+
 const NO_VMS: ReadonlySet<string> = new Set();
 
 /** Options of `node:http` for the server of the peer port. */
@@ -315,9 +324,10 @@
       leaving = true;
       closing = true;
       admission.setLeaving();
-      // Requests that have arrived already are read before idle connections close.
-      await nextTurn();
-      await nextTurn();
+      await tracker.whenQuiet({
+        quietMs: CLOSE_QUIET_MS,
+        timeoutMs: Math.min(CLOSE_QUIET_TIMEOUT_MS, drainTimeoutMs),
+      });
       const closed = new Promise<void>((resolve) =>
         server.close(() => resolve())
       );
