--- a/packages/daemon/src/faults/requests_returns_test.ts
+++ b/packages/daemon/src/faults/requests_returns_test.ts
@@ -1,8 +1,14 @@
-import { requestFaultTest } from "@tanagercove/test_helpers";
+import { requestFaultTest, SERVICE_TIME_MS } from "@tanagercove/test_helpers";
 
 /** Long enough for a busy test machine, so that only a refusal or a loss can fail a request. */
 const DEADLINE_MS = 5_000;
 
+/**
+ * Requests in flight at which an upstream counts as saturated, so that its callers may go to another zone:
+ * above what the load of 6 VMs can send within its deadline, 8 per second each, on any one of them.
+ */
+const SLOTS = 256;
+
 // Guards against a group of returning daemons that disturbs other zones or takes their upstreams' work.
 requestFaultTest(
   "should serve the other zones all along when a zone's daemons are killed and return at once",
@@ -42,4 +48,11 @@
     );
     t.same(strayed, [], "they are served by upstreams of their own zone");
   },
+  {
+    settings: { upstream: { slots: SLOTS } },
+    upstreamOptions: () => ({
+      slots: SLOTS,
+      serviceTime: { shape: "fixed", meanMs: SERVICE_TIME_MS },
+    }),
+  },
 );
--- a/packages/test_helpers/src/request_fault_case.ts
+++ b/packages/test_helpers/src/request_fault_case.ts
@@ -31,7 +31,8 @@
 const INSTANCES = 2;
 /** Few slots, so that light load fills a queue. */
 const SLOTS = 2;
-const SERVICE_TIME_MS = 30;
+/** Service time of the upstreams while a test does not change it. */
+export const SERVICE_TIME_MS = 30;
 /** Long enough for a fault to meet a full queue, and within the deadline of the first in it. */
 const SLOW_SERVICE_TIME_MS = 400;
 const RATE_PER_DAEMON = 8;
@@ -180,6 +181,35 @@
     return { ids, areRunning, told };
   }
 
+  /**
+   * Stops an upstream that runs a request and sends it POSTs, until one of them has been sent to it and
+   * has passed its deadline there. The load alone may not send it any: its daemon soon finds it silent,
+   * and GETs may hold its slots until then.
+   */
+  async stopUnderPosts(
+    id: string,
+    { stop, resume }: {
+      readonly stop: () => unknown;
+      readonly resume: () => unknown;
+    },
+  ): Promise<void> {
+    await waitFor(async () => {
+      await this.untilRunning(id);
+      await stop();
+      const posts = Array.from(
+        { length: POSTS_AT_ONCE },
+        () => this.#post(id, CUSTOMER, { deadlineMs: LOAD_DEADLINE_MS }),
+      );
+      const told = await Promise.all(posts.map((post) => post.told));
+      if (told.some((call) => toldTo(call) === "unknown deadline")) return true;
+      await resume();
+      return undefined;
+    }, {
+      what: `deadline of a POST on the stopped ${id}`,
+      timeoutMs: TOLD_TIMEOUT_MS,
+    });
+  }
+
   executions(id: string): readonly Execution[] {
     return this.upstream(id).logs.flatMap((log) => log.all);
   }
@@ -343,10 +373,15 @@
     return counts;
   }
 
-  #post(daemonId: string, customer: string) {
+  #post(
+    daemonId: string,
+    customer: string,
+    { deadlineMs = BURST.deadlineMs } = {},
+  ) {
     let told: TimedCall;
     const { seed, ended } = this.#run(daemonId, {
       ...BURST,
+      deadlineMs,
       durationMs: Infinity,
       maxRequests: 1,
       idempotentShare: 0,
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -23,6 +23,12 @@
   console.log(`known red, passed over: ${path}`);
 }
 
+// Without files tap would run all that it finds.
+if (selected.length === 0) {
+  console.error(`no test file to run for "${filter}"`);
+  process.exit(1);
+}
+
 await import("./build.mjs");
 rmSync("build/tests", { recursive: true, force: true });
 await build({
