Listen for other daemons on the address that the settings give for it

Cause: the first run of the soak ended before its first fault: the sidecar bound its peer port to the address of the VM's entry instead of the address in the setting of that listener. Change: the listener takes the address of its own setting. Test: the soak's VMs listen on other addresses than they publish (platform/soak_test.ts).

--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -207,7 +207,7 @@
   async function openListeners(): Promise<void> {
     listeners.push(
       await startPeerServer({
-        address: settings.address,
+        address: settings.peer.address,
         ports: settings.control === undefined
           ? [settings.peer.port]
           : [settings.peer.port, settings.control.port],
