Add a soak: random faults against real sidecars, and checks of the promises

packages/soak plans faults from a seed (cut, one-way, silent, slow and lost links, a zone cut off, kills, pauses, restarts, reloads, a store that is down, silent or has lost its history, upstreams that hang, shed or lose answers, series of each), runs six sidecars as processes of their own behind the loopback relay and checks nine promises from what callers and upstreams see. platform/soak_platform.ts holds what is the platform's; the stand-ins of platform_test.ts move to stand_ins.ts. scripts/soak_broken.mjs builds one broken program for each promise.

--- a/packages/emulator/src/managed_process.ts
+++ b/packages/emulator/src/managed_process.ts
@@ -14,6 +14,8 @@
   readonly log?: LogBuffer;
   /** Ends a program that does not watch its standard input together with this process. */
   readonly endWithThisProcess?: boolean;
+  /** Added to the environment of this process. */
+  readonly environment?: Readonly<Record<string, string>>;
   /** Keeps a terminal's ctrl-C away from the process. */
   readonly ownProcessGroup?: boolean;
 }
@@ -49,6 +51,7 @@
     const guard = options.endWithThisProcess ? ["--import", STDIN_GUARD] : [];
     this.#child = spawn(process.execPath, [...guard, ...options.args], {
       stdio: ["pipe", "pipe", "pipe"],
+      env: { ...process.env, ...options.environment },
       detached: options.ownProcessGroup ?? false,
     });
     runningProcesses.add(this.#child);
@@ -86,6 +89,11 @@
     this.#child.kill("SIGCONT");
   }
 
+  /** Asks the process to read its settings again, as `kill -HUP` does. */
+  reload(): void {
+    this.#child.kill("SIGHUP");
+  }
+
   /** Kills the process and waits for its end. */
   async kill(): Promise<void> {
     this.#child.kill("SIGKILL");
--- a/packages/emulator/src/relay.ts
+++ b/packages/emulator/src/relay.ts
@@ -63,6 +63,8 @@
     const running: RunningTarget = { target, serverByPort: new Map() };
     this.#targets.set(target.endpoint.id, running);
     this.#endpointByAddress.set(target.address, target.endpoint);
+    // Daemons may bind their own connections to the address that others know.
+    this.#endpointByAddress.set(target.publishedAddress, target.endpoint);
     await Promise.all(
       target.ports.map((port) => this.#listen(running, port)),
     );
--- /dev/null
+++ b/packages/soak/src/command.ts
@@ -0,0 +1,73 @@
+import { command, flag, number, option, optional } from "cmd-ts";
+import { runSoak, type SoakReport } from "./run_soak.ts";
+import type { SoakPlatform } from "./ports.ts";
+
+/** Third numbers of loopback addresses that seeds take in turn, so that a closed run's ports are not used again at once. */
+const ADDRESS_BLOCKS = { first: 200, count: 40 } as const;
+
+/** Creates the command that plays seeds one after the other; its result is the exit code. */
+export function soakCommand(platform: SoakPlatform) {
+  return command({
+    name: "soak",
+    description:
+      "Plays random faults against real daemons on this machine and checks the promises. " +
+      "Exits with 1 if a promise was broken.",
+    args: {
+      seed: option({
+        type: optional(number),
+        long: "seed",
+        description: "First seed; one from the time of day by default",
+      }),
+      seeds: option({
+        type: number,
+        long: "seeds",
+        defaultValue: () => 1,
+        description: "Number of seeds, counted up from the first",
+      }),
+      durationMs: option({
+        type: optional(number),
+        long: "duration-ms",
+        description: "Time in which faults begin, 20000 by default",
+      }),
+      quiet: flag({ long: "quiet", description: "Shows no progress" }),
+    },
+    async handler({ seed, seeds, durationMs, quiet }) {
+      const first = seed ?? Date.now() % 1_000_000;
+      let broken = 0;
+      for (let i = 0; i < seeds; i += 1) {
+        const startedAtMs = performance.now();
+        const report = await runSoak({
+          platform,
+          seed: first + i,
+          durationMs,
+          addressBlock: ADDRESS_BLOCKS.first + i % ADDRESS_BLOCKS.count,
+          onProgress: (text) => {
+            if (quiet) return;
+            const elapsedS = (performance.now() - startedAtMs) / 1_000;
+            console.error(
+              `seed ${first + i} ${elapsedS.toFixed(1)} s: ${text}`,
+            );
+          },
+        });
+        console.log(describeReport(report));
+        if (report.violations.length > 0) broken += 1;
+      }
+      console.log(`${seeds} seeds, ${broken} with a broken promise`);
+      return broken === 0 ? 0 : 1;
+    },
+  });
+}
+
+/** Summary of one seed as text. */
+export function describeReport(report: SoakReport): string {
+  const { seed, faults, calls, answered, runs, violations } = report;
+  const head =
+    `seed ${seed}: ${faults} faults, ${calls} requests, ${answered} answered, ${runs} runs, ${
+      violations.length === 0 ? "no broken promise" : "BROKEN"
+    }`;
+  const details = violations.flatMap(({ promise, subject, detail, log }) => [
+    `  ${promise}: ${subject}: ${detail}`,
+    ...log.map((line) => `    ${line}`),
+  ]);
+  return [head, ...details].join("\n");
+}
--- /dev/null
+++ b/packages/soak/src/index.ts
@@ -0,0 +1,5 @@
+export * from "./command.ts";
+export * from "./plan.ts";
+export * from "./ports.ts";
+export * from "./promises.ts";
+export * from "./run_soak.ts";
--- /dev/null
+++ b/packages/soak/src/promises.ts
@@ -0,0 +1,218 @@
+import type { PlannedFault } from "./plan.ts";
+import type { UpstreamRun } from "./ports.ts";
+
+/** Promises that the soak checks. */
+export type PromiseName =
+  | "runs_at_most_once"
+  | "not_run_is_true"
+  | "answer_of_own_request"
+  | "answered_by_deadline"
+  | "version_never_goes_back"
+  | "version_in_force"
+  | "leaving_gets_no_work"
+  | "planned_stop_cuts_nothing"
+  | "served_after_faults";
+
+/** A broken promise, with the request or daemon that shows it. */
+export interface Violation {
+  readonly promise: PromiseName;
+  readonly subject: string;
+  readonly detail: string;
+}
+
+/** What a caller was told. */
+export interface CallRecord {
+  readonly id: string;
+  readonly vmId: string;
+  readonly method: "GET" | "POST";
+  readonly sentAtMs: number;
+  readonly endedAtMs: number;
+  /** Undefined if the connection ended without a whole answer. */
+  readonly status: number | undefined;
+  readonly body: string;
+  /** Code of the error that ended the connection. */
+  readonly error: string | undefined;
+}
+
+/** A time during which something was the case, by `performance.now()`. */
+export interface Interval {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** Work on an upstream that is leaving. */
+export interface LeavingInterval extends Interval {
+  readonly upstreamId: string;
+}
+
+/** A planned stop of a daemon, from the signal to the end of the process. */
+export interface StopInterval extends Interval {
+  readonly vmId: string;
+}
+
+/** A time in which a daemon was killed, or stood still, with the time it needs to go on. */
+export interface DaemonHalt extends Interval {
+  readonly vmId: string;
+}
+
+/** A fault with the times at which it began and ended. */
+export interface AppliedFault extends Interval {
+  readonly fault: PlannedFault;
+}
+
+/** Statuses that say that the request has not run. */
+export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([
+  408,
+  421,
+  429,
+  503,
+]);
+
+/** Bound of the platform's pages for a leaving upstream and for a version, in ms. */
+export const IN_FORCE_BOUND_MS = 3_000;
+
+/** A caller's request may wait this long before its run begins, so late starts within it say nothing. */
+const START_TOLERANCE_MS = 250;
+
+/** An answer is this much after its deadline at most on a busy host; the platform's clients wait longer. */
+const END_TOLERANCE_MS = 1_000;
+
+/** Finds requests that cannot be sent twice and ran more than once. */
+export function findSecondRuns(
+  runs: readonly UpstreamRun[],
+): readonly Violation[] {
+  const countById = new Map<string, number>();
+  for (const { requestId, method } of runs) {
+    if (method !== "POST") continue;
+    countById.set(requestId, (countById.get(requestId) ?? 0) + 1);
+  }
+  return [...countById].filter(([, count]) => count > 1).map(
+    ([subject, count]) => ({
+      promise: "runs_at_most_once",
+      subject,
+      detail: `POST ran ${count} times`,
+    }),
+  );
+}
+
+/** Finds refusals that say "not run" of a request that ran. */
+export function findFalseRefusals(
+  calls: readonly CallRecord[],
+  runs: readonly UpstreamRun[],
+): readonly Violation[] {
+  const ran = new Set(runs.map(({ requestId }) => requestId));
+  return calls
+    .filter(({ id, status }) =>
+      status !== undefined && NOT_RUN_STATUSES.has(status) && ran.has(id)
+    )
+    .map(({ id, status }) => ({
+      promise: "not_run_is_true",
+      subject: id,
+      detail: `told ${status}, and it ran`,
+    }));
+}
+
+/** Finds answers that belong to another request. */
+export function findForeignAnswers(
+  calls: readonly CallRecord[],
+): readonly Violation[] {
+  return calls
+    .filter(({ id, status, body }) => status === 200 && body !== id)
+    .map(({ id, body }) => ({
+      promise: "answer_of_own_request",
+      subject: id,
+      detail: `answered with "${body.slice(0, 80)}"`,
+    }));
+}
+
+/** Finds requests that ended long after their deadline, or never, on a daemon that ran. */
+export function findLateEnds(
+  calls: readonly CallRecord[],
+  { deadlineMs, halts }: {
+    readonly deadlineMs: number;
+    readonly halts: readonly DaemonHalt[];
+  },
+): readonly Violation[] {
+  return calls
+    .filter((call) =>
+      call.endedAtMs - call.sentAtMs > deadlineMs + END_TOLERANCE_MS &&
+      !meetsHalt(call, halts)
+    )
+    .map(({ id, vmId, sentAtMs, endedAtMs }) => ({
+      promise: "answered_by_deadline",
+      subject: id,
+      detail: `ended after ${Math.round(endedAtMs - sentAtMs)} ms on ${vmId}`,
+    }));
+}
+
+function meetsHalt(call: CallRecord, halts: readonly DaemonHalt[]): boolean {
+  return halts.some(({ vmId, fromMs, untilMs }) =>
+    vmId === call.vmId && fromMs <= call.endedAtMs && untilMs >= call.sentAtMs
+  );
+}
+
+/** Finds work that began on a leaving upstream after the bound; faults that hide the news extend it. */
+export function findLateWork(
+  runs: readonly UpstreamRun[],
+  upstreamId: string,
+  { leaving, faults }: {
+    readonly leaving: readonly LeavingInterval[];
+    readonly faults: readonly AppliedFault[];
+  },
+): readonly Violation[] {
+  return leaving.filter((interval) => interval.upstreamId === upstreamId)
+    .flatMap(({ fromMs, untilMs }) => {
+      const boundAtMs = boundAfter(fromMs, faults) + START_TOLERANCE_MS;
+      return runs
+        .filter(({ startedAtMs }) =>
+          startedAtMs > boundAtMs && startedAtMs < untilMs
+        )
+        .map(({ requestId, startedAtMs }) => ({
+          promise: "leaving_gets_no_work" as const,
+          subject: requestId,
+          detail: `began on ${upstreamId} ${
+            Math.round(startedAtMs - fromMs)
+          } ms after it was leaving`,
+        }));
+    });
+}
+
+/** End of the bound for news of a moment: `IN_FORCE_BOUND_MS` after the last fault that overlaps it. */
+export function boundAfter(
+  sinceMs: number,
+  faults: readonly AppliedFault[],
+): number {
+  let boundAtMs = sinceMs + IN_FORCE_BOUND_MS;
+  for (const { fromMs, untilMs } of faults) {
+    if (fromMs < boundAtMs && untilMs > sinceMs) {
+      boundAtMs = Math.max(boundAtMs, untilMs + IN_FORCE_BOUND_MS);
+    }
+  }
+  return boundAtMs;
+}
+
+/** Finds requests on open connections that a planned stop cut. */
+export function findCutsInStops(
+  calls: readonly CallRecord[],
+  { stops, halts }: {
+    readonly stops: readonly StopInterval[];
+    readonly halts: readonly DaemonHalt[];
+  },
+): readonly Violation[] {
+  return stops.flatMap(({ vmId, fromMs, untilMs }) =>
+    calls
+      .filter((call) =>
+        call.vmId === vmId && call.status === undefined &&
+        call.error !== "ECONNREFUSED" &&
+        call.sentAtMs < untilMs && call.endedAtMs >= fromMs &&
+        !meetsHalt(call, halts)
+      )
+      .map(({ id, error, sentAtMs }) => ({
+        promise: "planned_stop_cuts_nothing" as const,
+        subject: id,
+        detail: `${error} on a connection of ${vmId}, sent ${
+          Math.round(sentAtMs - fromMs)
+        } ms after its stop began`,
+      }))
+  );
+}
--- /dev/null
+++ b/packages/soak/src/run_soak.ts
@@ -0,0 +1,223 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { seededRandom } from "@tanagercove/emulator";
+import {
+  applyFault,
+  type EndFault,
+  type FaultTarget,
+  HIDES_NEWS,
+  lengthMs,
+} from "./apply_fault.ts";
+import { DEADLINE_MS, runCaller, sendCall } from "./callers.ts";
+import { type FaultKind, planFaults, type PlannedFault } from "./plan.ts";
+import type { SoakPlatform } from "./ports.ts";
+import {
+  type AppliedFault,
+  type CallRecord,
+  findCutsInStops,
+  findFalseRefusals,
+  findForeignAnswers,
+  findLateEnds,
+  findLateWork,
+  findSecondRuns,
+  type LeavingInterval,
+  type PromiseName,
+  type Violation,
+} from "./promises.ts";
+import { SoakFleet, VM_COUNT } from "./soak_fleet.ts";
+import { VersionWatch } from "./version_watch.ts";
+
+/** Options of `runSoak`. */
+export interface RunSoakOptions {
+  readonly platform: SoakPlatform;
+  readonly seed: number;
+  /** Time in which faults begin. */
+  readonly durationMs?: number;
+  readonly kinds?: readonly FaultKind[];
+  /** Third number of the run's loopback addresses; runs at the same time need different ones. */
+  readonly addressBlock?: number;
+  readonly onProgress?: (text: string) => void;
+}
+
+/** A broken promise with what the daemons logged about it. */
+export interface ReportedViolation extends Violation {
+  readonly log: readonly string[];
+}
+
+/** Result of one seed. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly faults: number;
+  readonly calls: number;
+  readonly answered: number;
+  readonly runs: number;
+  readonly violations: readonly ReportedViolation[];
+}
+
+/** Stated bound: time after the last fault until every request is answered again. */
+export const SERVED_AGAIN_BOUND_MS = 5_000;
+
+/** Time after that bound in which every request has to be answered. */
+const STEADY_MS = 2_000;
+
+const DEFAULT_DURATION_MS = 20_000;
+const READY_TIMEOUT_MS = 20_000;
+const CALLERS_PER_VM = 3;
+const FIRST_VERSION = 1;
+const LOG_LINES = 8;
+
+/** Violations of one promise that a report shows; more of them seldom say more. */
+const SHOWN_PER_PROMISE = 5;
+
+/** Plays the faults of one seed against real daemons and checks the promises. */
+export async function runSoak(options: RunSoakOptions): Promise<SoakReport> {
+  const { platform, seed, durationMs = DEFAULT_DURATION_MS } = options;
+  const progress = options.onProgress ?? (() => {});
+  const fleet = new SoakFleet(platform);
+  const calls: CallRecord[] = [];
+  const stop = new AbortController();
+  const onCall = (call: CallRecord) => void calls.push(call);
+  try {
+    await fleet.start(options.addressBlock ?? 200);
+    const { signal } = stop;
+    const { daemons } = fleet;
+    const versions = new VersionWatch({ platform, daemons, onCall, signal });
+    const publish = (version: number) => {
+      fleet.store.publish(version);
+      versions.published(version);
+    };
+    publish(FIRST_VERSION);
+    await whenReady(fleet, platform);
+    progress("ready");
+    const loops = daemons.flatMap((daemon) => [
+      versions.follow(daemon),
+      ...Array.from({ length: CALLERS_PER_VM }, (_, i) =>
+        runCaller({
+          platform,
+          vm: daemon.vm,
+          name: `s${seed}-${daemon.vm.id}-c${i}`,
+          random: seededRandom(seed + daemons.indexOf(daemon) * 100 + i),
+          isStopping: () => daemon.state === "stopping",
+          onCall,
+          signal,
+        })),
+    ]);
+    const plan = planFaults({
+      seed,
+      durationMs,
+      vmCount: VM_COUNT,
+      kinds: options.kinds,
+    });
+    const leaving: LeavingInterval[] = [];
+    const target: FaultTarget = {
+      fleet,
+      leaving,
+      publishNext: () => publish(versions.newest + 1),
+    };
+    const faults = await playFaults(target, { plan, progress });
+    progress("faults over");
+    const faultsEndedAtMs = performance.now();
+    publish(versions.newest + 1);
+    await sleep(SERVED_AGAIN_BOUND_MS + STEADY_MS + DEADLINE_MS);
+    stop.abort();
+    await Promise.all(loops);
+    const runs = fleet.upstreams.flatMap(({ runs }) => runs);
+    const news = faults.filter(({ fault }) => HIDES_NEWS.has(fault.kind));
+    const { halts, stops } = fleet;
+    const violations = [
+      ...findSecondRuns(runs),
+      ...findFalseRefusals(calls, runs),
+      ...findForeignAnswers(calls),
+      ...findLateEnds(calls, { deadlineMs: DEADLINE_MS, halts }),
+      ...findCutsInStops(calls, { stops, halts }),
+      ...fleet.upstreams.flatMap(({ id, runs }) =>
+        findLateWork(runs, id, { leaving, faults: news })
+      ),
+      ...versions.violations,
+      ...versions.late(news, performance.now()),
+      ...unserved(calls, faultsEndedAtMs + SERVED_AGAIN_BOUND_MS),
+    ];
+    return {
+      seed,
+      faults: plan.length,
+      calls: calls.length,
+      answered: calls.filter(({ status }) => status === 200).length,
+      runs: runs.length,
+      violations: shown(violations).map((violation) => ({
+        ...violation,
+        log: fleet.logLines(violation.subject, LOG_LINES),
+      })),
+    };
+  } finally {
+    stop.abort();
+    await fleet.close();
+  }
+}
+
+async function whenReady(
+  { daemons }: SoakFleet,
+  platform: SoakPlatform,
+): Promise<void> {
+  const untilMs = performance.now() + READY_TIMEOUT_MS;
+  let looks = 0;
+  for (const { vm, log } of daemons) {
+    for (;;) {
+      const id = `ready-${vm.id}-${looks += 1}`;
+      const path = `/browse/${id}`;
+      const call = await sendCall({ platform, vm, id, method: "GET", path });
+      if (call.status === 200) break;
+      if (performance.now() > untilMs) {
+        throw new Error(
+          `${vm.id} is not ready after ${READY_TIMEOUT_MS} ms: ${
+            call.status ?? call.error
+          }\n${log.lines.slice(-LOG_LINES).join("\n")}`,
+        );
+      }
+      await sleep(100);
+    }
+  }
+}
+
+/** Begins and ends the faults at their times; resolves when all are over. */
+async function playFaults(
+  target: FaultTarget,
+  { plan, progress }: {
+    readonly plan: readonly PlannedFault[];
+    readonly progress: (text: string) => void;
+  },
+): Promise<readonly AppliedFault[]> {
+  const applied: AppliedFault[] = [];
+  const startedAtMs = performance.now();
+  const open = plan.map(async (fault) => {
+    await sleep(startedAtMs + fault.atMs - performance.now());
+    progress(`${fault.kind} on vm-${fault.vm} for ${lengthMs(fault)} ms`);
+    const fromMs = performance.now();
+    const end: EndFault = applyFault(target, fault);
+    await sleep(lengthMs(fault));
+    await end();
+    applied.push({ fault, fromMs, untilMs: performance.now() });
+  });
+  await Promise.all(open);
+  return applied;
+}
+
+function unserved(
+  calls: readonly CallRecord[],
+  sinceMs: number,
+): readonly Violation[] {
+  return calls
+    .filter(({ sentAtMs, status }) => sentAtMs >= sinceMs && status !== 200)
+    .map(({ id, vmId, status, error }) => ({
+      promise: "served_after_faults",
+      subject: id,
+      detail: `told ${status ?? error} by ${vmId}`,
+    }));
+}
+
+function shown(violations: readonly Violation[]): readonly Violation[] {
+  const counts = new Map<PromiseName, number>();
+  return violations.filter(({ promise }) => {
+    const count = (counts.get(promise) ?? 0) + 1;
+    counts.set(promise, count);
+    return count <= SHOWN_PER_PROMISE;
+  });
+}
--- /dev/null
+++ b/packages/soak/src/soak_fleet.ts
@@ -0,0 +1,157 @@
+import { LogBuffer, ManagedProcess, Relay } from "@tanagercove/emulator";
+import type { SoakPlatform, SoakStore, SoakUpstream, SoakVm } from "./ports.ts";
+import type { DaemonHalt, StopInterval } from "./promises.ts";
+
+/** VMs of the run: with two zones of three, a zone can be cut off and two VMs are left beside a stopped one. */
+const ZONES = ["zone-a", "zone-b"] as const;
+const VMS_PER_ZONE = 3;
+export const VM_COUNT = ZONES.length * VMS_PER_ZONE;
+
+/** Time from SIGTERM until the platform kills a process, as in its settings. */
+const STOP_GRACE_MS = 3_000;
+
+/** After a pause a daemon needs a moment to read what has arrived meanwhile. */
+const RESUME_MS = 500;
+
+/** Network of the published addresses, where the relay listens, and of the VMs' own ones. */
+const PUBLISHED_NET = "127.30";
+const OWN_NET = "127.31";
+
+/** A daemon as a process of its own. */
+export interface SoakDaemon {
+  readonly vm: SoakVm;
+  process: ManagedProcess | undefined;
+  /** Output of all its processes. */
+  readonly log: LogBuffer;
+  /** Grows with each start, since a promise about versions holds within one life. */
+  life: number;
+  state: "running" | "paused" | "stopping" | "gone";
+}
+
+/** Daemons, upstreams, store and the network between them. */
+export class SoakFleet {
+  readonly relay = new Relay();
+  readonly stops: StopInterval[] = [];
+  readonly halts: DaemonHalt[] = [];
+  readonly #platform: SoakPlatform;
+  #store: (SoakStore & { readonly port: number }) | undefined;
+  #storeAddress = "";
+  upstreams: readonly SoakUpstream[] = [];
+  daemons: readonly SoakDaemon[] = [];
+
+  constructor(platform: SoakPlatform) {
+    this.#platform = platform;
+  }
+
+  get store(): SoakStore {
+    return this.#store!;
+  }
+
+  get vms(): readonly SoakVm[] {
+    return this.daemons.map(({ vm }) => vm);
+  }
+
+  /** Starts everything; `block` is the third number of all addresses. */
+  async start(block: number): Promise<void> {
+    this.#storeAddress = `${PUBLISHED_NET}.${block}.250`;
+    this.#store = await this.#platform.startStore(`${OWN_NET}.${block}.250`);
+    await this.relay.addTarget({
+      endpoint: { kind: "platform", id: "store" },
+      publishedAddress: this.#storeAddress,
+      address: `${OWN_NET}.${block}.250`,
+      ports: [this.#store.port],
+    });
+    const vms = Array.from({ length: VM_COUNT }, (_, i): SoakVm => ({
+      id: `vm-${i}`,
+      zone: ZONES[i % ZONES.length]!,
+      address: `${OWN_NET}.${block}.${i + 1}`,
+      publishedAddress: `${PUBLISHED_NET}.${block}.${i + 1}`,
+    }));
+    this.upstreams = await Promise.all(
+      vms.map((vm) => this.#platform.startUpstream(vm)),
+    );
+    this.daemons = vms.map((vm) => ({
+      vm,
+      process: undefined,
+      log: new LogBuffer(),
+      life: 0,
+      state: "gone",
+    }));
+    for (const vm of vms) {
+      this.store.setUpstream(vm, "ready");
+      await this.relay.addTarget({
+        endpoint: { kind: "vm", id: vm.id, zone: vm.zone },
+        publishedAddress: vm.publishedAddress,
+        address: vm.address,
+        ports: [this.#platform.ports.peer],
+      });
+    }
+    for (const daemon of this.daemons) this.launch(daemon);
+  }
+
+  /** Starts the process of a daemon that is gone. */
+  launch(daemon: SoakDaemon): void {
+    daemon.life += 1;
+    daemon.state = "running";
+    daemon.process = new ManagedProcess({
+      args: this.#platform.programArgs,
+      environment: this.#platform.environment(
+        daemon.vm,
+        `${this.#storeAddress}:${this.#store!.port}`,
+      ),
+      endWithThisProcess: true,
+      log: daemon.log,
+    });
+  }
+
+  async kill(daemon: SoakDaemon): Promise<void> {
+    const fromMs = performance.now();
+    daemon.state = "gone";
+    await daemon.process!.kill();
+    this.#addHalt(daemon, fromMs);
+  }
+
+  async stop(daemon: SoakDaemon): Promise<void> {
+    const fromMs = performance.now();
+    daemon.state = "stopping";
+    await daemon.process!.stop(STOP_GRACE_MS);
+    daemon.state = "gone";
+    const untilMs = performance.now();
+    this.stops.push({ vmId: daemon.vm.id, fromMs, untilMs });
+  }
+
+  /** Pauses a daemon; the result resumes it. */
+  pause(daemon: SoakDaemon): () => void {
+    const fromMs = performance.now();
+    daemon.state = "paused";
+    daemon.process!.pause();
+    return () => {
+      daemon.process!.resume();
+      daemon.state = "running";
+      this.#addHalt(daemon, fromMs);
+    };
+  }
+
+  /** The newest lines of all daemons that mention a request, daemon or upstream. */
+  logLines(text: string, limit: number): readonly string[] {
+    return this.daemons
+      .flatMap(({ log }) => log.lines.filter((line) => line.includes(text)))
+      .slice(-limit);
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(
+      this.daemons.map(({ process }) =>
+        process?.isRunning ? process.kill() : undefined
+      ),
+    );
+    for (const upstream of this.upstreams) upstream.close();
+    this.#store?.close();
+    await this.relay.close();
+  }
+
+  #addHalt({ vm }: SoakDaemon, fromMs: number): void {
+    const untilMs = performance.now() + RESUME_MS;
+    this.halts.push({ vmId: vm.id, fromMs, untilMs });
+  }
+}
--- /dev/null
+++ b/packages/soak/src/soak_test.ts
@@ -0,0 +1,102 @@
+import t from "tap";
+import {
+  type CallRecord,
+  findCutsInStops,
+  findFalseRefusals,
+  findForeignAnswers,
+  findLateEnds,
+  findLateWork,
+  findSecondRuns,
+  IN_FORCE_BOUND_MS,
+  planFaults,
+  type PlannedFault,
+} from "@tanagercove/soak";
+
+const call = (change: Partial<CallRecord>): CallRecord => ({
+  id: "r-1",
+  vmId: "vm-0",
+  method: "POST",
+  sentAtMs: 1_000,
+  endedAtMs: 1_050,
+  status: 200,
+  body: "r-1",
+  error: undefined,
+  ...change,
+});
+const run = (requestId: string, startedAtMs = 1_010, method = "POST") => ({
+  requestId,
+  startedAtMs,
+  method,
+});
+
+// Guards against a seed that cannot be played again.
+t.test("should plan the same faults for the same seed, within the run", (t) => {
+  const options = { seed: 7, durationMs: 30_000, vmCount: 6 };
+  const plan = planFaults(options);
+  t.same(planFaults(options), plan);
+  t.notSame(planFaults({ ...options, seed: 8 }), plan);
+  t.ok(plan.length > 10);
+  t.ok(
+    plan.every(({ atMs, vm, otherVm }) =>
+      atMs < 30_000 && vm !== otherVm && vm < 6 && otherVm < 6
+    ),
+  );
+  t.end();
+});
+
+// Guards against checks that see nothing: each must find the case that it is for, and leave the allowed one.
+t.test("should find second runs of requests that cannot be sent twice", (t) => {
+  t.equal(findSecondRuns([run("a"), run("a")]).length, 1);
+  t.same(findSecondRuns([run("a", 1, "GET"), run("a", 2, "GET")]), []);
+  t.end();
+});
+
+t.test("should find refusals of requests that ran", (t) => {
+  const refused = [call({ status: 503 })];
+  t.equal(findFalseRefusals(refused, [run("r-1")]).length, 1);
+  t.same(findFalseRefusals([call({ status: 504 })], [run("r-1")]), []);
+  t.end();
+});
+
+t.test("should find answers of other requests", (t) => {
+  t.equal(findForeignAnswers([call({ body: "r-2" })]).length, 1);
+  t.same(findForeignAnswers([call({ status: 502, body: "failed" })]), []);
+  t.end();
+});
+
+t.test("should find requests that end late on a daemon that ran", (t) => {
+  const late = [call({ endedAtMs: 4_000 })];
+  const options = { deadlineMs: 900, halts: [] };
+  t.equal(findLateEnds(late, options).length, 1);
+  const halts = [{ vmId: "vm-0", fromMs: 1_500, untilMs: 3_500 }];
+  t.same(findLateEnds(late, { ...options, halts }), []);
+  t.end();
+});
+
+t.test("should find work that begins on a leaving upstream after its bound", (t) => {
+  const leaving = [{ upstreamId: "u-0", fromMs: 1_000, untilMs: 9_000 }];
+  const runs = [run("a", 1_000 + IN_FORCE_BOUND_MS + 500)];
+  t.equal(findLateWork(runs, "u-0", { leaving, faults: [] }).length, 1);
+  t.same(findLateWork(runs, "u-1", { leaving, faults: [] }), []);
+  const fault: PlannedFault = {
+    kind: "cut_zone",
+    atMs: 0,
+    forMs: 0,
+    vm: 0,
+    otherVm: 1,
+  };
+  const faults = [{ fault, fromMs: 2_000, untilMs: 3_000 }];
+  t.same(findLateWork(runs, "u-0", { leaving, faults }), []);
+  t.end();
+});
+
+t.test("should find requests that a planned stop cuts, and not those of a kill or a refused connection", (t) => {
+  const stops = [{ vmId: "vm-0", fromMs: 1_020, untilMs: 3_500 }];
+  const cut = [call({ status: undefined, error: "ECONNRESET" })];
+  t.equal(findCutsInStops(cut, { stops, halts: [] }).length, 1);
+  const halts = [{ vmId: "vm-0", fromMs: 1_040, untilMs: 1_600 }];
+  t.same(findCutsInStops(cut, { stops, halts }), []);
+  const refused = [call({ status: undefined, error: "ECONNREFUSED" })];
+  t.same(findCutsInStops(refused, { stops, halts: [] }), []);
+  t.end();
+});
--- /dev/null
+++ b/scripts/soak.mjs
@@ -0,0 +1,40 @@
+// Usage: node scripts/soak.mjs [--help | OPTIONS]: builds the sidecar and plays faults against it.
+import { spawnSync } from "node:child_process";
+import { readdirSync } from "node:fs";
+import { fileURLToPath } from "node:url";
+import { build } from "esbuild";
+import { buildSidecar } from "./build_sidecar.mjs";
+
+/** Builds the program that plays faults, as one file. */
+export async function buildSoak(
+  { outfile = "build/soak.mjs", plugins = [] } = {},
+) {
+  await build({
+    entryPoints: ["platform/soak_main.ts"],
+    outfile,
+    plugins,
+    bundle: true,
+    packages: "external",
+    alias: Object.fromEntries(
+      readdirSync("packages").map((name) => [
+        `@tanagercove/${name}`,
+        `./packages/${name}/src/index.ts`,
+      ]),
+    ),
+    platform: "node",
+    target: "node20",
+    format: "esm",
+    logLevel: "warning",
+  });
+}
+
+if (process.argv[1] === fileURLToPath(import.meta.url)) {
+  await buildSidecar();
+  await buildSoak();
+  const { status } = spawnSync(
+    process.execPath,
+    ["build/soak.mjs", "target/sidecar.mjs", ...process.argv.slice(2)],
+    { stdio: "inherit" },
+  );
+  process.exitCode = status ?? 1;
+}
--- /dev/null
+++ b/scripts/soak_broken.mjs
@@ -0,0 +1,105 @@
+// Usage: node scripts/soak_broken.mjs [PROMISE]: shows that the soak finds builds that break a promise.
+import { spawnSync } from "node:child_process";
+import { readFileSync } from "node:fs";
+import { resolve } from "node:path";
+import { buildSidecar } from "./build_sidecar.mjs";
+import { buildSoak } from "./soak.mjs";
+
+/** One change of the source for each promise, and the seed that shows it. */
+const BROKEN_BUILDS = {
+  runs_at_most_once: {
+    file: "packages/sidecar/src/decide_next_step.ts",
+    from: 'verdict.kind !== "not_run" && requestClass !== "idempotent"',
+    to: "false",
+    seed: 1,
+  },
+  not_run_is_true: {
+    file: "packages/sidecar/src/upstream_answer.ts",
+    from: 'return { kind: "unknown", reason: "cut" };',
+    to:
+      'return { kind: "not_run", reason: "upstream_refused", reachedUpstream: true };',
+    seed: 1,
+  },
+  answer_of_own_request: {
+    file: "platform/stand_ins.ts",
+    from: "response.end(this.answerBody(requestId));",
+    to:
+      "response.end(this.answerBody(this.runs[Math.max(0, this.runs.length - 2)].requestId));",
+    seed: 1,
+  },
+  answered_by_deadline: {
+    file: "packages/sidecar/src/exchange.ts",
+    from: "Math.max(0, options.timeoutMs)",
+    to: "Math.max(0, options.timeoutMs) + 4_000",
+    seed: 1,
+  },
+  version_never_goes_back: {
+    file: "packages/catalog/src/catalog.ts",
+    from: "if (version <= this.version) {",
+    to: "if (Math.random() < 0.3 && this.#keptVersions.length > 1) {\n" +
+      "      this.#index = computeRouteIndex(this.#keptVersions[0]!);\n" +
+      "      this.#keptVersions.length = 1;\n      return;\n    }\n" +
+      "    if (version <= this.version) {",
+    seed: 3,
+  },
+  version_in_force: {
+    file: "packages/catalog/src/catalog.ts",
+    from: "if (version <= this.version) {",
+    to: "if (version <= this.version || this.version > 0) {",
+    seed: 3,
+  },
+  leaving_gets_no_work: {
+    file: "platform/decode_upstream.ts",
+    from: '"draining"',
+    to: '"drainin"',
+    seed: 4,
+  },
+  planned_stop_cuts_nothing: {
+    file: "packages/sidecar/src/sidecar.ts",
+    from: "await whenDrained({",
+    to: "void whenDrained({",
+    seed: 1,
+  },
+  served_after_faults: {
+    file: "packages/soak/src/apply_fault.ts",
+    from: 'return () => void (upstream.mode = "answer");',
+    to: "return () => {};",
+    seed: 1,
+  },
+};
+
+const only = process.argv[2];
+let missed = 0;
+for (const [promise, patch] of Object.entries(BROKEN_BUILDS)) {
+  if (only !== undefined && only !== promise) continue;
+  const plugins = [replaceIn(patch)];
+  await buildSidecar({ outfile: "build/broken/sidecar.mjs", plugins });
+  await buildSoak({ outfile: "build/broken/soak.mjs", plugins });
+  const { stdout } = spawnSync(process.execPath, [
+    "build/broken/soak.mjs",
+    "build/broken/sidecar.mjs",
+    "--quiet",
+    `--seed=${patch.seed}`,
+  ], { encoding: "utf8" });
+  const found = stdout.includes(`  ${promise}: `);
+  console.log(`${promise}: ${found ? "found" : "MISSED"}`);
+  if (!found) missed += 1;
+}
+process.exitCode = missed === 0 ? 0 : 1;
+
+/** Replaces a text of one source file; the text has to be there. */
+function replaceIn({ file, from, to }) {
+  return {
+    name: "broken-build",
+    setup(build) {
+      build.onLoad({ filter: /\.ts$/ }, ({ path }) => {
+        if (path !== resolve(file)) return undefined;
+        const source = readFileSync(path, "utf8");
+        if (!source.includes(from)) {
+          throw new Error(`no "${from}" in ${file}`);
+        }
+        return { contents: source.replace(from, () => to), loader: "ts" };
+      });
+    },
+  };
+}
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -3,6 +3,7 @@
 import { readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { build } from "esbuild";
+import { buildSidecar } from "./build_sidecar.mjs";
 
 const TEST_FILE_TIMEOUT_S = 180;
 const PARALLEL_JOBS = 3;
@@ -30,6 +31,7 @@
 }
 
 await import("./build.mjs");
+await buildSidecar();
 rmSync("build/tests", { recursive: true, force: true });
 await build({
   entryPoints: selected,
