Send requests that must not run twice only on connections in steady use

Where the other side has forgotten it, what is sent next is reset, and a request that must not run twice ends as unknown. Change: such requests take connections that were idle for 300 ms at most, from a pool of their own; the others keep theirs, since they can be sent again. Test: connection_agent_test.ts, with an upstream that forgets connections.

--- a/packages/sidecar/src/connection_agent.ts
+++ b/packages/sidecar/src/connection_agent.ts
@@ -1,5 +1,14 @@
 import { Agent, type ClientRequest } from "node:http";
 import type { Socket } from "node:net";
+import type { RequestClass } from "@tanagercove/types";
+
+/**
+ * Longest idle time of a connection that carries a request which must not run
+ * twice. A connection may be dropped unseen while it is idle; what is sent next
+ * is reset, and nobody knows whether it ran. The connections that a busy daemon
+ * uses all the time stay below it.
+ */
+const NON_IDEMPOTENT_IDLE_MS = 300;
 
 /** Options of `ConnectionAgent`. */
 export interface ConnectionAgentOptions {
@@ -45,6 +54,33 @@
   }
 }
 
+/** Connections by the class of the requests that they carry. */
+export class ConnectionAgents {
+  readonly #agents: Readonly<Record<RequestClass, ConnectionAgent>>;
+
+  constructor({ maxIdleMs }: ConnectionAgentOptions) {
+    this.#agents = {
+      idempotent: new ConnectionAgent({ maxIdleMs }),
+      non_idempotent: new ConnectionAgent({
+        maxIdleMs: Math.min(maxIdleMs, NON_IDEMPOTENT_IDLE_MS),
+      }),
+    };
+  }
+
+  /** Connections opened so far. */
+  get opened(): number {
+    return this.#agents.idempotent.opened + this.#agents.non_idempotent.opened;
+  }
+
+  of(requestClass: RequestClass): ConnectionAgent {
+    return this.#agents[requestClass];
+  }
+
+  close(): void {
+    for (const agent of Object.values(this.#agents)) agent.destroy();
+  }
+}
+
 /** Bytes that arrive while a connection is idle belong to no request. */
 function destroyOnData(this: Socket): void {
   this.destroy();
--- /dev/null
+++ b/packages/sidecar/src/connection_agent_test.ts
@@ -0,0 +1,54 @@
+import { createServer, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import t from "tap";
+import type { RequestClass } from "@tanagercove/types";
+import { ConnectionAgents } from "./connection_agent.ts";
+import { startExchange } from "./exchange.ts";
+
+const ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/** Idle time after which the upstream of these tests forgets a connection. */
+const FORGETS_AFTER_MS = 500;
+
+// Guards against work that may have run or not because it was the first thing on a connection
+// that the upstream had forgotten; the other class can be sent again.
+t.test("should not send a request that must not run twice on a connection that was idle", async (t) => {
+  const server = createServer((socket: Socket) => {
+    let usedAtMs = performance.now();
+    socket.on("error", () => {});
+    socket.on("data", () => {
+      const idleMs = performance.now() - usedAtMs;
+      usedAtMs = performance.now();
+      if (idleMs > FORGETS_AFTER_MS) socket.resetAndDestroy();
+      else socket.write(ANSWER);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as { port: number };
+  const agents = new ConnectionAgents({ maxIdleMs: 4_000 });
+  t.teardown(() => {
+    agents.close();
+    server.close();
+  });
+  const send = async (requestClass: RequestClass) => {
+    const end = await startExchange({
+      agent: agents.of(requestClass),
+      destination: { address: "127.0.0.1", port },
+      localAddress: "127.0.0.1",
+      method: "POST",
+      path: "/",
+      headers: ["host", "x"],
+      body: undefined,
+      timeoutMs: 1_000,
+      connectTimeoutMs: 500,
+      maxAnswerBytes: 1_000,
+    }).ended;
+    return end.kind;
+  };
+  t.equal(await send("non_idempotent"), "answered");
+  t.equal(await send("non_idempotent"), "answered");
+  t.equal(agents.opened, 1, "a connection in steady use is used again");
+  await sleep(FORGETS_AFTER_MS + 100);
+  t.equal(await send("non_idempotent"), "answered");
+  t.equal(agents.opened, 2);
+});
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -1,4 +1,4 @@
-import type { Agent } from "node:http";
+import type { ConnectionAgents } from "./connection_agent.ts";
 import { RankedAdmission, type RankedRequest } from "@tanagercove/admission";
 import type { ReportedLoad } from "@tanagercove/placement";
 import type { Endpoint } from "@tanagercove/types";
@@ -48,7 +48,7 @@
 export interface CreateOwnerOptions {
   readonly upstream: Endpoint;
   readonly localAddress: string;
-  readonly agent: Agent;
+  readonly agents: ConnectionAgents;
   readonly names: RequestHeaderNames;
   readonly maxAnswerBytes: number;
 }
@@ -111,7 +111,7 @@
       }
       const timeLeftMs = deadlineAtMs - performance.now();
       exchange = startExchange({
-        agent: options.agent,
+        agent: options.agents.of(ticket.requestClass),
         destination: options.upstream,
         localAddress: options.localAddress,
         method: request.method,
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -1,4 +1,4 @@
-import type { Agent } from "node:http";
+import type { ConnectionAgents } from "./connection_agent.ts";
 import type {
   CatalogReading,
   FeedAnswer,
@@ -57,7 +57,7 @@
 
 /** Options of `createPeerClient`. */
 export interface CreatePeerClientOptions {
-  readonly agent: Agent;
+  readonly agents: ConnectionAgents;
   readonly localAddress: string;
   readonly maxAnswerBytes: number;
 }
@@ -85,13 +85,13 @@
 
 /** Creates the client for calls to other daemons. */
 export function createPeerClient(
-  { agent, localAddress, maxAnswerBytes }: CreatePeerClientOptions,
+  { agents, localAddress, maxAnswerBytes }: CreatePeerClientOptions,
 ): PeerClient {
   return {
     forward({ destination, request, onSilent }) {
       const { ticket, method, path, headers, body } = request;
       const exchange = startExchange({
-        agent,
+        agent: agents.of(ticket.requestClass),
         destination,
         localAddress,
         method,
@@ -131,7 +131,7 @@
     { path, timeoutMs }: { readonly path: string; readonly timeoutMs: number },
   ): Promise<T | undefined> {
     const { ended } = startExchange({
-      agent,
+      agent: agents.of("idempotent"),
       destination,
       localAddress,
       method: "GET",
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -13,7 +13,7 @@
 import { TargetShares } from "@tanagercove/routing";
 import type { Endpoint } from "@tanagercove/types";
 import { createCallerHandler } from "./caller_handler.ts";
-import { ConnectionAgent } from "./connection_agent.ts";
+import { ConnectionAgents } from "./connection_agent.ts";
 import {
   endpointOf,
   peerAddresses,
@@ -92,20 +92,20 @@
     routes: () => catalog.index?.configuration.routes.length ?? 0,
   });
   let seeds = settings.seeds;
-  const peerAgent = new ConnectionAgent({ maxIdleMs: PEER_IDLE_MS });
-  const upstreamAgent = new ConnectionAgent({ maxIdleMs: UPSTREAM_IDLE_MS });
+  const peerAgents = new ConnectionAgents({ maxIdleMs: PEER_IDLE_MS });
+  const upstreamAgents = new ConnectionAgents({ maxIdleMs: UPSTREAM_IDLE_MS });
   const reports = new UpstreamReports({
     onEjected: (ejection) => observer.onEjected(ejection),
   });
   const peers = createPeerClient({
-    agent: peerAgent,
+    agents: peerAgents,
     localAddress: settings.address,
     maxAnswerBytes: MAX_ANSWER_BYTES,
   });
   const owner = createOwner({
     upstream: settings.upstream,
     localAddress: settings.address,
-    agent: upstreamAgent,
+    agents: upstreamAgents,
     names,
     maxAnswerBytes: MAX_ANSWER_BYTES,
   });
@@ -267,8 +267,8 @@
       slots_running: () => owner.running,
       slots_waiting: () => owner.waiting,
       callers_in_flight: () => callers.inFlight,
-      connections_opened_to_upstream: () => upstreamAgent.opened,
-      connections_opened_to_daemons: () => peerAgent.opened,
+      connections_opened_to_upstream: () => upstreamAgents.opened,
+      connections_opened_to_daemons: () => peerAgents.opened,
       ready: () => isReady() ? 1 : 0,
     };
     for (const [name, read] of Object.entries(gauges)) {
@@ -307,8 +307,8 @@
     await new Promise((resolve) => setTimeout(resolve, STOP_FLUSH_MS));
     await closeListeners();
     // Ends the questions to other daemons, which would delay the end of the sync.
-    peerAgent.destroy();
-    upstreamAgent.destroy();
+    peerAgents.close();
+    upstreamAgents.close();
     await sync.close();
     await source.close();
   }
