End a stopping sidecar within its grace time when the platform is silent

Ruled out: requests in flight (cut at 5.6 s) and listeners (all closed). Change: the connections to the platform and to other daemons are closed before the end of the sync is awaited, and the process ends 150 ms before the kill in any case, with drain_timed_out in its log.

--- a/packages/sidecar/src/run_sidecar.ts
+++ b/packages/sidecar/src/run_sidecar.ts
@@ -24,6 +24,9 @@
 /** Exit code for settings with faults. */
 const EXIT_CODE_SETTINGS = 2;
 
+/** Time before the kill at which the process ends, whatever is still open: some writes of the log take 1 to 50 ms. */
+const EXIT_MARGIN_MS = 150;
+
 /** Exit code for a fault in this program (EX_SOFTWARE of sysexits.h). */
 const EXIT_CODE_FAULT = 70;
 
@@ -88,16 +91,37 @@
   const signal = await stopped;
   const drain_timeout_ms = settings.drainTimeoutMs;
   logEvent(log, { event: "drain_started", signal, drain_timeout_ms });
-  await sidecar.close();
+  const outcome = await closeInTime(sidecar, drain_timeout_ms);
+  if (outcome === "drain_timed_out") {
+    logEvent(log, { event: "drain_timed_out", drain_timeout_ms });
+  }
   logEvent(log, {
     event: "daemon_stopped",
-    outcome: "stopped",
+    outcome,
     uptime_ms: Math.round(performance.now() - startedMs),
   });
   await logger.close();
   return 0;
 }
 
+/** Closes the sidecar, or gives up shortly before the process is killed, so that its last lines are written. */
+async function closeInTime(
+  sidecar: Sidecar,
+  drainTimeoutMs: number,
+): Promise<"stopped" | "drain_timed_out"> {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<"drain_timed_out">((resolve) => {
+    timer = setTimeout(
+      () => resolve("drain_timed_out"),
+      drainTimeoutMs - EXIT_MARGIN_MS,
+    );
+  });
+  const closed = sidecar.close().then(() => "stopped" as const);
+  const outcome = await Promise.race([closed, timeout]);
+  clearTimeout(timer);
+  return outcome;
+}
+
 /** Gives the error of a port that could not be opened as a value. */
 async function start(
   { names, openSource }: RunSidecarOptions,
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -306,11 +306,12 @@
     callers.cutAll();
     await new Promise((resolve) => setTimeout(resolve, STOP_FLUSH_MS));
     await closeListeners();
-    // Ends the questions to other daemons, which would delay the end of the sync.
+    // Questions to other daemons and the platform that nobody answers would delay the end of the sync.
+    const synced = sync.close();
     peerAgents.close();
     upstreamAgents.close();
-    await sync.close();
     await source.close();
+    await synced;
   }
 
   return {
