--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -15,7 +15,7 @@
   CallerResult,
   RoutedRequest,
 } from "./caller_request.ts";
-import { decideNextStep } from "./decide_next_step.ts";
+import { decideNextStep, notRunReason } from "./decide_next_step.ts";
 import type { ForwardTicket, OwnerState, OwnerVerdict } from "./forwarding.ts";
 import type { OwnedAnswer, OwnedRequest, Owner } from "./owner.ts";
 import { endToEndHeaders, ownFields } from "./passed_headers.ts";
@@ -204,6 +204,10 @@
         reason = step.reason;
         break;
       }
+      // An upstream without room says more than others that are leaving or gone.
+      if (verdict.kind === "not_run" && reason !== "busy") {
+        reason = notRunReason(verdict);
+      }
     }
     if (fallback !== undefined) return deliver(routed, fallback);
     if (mayHaveRun && REFUSALS[reason].status === 503) reason = "cut";
--- a/packages/sidecar/src/decide_next_step.ts
+++ b/packages/sidecar/src/decide_next_step.ts
@@ -66,12 +66,19 @@
 function lastStep({ verdict }: DecideNextStepOptions): NextStep {
   if (verdict.kind === "answered") return { kind: "deliver" };
   if (verdict.kind === "not_run") {
-    return { kind: "refuse", reason: NOT_RUN_REASONS[verdict.reason] };
+    return { kind: "refuse", reason: notRunReason(verdict) };
   }
   const reason = verdict.reason === "deadline" ? "deadline" : "cut";
   return { kind: "refuse", reason };
 }
 
+/** What a caller is told of a request that an upstream or its daemon did not run. */
+export function notRunReason(
+  { reason }: Extract<OwnerVerdict, { kind: "not_run" }>,
+): RefusalReason {
+  return NOT_RUN_REASONS[reason];
+}
+
 function isServerError(status: number | undefined): boolean {
   return status !== undefined && status >= 500;
 }
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -62,6 +62,10 @@
   readonly path: string;
   /** A connection of its own by default. */
   readonly agent?: Agent;
+  /** Body of a POST. */
+  readonly body?: string;
+  /** Ends the request from the caller's side. */
+  readonly signal?: AbortSignal;
 }
 
 /** Sends one request to the daemon of a VM. */
@@ -84,6 +88,7 @@
       path,
       method,
       agent: options.agent ?? false,
+      signal: options.signal,
       headers: {
         host: "shop.example",
         ...platform.requestHeaders({ id, timeLeftMs: DEADLINE_MS }),
@@ -104,6 +109,6 @@
       () => request.destroy(new Error("no end within 6 s")),
       GIVE_UP_MS,
     );
-    request.end(method === "POST" ? "1" : undefined);
+    request.end(method === "POST" ? options.body ?? "1" : undefined);
   });
 }
--- a/packages/soak/src/ports.ts
+++ b/packages/soak/src/ports.ts
@@ -31,9 +31,9 @@
 export interface SoakVm {
   readonly id: string;
   readonly zone: string;
-  /** Where the daemon and the upstream listen. */
+  /** Where the daemon listens. */
   readonly address: string;
-  /** Where others reach them, through the relay. */
+  /** Where others reach the daemon, through the relay, and where the upstream listens. */
   readonly publishedAddress: string;
 }
 
--- a/scripts/soak_broken.mjs
+++ b/scripts/soak_broken.mjs
@@ -51,18 +51,18 @@
     file: "platform/decode_upstream.ts",
     from: '"draining"',
     to: '"drainin"',
-    seed: 4,
+    seed: 18,
   },
   planned_stop_cuts_nothing: {
     file: "packages/sidecar/src/sidecar.ts",
     from: "await whenDrained({",
-    to: "void whenDrained({",
+    to: "process.exit();\n    await whenDrained({",
     seed: 1,
   },
   served_after_faults: {
     file: "packages/soak/src/apply_fault.ts",
-    from: 'return () => void (upstream.mode = "answer");',
-    to: "return () => {};",
+    from: "await killed;\n      fleet.launch(daemon);",
+    to: "await killed;",
     seed: 1,
   },
 };
