--- a/scripts/soak_broken.mjs
+++ b/scripts/soak_broken.mjs
@@ -49,8 +49,8 @@
   },
   leaving_gets_no_work: {
     file: "platform/decode_upstream.ts",
-    from: '"draining"',
-    to: '"drainin"',
+    from: "state: state as UpstreamEntryState",
+    to: 'state: "ready"',
     seed: 1,
     kinds: "drain_upstream",
   },
