--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -39,7 +39,8 @@
       const id = `${options.name}-${sent += 1}`;
       const isPost = options.random() < POST_SHARE;
       const call = await sendCall({
-        ...options,
+        platform: options.platform,
+        vm: options.vm,
         id,
         agent,
         method: isPost ? "POST" : "GET",
@@ -64,8 +65,6 @@
   readonly agent?: Agent;
   /** Body of a POST. */
   readonly body?: string;
-  /** Ends the request from the caller's side. */
-  readonly signal?: AbortSignal;
 }
 
 /** Sends one request to the daemon of a VM. */
@@ -88,7 +87,6 @@
       path,
       method,
       agent: options.agent ?? false,
-      signal: options.signal,
       headers: {
         host: "shop.example",
         ...platform.requestHeaders({ id, timeLeftMs: DEADLINE_MS }),
