--- a/packages/test_helpers/src/request_fault_case.ts
+++ b/packages/test_helpers/src/request_fault_case.ts
@@ -33,8 +33,12 @@
 const SLOTS = 2;
 /** Service time of the upstreams while a test does not change it. */
 export const SERVICE_TIME_MS = 30;
-/** Long enough for a fault to meet a full queue, and within the deadline of the first in it. */
-const SLOW_SERVICE_TIME_MS = 400;
+/**
+ * Long enough for a fault to meet a full queue, and short enough that the queue
+ * can become full: a daemon that knows the service time refuses whatever would
+ * wait for the queue timeout of 1 s, and 2 slots with 8 in the queue are at 900 ms.
+ */
+const SLOW_SERVICE_TIME_MS = 200;
 const RATE_PER_DAEMON = 8;
 /** Requests of a burst wait in a full queue, so their deadline must not end them before the fault does. */
 const BURST = { ratePerSecond: 1_000, durationMs: 30, deadlineMs: 10_000 };
