Ask another upstream when an owner daemon is silent

Cause: an idempotent request was cancelled after 450 ms without a sign of life of the daemon that it had been forwarded to. The end of that attempt read "cancelled", which stands for a caller that has left, so it was never repeated: the caller got 502 although other upstreams were free.

Change: after a silence, the next step is decided as after a lost answer. If another upstream can be asked (attempts, token, time), the silent one is given up; if not, the daemon goes on waiting, and gives up after 1.2 s unless it is stopping itself. A silent upstream is left out as soon as the silence is found. Failures of requests that were in flight together count as one: five of them made an ejection of 4 s. After an ejection one request tries the upstream. The attempts of a request are now in serve_request.ts, apart from its HTTP.

Ruled out: a repeat without a token, which would break the retry budget.

--- a/packages/placement/src/upstream_reports.ts
+++ b/packages/placement/src/upstream_reports.ts
@@ -54,6 +54,9 @@
 /** Length of the first ejection; doubles with each further failure in a row. */
 const EJECTION_MS = 500;
 
+/** Time in which the one request that tries an upstream after an ejection shows whether it is back. */
+const PROBE_MS = 500;
+
 /** Longest ejection, so that an upstream that is back gets work within seconds. */
 const EJECTION_MAX_MS = 4_000;
 
@@ -67,6 +70,8 @@
   failureAtMs: number;
   unreachableInRow: number;
   ejectedUntilMs: number;
+  /** Until then, a request tries whether the upstream is back, and others stay away. */
+  probedUntilMs: number;
   readonly serviceMsByRoute: Map<string, number>;
 }
 
@@ -85,6 +90,14 @@
     const record = this.#record(id);
     record.inFlight += 1;
     record.sentSinceReport += 1;
+    if (record.unreachableInRow > 0) {
+      record.probedUntilMs = this.#nowMs() + PROBE_MS;
+    }
+  }
+
+  /** Leaves out an upstream whose daemon shows no sign of life, before its requests end. */
+  silent(id: string): void {
+    this.#recordResult(id, "unreachable");
   }
 
   report(id: string, load: ReportedLoad): void {
@@ -137,7 +150,10 @@
   }
 
   isEjected(id: string): boolean {
-    return (this.#records.get(id)?.ejectedUntilMs ?? 0) > this.#nowMs();
+    const record = this.#records.get(id);
+    if (record === undefined) return false;
+    const untilMs = Math.max(record.ejectedUntilMs, record.probedUntilMs);
+    return untilMs > this.#nowMs();
   }
 
   inFlight(id: string): number {
@@ -162,18 +178,20 @@
       record.failureAtMs = nowMs;
     }
     if (result === "unreachable") {
+      // Requests that were sent before an ejection fail during it and say nothing new.
+      if (record.ejectedUntilMs > nowMs) return;
       record.unreachableInRow += 1;
       const failures = record.unreachableInRow;
       const lengthMs = Math.min(
         EJECTION_MAX_MS,
         EJECTION_MS * 2 ** (failures - 1),
       );
-      const wasEjected = record.ejectedUntilMs > nowMs;
       record.ejectedUntilMs = nowMs + lengthMs;
-      if (!wasEjected) this.#onEjected({ id, failures, lengthMs });
-    } else if (result === "served") {
+      this.#onEjected({ id, failures, lengthMs });
+    } else if (result !== "cancelled") {
       record.unreachableInRow = 0;
       record.ejectedUntilMs = 0;
+      record.probedUntilMs = 0;
     }
   }
 
@@ -189,6 +207,7 @@
       failureAtMs: this.#nowMs(),
       unreachableInRow: 0,
       ejectedUntilMs: 0,
+      probedUntilMs: 0,
       serviceMsByRoute: new Map(),
     };
     this.#records.set(id, record);
--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -1,39 +1,23 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { CallerWaits } from "@tanagercove/admission";
 import type { Catalog } from "@tanagercove/catalog";
-import {
-  choosePlacement,
-  type PlacementCandidate,
-  type PlacementResult,
-  type UpstreamReports,
-} from "@tanagercove/placement";
 import type { ServiceBudgets } from "@tanagercove/retries";
 import { matchRoute, type TargetShares } from "@tanagercove/routing";
-import type { Endpoint } from "@tanagercove/types";
 import type {
   CallerRequest,
   CallerResult,
   RoutedRequest,
 } from "./caller_request.ts";
-import { decideNextStep, notRunReason } from "./decide_next_step.ts";
-import type { ForwardTicket, OwnerState, OwnerVerdict } from "./forwarding.ts";
-import type { OwnedAnswer, OwnedRequest, Owner } from "./owner.ts";
+import type { OwnedAnswer, Owner } from "./owner.ts";
 import { endToEndHeaders, ownFields } from "./passed_headers.ts";
-import type { ForwardRun, PeerClient } from "./peer_client.ts";
-import { placementCandidates } from "./placement_candidates.ts";
 import { readBody } from "./read_body.ts";
 import { type RefusalReason, REFUSALS } from "./refusals.ts";
+import { RETRY_AFTER_MS, type ServeRequest } from "./serve_request.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 
 /** Time that a caller without a deadline is given. */
 const DEFAULT_DEADLINE_MS = 10_000;
 
-/** Daemons that are asked for one request; refusals of daemons cost little, but not nothing. */
-const MAX_HOPS = 4;
-
-/** Time after which a caller refused without a known wait may return. */
-const RETRY_AFTER_MS = 250;
-
 /** Spread of Retry-After, so that refused callers do not return together. */
 const RETRY_AFTER_SPREAD = 0.5;
 
@@ -46,21 +30,14 @@
 /** Options of `createCallerHandler`. */
 export interface CreateCallerHandlerOptions {
   readonly names: RequestHeaderNames;
-  readonly zone: string;
-  readonly address: string;
-  readonly service: string;
-  readonly peerPort: number;
   readonly catalog: Catalog;
-  readonly owner: Owner;
-  readonly ownerState: () => OwnerState;
-  readonly peers: PeerClient;
-  readonly reports: UpstreamReports;
+  readonly owner: Pick<Owner, "runsParentOf">;
+  readonly serve: ServeRequest;
   readonly shares: TargetShares;
   readonly budgets: ServiceBudgets;
   readonly isStopping: () => boolean;
   /** Whether new requests are refused because the process ends too soon. */
   readonly refusesNew: () => boolean;
-  readonly onPeerState: (peer: Endpoint, state: OwnerState) => void;
   readonly onResult: (result: CallerResult) => void;
 }
 
@@ -73,16 +50,11 @@
   cutAll(): void;
 }
 
-interface Attempt {
-  readonly verdict: OwnerVerdict;
-  readonly answer: OwnedAnswer | undefined;
-}
-
 /** Creates the handler of requests from this VM's clients and upstream. */
 export function createCallerHandler(
   options: CreateCallerHandlerOptions,
 ): CallerHandler {
-  const { names, catalog, reports } = options;
+  const { names, catalog, serve } = options;
   const own = ownFields(names);
   const waits = new CallerWaits();
   const active = new Set<CallerRequest>();
@@ -144,164 +116,10 @@
       waitedBeforeMs,
       isNested,
     });
-    await serve(routed);
-  }
-
-  async function serve(routed: RoutedRequest): Promise<void> {
-    const { route } = routed;
-    const tried = new Set<string>();
-    let upstreamsReached = 0;
-    let mayHaveRun = false;
-    let fallback: OwnedAnswer | undefined;
-    let retryAfterMs = RETRY_AFTER_MS;
-    let reason: RefusalReason = "no_upstream";
-    for (let hop = 0; hop < MAX_HOPS; hop += 1) {
-      const candidates = placementCandidates({
-        route,
-        service: routed.service,
-        rank: routed.rank,
-        catalog,
-        reports,
-        ownZone: options.zone,
-        tried,
-      });
-      const chosen = choosePlacement({
-        candidates,
-        latencyObjectiveMs: route.latencyObjectiveMs,
-        random: Math.random,
-      });
-      if (chosen === undefined) break;
-      tried.add(chosen.id);
-      const untried = candidates.length - 1;
-      const attempt = await send(routed, chosen);
-      if (routed.isGone) return finish(routed, "gone", 0);
-      const { verdict, answer } = attempt;
-      if (answer !== undefined) fallback = answer;
-      if (verdict.kind !== "not_run") mayHaveRun = true;
-      if (verdict.kind !== "not_run" || verdict.reachedUpstream) {
-        upstreamsReached += 1;
-      }
-      if (verdict.kind === "not_run" && verdict.retryAfterMs > 0) {
-        retryAfterMs = verdict.retryAfterMs;
-      }
-      const step = decideNextStep({
-        verdict,
-        status: answer?.status,
-        requestClass: route.requestClass,
-        upstreamsReached,
-        maxAttempts: route.maxAttempts,
-        timeLeftMs: routed.endAtMs - performance.now(),
-        neededMs: chosen.serviceMs,
-        untried: verdict.kind === "not_run" && verdict.reason === "busy"
-          ? candidates.filter((other) =>
-            other !== chosen && mayHaveRoom(routed, other)
-          ).length
-          : untried,
-        takeToken: () => options.budgets.tryTake(routed.service),
-      });
-      if (step.kind === "deliver") return deliver(routed, answer!);
-      if (step.kind === "refuse") {
-        reason = step.reason;
-        break;
-      }
-      // An upstream without room says more than others that are leaving or gone.
-      if (verdict.kind === "not_run" && reason !== "busy") {
-        reason = notRunReason(verdict);
-      }
-    }
-    if (fallback !== undefined) return deliver(routed, fallback);
-    if (mayHaveRun && REFUSALS[reason].status === 503) reason = "cut";
-    refuse(routed, reason, retryAfterMs);
-  }
-
-  /** Whether asking another upstream after a refusal for lack of room is worth the bytes. */
-  function mayHaveRoom(
-    { objectiveAtMs, isNested, endAtMs }: RoutedRequest,
-    { waitMs, serviceMs }: PlacementCandidate,
-  ): boolean {
-    const finishedAtMs = performance.now() + waitMs + serviceMs;
-    return waitMs === 0 || finishedAtMs <= (isNested ? endAtMs : objectiveAtMs);
-  }
-
-  async function send(
-    routed: RoutedRequest,
-    chosen: PlacementCandidate,
-  ): Promise<Attempt> {
-    const { route, rank } = routed;
-    const nowMs = performance.now();
-    const objectiveLeftMs = routed.objectiveAtMs - nowMs;
-    const timeLeftMs = routed.endAtMs - nowMs;
-    const ticket: ForwardTicket = {
-      upstreamId: chosen.id,
-      service: routed.service,
-      route: route.name,
-      requestClass: route.requestClass,
-      rank,
-      timeLeftMs,
-      objectiveLeftMs,
-      isNested: routed.isNested,
-      callerService: options.service,
-      version: routed.version,
-    };
-    const owned: OwnedRequest = {
-      ticket,
-      requestId: routed.requestId,
-      method: routed.request.method!,
-      path: routed.request.url!,
-      headers: routed.headers,
-      body: routed.body,
-    };
-    reports.begin(chosen.id);
-    let isSilent = false;
-    const run = start(owned, () => {
-      isSilent = true;
-      if (route.requestClass === "idempotent") run.cancel();
-    });
-    routed.cancel = () => run.cancel();
-    const result = await run.ended;
-    routed.cancel = undefined;
-    if (result.state !== undefined) {
-      reports.report(chosen.id, result.state.load);
-    }
-    reports.end(chosen.id, {
-      result: placementResult(result, isSilent, routed.isGone),
-      route: route.name,
-      serviceMs: result.verdict.kind === "answered"
-        ? result.verdict.serviceMs
-        : undefined,
-    });
-    const { verdict, answer } = result;
-    routed.attempts.push({
-      upstreamId: chosen.id,
-      verdict: verdict.kind,
-      reason: verdict.kind === "answered"
-        ? String(answer!.status)
-        : isSilent
-        ? `${verdict.reason}, silent`
-        : verdict.reason,
-      predictedWaitMs: Math.round(chosen.waitMs),
-      predictedServiceMs: Math.round(chosen.serviceMs),
-      durationMs: Math.round(performance.now() - nowMs),
-    });
-    return { verdict, answer };
-  }
-
-  function start(request: OwnedRequest, onSilent: () => void): ForwardRun {
-    const { entry } = catalog.upstreams.get(request.ticket.upstreamId)!;
-    if (entry.address === options.address) {
-      const run = options.owner.run(request);
-      const ended = run.ended.then((result) => ({
-        ...result,
-        state: options.ownerState(),
-      }));
-      return { ended, cancel: run.cancel };
-    }
-    const destination = { address: entry.address, port: options.peerPort };
-    const run = options.peers.forward({ destination, request, onSilent });
-    void run.ended.then(({ state }) => {
-      if (state !== undefined) options.onPeerState(destination, state);
-    });
-    return run;
+    const served = await serve(routed);
+    if (served.kind === "answered") return deliver(routed, served.answer);
+    if (served.kind === "gone") return finish(routed, "gone", 0);
+    refuse(routed, served.reason, served.retryAfterMs);
   }
 
   function deliver(
@@ -379,23 +197,3 @@
     },
   };
 }
-
-function placementResult(
-  { verdict, answer, state }: Awaited<ForwardRun["ended"]>,
-  isSilent: boolean,
-  isGone: boolean,
-): PlacementResult {
-  if (isSilent) return "unreachable";
-  if (isGone) return "cancelled";
-  if (verdict.kind === "answered") {
-    return answer!.status >= 500 ? "failed" : "served";
-  }
-  if (verdict.kind === "unknown") {
-    if (verdict.reason === "deadline") return "cancelled";
-    return state === undefined ? "unreachable" : "failed";
-  }
-  if (verdict.reason === "connect_failed" || verdict.reason === "leaving") {
-    return "unreachable";
-  }
-  return verdict.reason === "upstream_refused" ? "failed" : "refused";
-}
--- a/packages/sidecar/src/exchange.ts
+++ b/packages/sidecar/src/exchange.ts
@@ -43,9 +43,9 @@
   /** Time until a new connection must be open. */
   readonly connectTimeoutMs: number;
   readonly maxAnswerBytes: number;
-  /** Called once if nothing, not even an interim answer, arrives within `silentAfterMs`. */
-  readonly onSilent?: () => void;
-  readonly silentAfterMs?: number;
+  /** Called each time that another `silentEveryMs` have passed without anything, not even an interim answer. */
+  readonly onSilent?: (silentMs: number) => void;
+  readonly silentEveryMs?: number;
 }
 
 /** A running exchange. */
@@ -76,7 +76,7 @@
     settled = true;
     clearTimeout(deadline);
     clearTimeout(connecting);
-    clearTimeout(silence);
+    clearInterval(silence);
     resolveEnded(end);
   }
   function fail(failure: ExchangeFailure): void {
@@ -103,8 +103,11 @@
     if (!mayHaveLeft) fail("connect_failed");
   }, options.connectTimeoutMs);
   const silence = options.onSilent &&
-    setTimeout(options.onSilent, options.silentAfterMs);
-  request.on("information", () => clearTimeout(silence));
+    setInterval(
+      () => options.onSilent!(performance.now() - startedMs),
+      options.silentEveryMs,
+    );
+  request.on("information", () => clearInterval(silence));
   request.on("socket", (socket) => {
     socket.prependListener("end", noteEndOfConnection);
     request.once("close", () => socket.off("end", noteEndOfConnection));
@@ -122,6 +125,7 @@
   });
   request.on("response", (response) => {
     hasHead = true;
+    clearInterval(silence);
     void readBody(response, options.maxAnswerBytes).then((body) => {
       if (typeof body === "string") return fail(body);
       if (wasReset && !isDelimited(options.method, response)) {
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -32,8 +32,8 @@
 /** Time beyond the deadline for the owner daemon's verdict, which knows whether the request ran. */
 const VERDICT_GRACE_MS = 40;
 
-/** The owner daemon confirms a request that takes longer than `CONFIRM_AFTER_MS`. */
-const SILENT_AFTER_MS = 450;
+/** Almost four times the delay of `CONFIRM_AFTER_MS`, after which the owner daemon confirms a request. */
+const SILENT_EVERY_MS = 450;
 
 /** Time for one question for the catalog. */
 const CATALOG_TIMEOUT_MS = 800;
@@ -66,8 +66,8 @@
 export interface ForwardOptions {
   readonly destination: Endpoint;
   readonly request: OwnedRequest;
-  /** Called if the owner daemon shows no sign of life. */
-  readonly onSilent: () => void;
+  /** Called again and again while the owner daemon shows no sign of life. */
+  readonly onSilent: (silentMs: number) => void;
 }
 
 /** Calls other daemons. */
@@ -107,7 +107,7 @@
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         maxAnswerBytes,
         onSilent,
-        silentAfterMs: SILENT_AFTER_MS,
+        silentEveryMs: SILENT_EVERY_MS,
       });
       return forwardRun(exchange);
     },
--- /dev/null
+++ b/packages/sidecar/src/serve_request.ts
@@ -0,0 +1,309 @@
+import type { Catalog } from "@tanagercove/catalog";
+import {
+  choosePlacement,
+  type PlacementCandidate,
+  type PlacementResult,
+  type UpstreamReports,
+} from "@tanagercove/placement";
+import type { ServiceBudgets } from "@tanagercove/retries";
+import type { Endpoint } from "@tanagercove/types";
+import type { RoutedRequest } from "./caller_request.ts";
+import {
+  decideNextStep,
+  type NextStep,
+  notRunReason,
+} from "./decide_next_step.ts";
+import type { ForwardTicket, OwnerState, OwnerVerdict } from "./forwarding.ts";
+import type { OwnedAnswer, OwnedRequest, Owner } from "./owner.ts";
+import type { ForwardResult, ForwardRun, PeerClient } from "./peer_client.ts";
+import { placementCandidates } from "./placement_candidates.ts";
+import { type RefusalReason, REFUSALS } from "./refusals.ts";
+
+/** Daemons that are asked for one request; refusals of daemons cost little, but not nothing. */
+const MAX_HOPS = 4;
+
+/** Time after which a caller refused without a known wait may return. */
+export const RETRY_AFTER_MS = 250;
+
+/**
+ * Silence of an owner daemon after which an idempotent request is given up even
+ * if no other upstream can be asked: the caller may still try again. Ten times
+ * the delay of the daemon's first sign of life. A stopping daemon goes on
+ * waiting, since its callers have been promised an answer.
+ */
+const SILENCE_GIVE_UP_MS = 1_200;
+
+/** Options of `createRequestServer`. */
+export interface CreateRequestServerOptions {
+  readonly zone: string;
+  readonly address: string;
+  readonly service: string;
+  readonly peerPort: number;
+  readonly catalog: Catalog;
+  readonly owner: Pick<Owner, "run">;
+  readonly ownerState: () => OwnerState;
+  readonly peers: Pick<PeerClient, "forward">;
+  readonly reports: UpstreamReports;
+  readonly budgets: ServiceBudgets;
+  readonly isStopping: () => boolean;
+  readonly onPeerState: (peer: Endpoint, state: OwnerState) => void;
+}
+
+/** What becomes of a caller's request. */
+export type ServedRequest =
+  | { readonly kind: "answered"; readonly answer: OwnedAnswer }
+  | {
+    readonly kind: "refused";
+    readonly reason: RefusalReason;
+    readonly retryAfterMs: number;
+  }
+  | { readonly kind: "gone" };
+
+/** Serves requests whose route is known. */
+export type ServeRequest = (routed: RoutedRequest) => Promise<ServedRequest>;
+
+/** What earlier attempts of a request leave for the next decision. */
+interface Progress {
+  readonly tried: Set<string>;
+  upstreamsReached: number;
+}
+
+interface Attempt {
+  readonly verdict: OwnerVerdict;
+  readonly answer: OwnedAnswer | undefined;
+  /** What follows, if it was decided before the attempt ended. */
+  readonly step: NextStep | undefined;
+}
+
+/** Creates the function that chooses upstreams for a request, sends it and repeats it where it may. */
+export function createRequestServer(
+  options: CreateRequestServerOptions,
+): ServeRequest {
+  const { catalog, reports } = options;
+
+  async function serve(routed: RoutedRequest): Promise<ServedRequest> {
+    const { route } = routed;
+    const progress: Progress = { tried: new Set(), upstreamsReached: 0 };
+    let mayHaveRun = false;
+    let fallback: OwnedAnswer | undefined;
+    let retryAfterMs = RETRY_AFTER_MS;
+    let reason: RefusalReason = "no_upstream";
+    for (let hop = 0; hop < MAX_HOPS; hop += 1) {
+      const chosen = choosePlacement({
+        candidates: candidatesOf(routed, progress),
+        latencyObjectiveMs: route.latencyObjectiveMs,
+        random: Math.random,
+      });
+      if (chosen === undefined) break;
+      progress.tried.add(chosen.id);
+      const attempt = await send(routed, chosen, progress);
+      if (routed.isGone) return { kind: "gone" };
+      const { verdict, answer } = attempt;
+      if (answer !== undefined) fallback = answer;
+      if (verdict.kind !== "not_run") mayHaveRun = true;
+      if (verdict.kind === "not_run" && verdict.retryAfterMs > 0) {
+        retryAfterMs = verdict.retryAfterMs;
+      }
+      const step = attempt.step ??
+        nextStep(routed, { attempt, chosen, progress });
+      if (verdict.kind !== "not_run" || verdict.reachedUpstream) {
+        progress.upstreamsReached += 1;
+      }
+      if (step.kind === "deliver") {
+        return { kind: "answered", answer: answer! };
+      }
+      if (step.kind === "refuse") {
+        reason = step.reason;
+        break;
+      }
+      // An upstream without room says more than others that are leaving or gone.
+      if (verdict.kind === "not_run" && reason !== "busy") {
+        reason = notRunReason(verdict);
+      }
+    }
+    if (fallback !== undefined) return { kind: "answered", answer: fallback };
+    if (mayHaveRun && REFUSALS[reason].status === 503) reason = "cut";
+    return { kind: "refused", reason, retryAfterMs };
+  }
+
+  function candidatesOf(
+    { route, service, rank }: RoutedRequest,
+    { tried }: Progress,
+  ): PlacementCandidate[] {
+    return placementCandidates({
+      route,
+      service,
+      rank,
+      catalog,
+      reports,
+      ownZone: options.zone,
+      tried,
+    });
+  }
+
+  function nextStep(
+    routed: RoutedRequest,
+    { attempt: { verdict, answer }, chosen, progress }: {
+      readonly attempt: Pick<Attempt, "verdict" | "answer">;
+      readonly chosen: PlacementCandidate;
+      readonly progress: Progress;
+    },
+  ): NextStep {
+    const others = candidatesOf(routed, progress);
+    const wasReached = verdict.kind !== "not_run" || verdict.reachedUpstream;
+    return decideNextStep({
+      verdict,
+      status: answer?.status,
+      requestClass: routed.route.requestClass,
+      upstreamsReached: progress.upstreamsReached + (wasReached ? 1 : 0),
+      maxAttempts: routed.route.maxAttempts,
+      timeLeftMs: routed.endAtMs - performance.now(),
+      neededMs: chosen.serviceMs,
+      untried: verdict.kind === "not_run" && verdict.reason === "busy"
+        ? others.filter((other) => mayHaveRoom(routed, other)).length
+        : others.length,
+      takeToken: () => options.budgets.tryTake(routed.service),
+    });
+  }
+
+  /** Whether asking another upstream after a refusal for lack of room is worth the bytes. */
+  function mayHaveRoom(
+    { objectiveAtMs, isNested, endAtMs }: RoutedRequest,
+    { waitMs, serviceMs }: PlacementCandidate,
+  ): boolean {
+    const finishedAtMs = performance.now() + waitMs + serviceMs;
+    return waitMs === 0 || finishedAtMs <= (isNested ? endAtMs : objectiveAtMs);
+  }
+
+  async function send(
+    routed: RoutedRequest,
+    chosen: PlacementCandidate,
+    progress: Progress,
+  ): Promise<Attempt> {
+    const { route } = routed;
+    const nowMs = performance.now();
+    reports.begin(chosen.id);
+    let isSilent = false;
+    let step: NextStep | undefined;
+    const run = start(ownedRequest(routed, chosen), (silentMs) => {
+      if (!isSilent) reports.silent(chosen.id);
+      isSilent = true;
+      if (route.requestClass !== "idempotent") return;
+      step = stepAfterSilence(routed, { chosen, progress, silentMs });
+      if (step !== undefined) run.cancel();
+    });
+    routed.cancel = () => run.cancel();
+    const result = await run.ended;
+    routed.cancel = undefined;
+    if (result.state !== undefined) {
+      reports.report(chosen.id, result.state.load);
+    }
+    const { verdict, answer } = result;
+    reports.end(chosen.id, {
+      result: placementResult(result, isSilent, routed.isGone),
+      route: route.name,
+      serviceMs: verdict.kind === "answered" ? verdict.serviceMs : undefined,
+    });
+    routed.attempts.push({
+      upstreamId: chosen.id,
+      verdict: verdict.kind,
+      reason: verdict.kind === "answered"
+        ? String(answer!.status)
+        : isSilent
+        ? `${verdict.reason}, silent`
+        : verdict.reason,
+      predictedWaitMs: Math.round(chosen.waitMs),
+      predictedServiceMs: Math.round(chosen.serviceMs),
+      durationMs: Math.round(performance.now() - nowMs),
+    });
+    return { verdict, answer, step };
+  }
+
+  /** What follows while an owner daemon is silent; undefined to go on waiting for it. */
+  function stepAfterSilence(
+    routed: RoutedRequest,
+    { chosen, progress, silentMs }: {
+      readonly chosen: PlacementCandidate;
+      readonly progress: Progress;
+      readonly silentMs: number;
+    },
+  ): NextStep | undefined {
+    const verdict: OwnerVerdict = { kind: "unknown", reason: "cut" };
+    const attempt = { verdict, answer: undefined };
+    const step = nextStep(routed, { attempt, chosen, progress });
+    const isWaitWorth = options.isStopping() || silentMs < SILENCE_GIVE_UP_MS;
+    return step.kind === "refuse" && isWaitWorth ? undefined : step;
+  }
+
+  function ownedRequest(
+    routed: RoutedRequest,
+    chosen: PlacementCandidate,
+  ): OwnedRequest {
+    const { route } = routed;
+    const nowMs = performance.now();
+    const ticket: ForwardTicket = {
+      upstreamId: chosen.id,
+      service: routed.service,
+      route: route.name,
+      requestClass: route.requestClass,
+      rank: routed.rank,
+      timeLeftMs: routed.endAtMs - nowMs,
+      objectiveLeftMs: routed.objectiveAtMs - nowMs,
+      isNested: routed.isNested,
+      callerService: options.service,
+      version: routed.version,
+    };
+    return {
+      ticket,
+      requestId: routed.requestId,
+      method: routed.request.method!,
+      path: routed.request.url!,
+      headers: routed.headers,
+      body: routed.body,
+    };
+  }
+
+  function start(
+    request: OwnedRequest,
+    onSilent: (silentMs: number) => void,
+  ): ForwardRun {
+    const { entry } = catalog.upstreams.get(request.ticket.upstreamId)!;
+    if (entry.address === options.address) {
+      const run = options.owner.run(request);
+      const ended = run.ended.then((result) => ({
+        ...result,
+        state: options.ownerState(),
+      }));
+      return { ended, cancel: run.cancel };
+    }
+    const destination = { address: entry.address, port: options.peerPort };
+    const run = options.peers.forward({ destination, request, onSilent });
+    void run.ended.then(({ state }) => {
+      if (state !== undefined) options.onPeerState(destination, state);
+    });
+    return run;
+  }
+
+  return serve;
+}
+
+function placementResult(
+  { verdict, answer, state }: ForwardResult,
+  isSilent: boolean,
+  isGone: boolean,
+): PlacementResult {
+  if (isGone) return "cancelled";
+  if (verdict.kind === "answered") {
+    return answer!.status >= 500 ? "failed" : "served";
+  }
+  // The silence has been reported when it was found.
+  if (isSilent) return "cancelled";
+  if (verdict.kind === "unknown") {
+    if (verdict.reason === "deadline") return "cancelled";
+    return state === undefined ? "unreachable" : "failed";
+  }
+  if (verdict.reason === "connect_failed" || verdict.reason === "leaving") {
+    return "unreachable";
+  }
+  return verdict.reason === "upstream_refused" ? "failed" : "refused";
+}
--- /dev/null
+++ b/packages/sidecar/src/serve_request_test.ts
@@ -0,0 +1,188 @@
+import { IncomingMessage, ServerResponse } from "node:http";
+import { Socket } from "node:net";
+import t from "tap";
+import { Catalog } from "@tanagercove/catalog";
+import { UpstreamReports } from "@tanagercove/placement";
+import { ServiceBudgets } from "@tanagercove/retries";
+import type { Route } from "@tanagercove/types";
+import type { RoutedRequest } from "./caller_request.ts";
+import type { ForwardOptions, ForwardResult } from "./peer_client.ts";
+import { createRequestServer } from "./serve_request.ts";
+
+const ROUTE: Route = {
+  name: "browse",
+  host: "shop.example",
+  prefix: "/browse/",
+  requestClass: "idempotent",
+  latencyObjectiveMs: 500,
+  priority: 1,
+  targets: [{ service: "shop", weight: 1 }],
+  timeoutMs: 4_000,
+  maxAttempts: 2,
+};
+
+const LOAD = { running: 1, slots: 4, waitingByRank: [0], serviceTimeMs: 50 };
+
+const ANSWERED: ForwardResult = {
+  verdict: { kind: "answered", serviceMs: 40 },
+  answer: { status: 200, headers: [], body: Buffer.from("whole") },
+  state: { load: LOAD, version: 1, revision: 1 },
+};
+
+const CANCELLED: ForwardResult = {
+  verdict: { kind: "unknown", reason: "cancelled" },
+  answer: undefined,
+  state: undefined,
+};
+
+/** A request sent to another daemon, which the test answers. */
+interface SentRequest {
+  readonly address: string;
+  readonly onSilent: (silentMs: number) => void;
+  readonly isCancelled: () => boolean;
+  readonly answer: (result: ForwardResult) => void;
+}
+
+function setUp(
+  options: {
+    readonly upstreams?: number;
+    readonly slack?: number;
+    readonly isStopping?: boolean;
+  } = {},
+) {
+  const { upstreams = 2, slack = 1_000, isStopping = false } = options;
+  const catalog = new Catalog();
+  catalog.apply(Array.from({ length: upstreams }, (_, i) => ({
+    kind: "upstream" as const,
+    revision: i + 1,
+    entry: {
+      id: `u${i}`,
+      service: "shop",
+      address: `10.0.0.${i + 1}`,
+      port: 80,
+      zone: "a",
+      slots: 4,
+      state: "ready" as const,
+      coldMs: 0,
+      bornMs: 1,
+    },
+  })));
+  const reports = new UpstreamReports();
+  const sent: SentRequest[] = [];
+  const serve = createRequestServer({
+    zone: "a",
+    address: "10.0.0.99",
+    service: "web",
+    peerPort: 9_000,
+    catalog,
+    owner: { run: () => t.fail("the upstream is on another VM") as never },
+    ownerState: () => ANSWERED.state!,
+    peers: {
+      forward({ destination, onSilent }: ForwardOptions) {
+        let isCancelled = false;
+        let answer!: (result: ForwardResult) => void;
+        const ended = new Promise<ForwardResult>((resolve) => answer = resolve);
+        sent.push({
+          address: destination.address,
+          onSilent,
+          isCancelled: () => isCancelled,
+          answer,
+        });
+        const cancel = () => {
+          isCancelled = true;
+          answer(CANCELLED);
+        };
+        return { ended, cancel };
+      },
+    },
+    reports,
+    budgets: new ServiceBudgets({
+      ratio: 0,
+      slack,
+      windowMs: 10_000,
+      daemons: () => 1,
+    }),
+    isStopping: () => isStopping,
+    onPeerState: () => {},
+  });
+  return { serve, sent, reports };
+}
+
+function routed(route: Partial<Route> = {}): RoutedRequest {
+  const request = new IncomingMessage(new Socket());
+  request.method = "GET";
+  request.url = "/browse/x";
+  const nowMs = performance.now();
+  return {
+    request,
+    response: new ServerResponse(request),
+    requestId: "r1",
+    startedMs: nowMs,
+    attempts: [],
+    isGone: false,
+    cancel: undefined,
+    route: { ...ROUTE, ...route },
+    version: 1,
+    service: "shop",
+    rank: 2,
+    headers: [],
+    body: undefined,
+    endAtMs: nowMs + 4_000,
+    objectiveAtMs: nowMs + 500,
+    waitedBeforeMs: 0,
+    isNested: false,
+  };
+}
+
+const turn = () => new Promise((resolve) => setImmediate(resolve));
+
+// Guards against 502 after 450 ms for requests that another upstream would have answered: the end of
+// the attempt at a silent daemon was taken for a caller that had left, and never repeated.
+t.test("should ask another upstream if the owner daemon of an idempotent request is silent", async (t) => {
+  const { serve, sent, reports } = setUp();
+  const served = serve(routed());
+  sent[0]!.onSilent(450);
+  await turn();
+  t.ok(sent[0]!.isCancelled());
+  t.equal(sent.length, 2);
+  t.not(sent[1]!.address, sent[0]!.address);
+  sent[1]!.answer(ANSWERED);
+  const result = await served;
+  t.equal(result.kind, "answered");
+  const silentId = sent[0]!.address === "10.0.0.1" ? "u0" : "u1";
+  t.ok(reports.isEjected(silentId));
+});
+
+t.test("should wait for a silent owner daemon if a repeat is not possible", async (t) => {
+  const cases = {
+    "no other upstream": [setUp({ upstreams: 1 }), routed()],
+    "no token": [setUp({ slack: 0 }), routed()],
+    "no attempt left": [setUp(), routed({ maxAttempts: 1 })],
+    "not idempotent": [setUp(), routed({ requestClass: "non_idempotent" })],
+  } as const;
+  for (const [name, [{ serve, sent }, request]] of Object.entries(cases)) {
+    const served = serve(request);
+    sent[0]!.onSilent(450);
+    await turn();
+    t.notOk(sent[0]!.isCancelled(), name);
+    t.equal(sent.length, 1, name);
+    sent[0]!.answer(ANSWERED);
+    t.equal((await served).kind, "answered", name);
+  }
+});
+
+t.test("should tell a caller that may try again of a long silence, and one of a stopping daemon not", async (t) => {
+  const { serve, sent } = setUp({ upstreams: 1 });
+  const served = serve(routed());
+  sent[0]!.onSilent(1_350);
+  t.match(await served, { kind: "refused", reason: "cut" });
+
+  // Guards against 502 for callers of a daemon that had been told to stop, while their requests ran.
+  const stopping = setUp({ upstreams: 1, isStopping: true });
+  const kept = stopping.serve(routed());
+  stopping.sent[0]!.onSilent(1_350);
+  await turn();
+  t.notOk(stopping.sent[0]!.isCancelled());
+  stopping.sent[0]!.answer(ANSWERED);
+  t.equal((await kept).kind, "answered");
+});
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -27,6 +27,7 @@
 import { createOwner } from "./owner.ts";
 import { createPeerClient } from "./peer_client.ts";
 import { startPeerServer } from "./peer_server.ts";
+import { createRequestServer } from "./serve_request.ts";
 import type { RequestHeaderNames, SidecarSettings } from "./settings.ts";
 
 /** Idle connections are closed before either end may have dropped them. */
@@ -154,8 +155,13 @@
     return catalog.upstreams.get(ticket.upstreamId)?.entry.state !== "draining";
   }
 
-  const callers = createCallerHandler({
-    names,
+  const budgets = new ServiceBudgets({
+    ratio: settings.retryBudgetRatio,
+    slack: settings.retryBudgetSlack,
+    windowMs: settings.retryBudgetWindowMs,
+    daemons: () => catalog.upstreams.size,
+  });
+  const serve = createRequestServer({
     zone: settings.zone,
     address: settings.address,
     service: settings.service,
@@ -165,19 +171,22 @@
     ownerState,
     peers,
     reports,
+    budgets,
+    isStopping,
+    onPeerState: notePeer,
+  });
+  const callers = createCallerHandler({
+    names,
+    catalog,
+    owner,
+    serve,
     shares: new TargetShares(),
-    budgets: new ServiceBudgets({
-      ratio: settings.retryBudgetRatio,
-      slack: settings.retryBudgetSlack,
-      windowMs: settings.retryBudgetWindowMs,
-      daemons: () => catalog.upstreams.size,
-    }),
+    budgets,
     isStopping,
     refusesNew: () =>
       stoppingSinceMs !== undefined &&
       performance.now() - stoppingSinceMs >
         REFUSE_NEW_SHARE * settings.drainTimeoutMs,
-    onPeerState: notePeer,
     onResult: (result) => observer.onResult(result),
   });
   const callerServer = createServer({
