Run work of other daemons in the first part of a stop

While all daemons restarted in turn, each upstream was missing for the whole stop.

Change: for the first 0.28 of the drain timeout a stopping daemon takes forwarded requests as before. Its own callers are served by its own upstream until new requests are refused, at 0.45 of the timeout.

--- a/packages/sidecar/src/drain.ts
+++ b/packages/sidecar/src/drain.ts
@@ -9,6 +9,17 @@
 /** Time before the kill at which the process ends, whatever is in flight. */
 const STOP_MARGIN_MS = 400;
 
+/**
+ * Share of the drain timeout in which a stopping daemon still takes work of
+ * other daemons: its upstream goes on running, and while all daemons restart in
+ * turn it would else be missing for 4 to 7 s each time. Ends well before
+ * `STOP_MIN_MS`, so that other daemons have closed their connections by then.
+ */
+const TAKE_WORK_SHARE = 0.28;
+
+/** Share of the drain timeout after which callers' new requests are refused. */
+const REFUSE_NEW_SHARE = 0.45;
+
 /** How often a stopping daemon looks for requests in flight. */
 const STOP_CHECK_MS = 50;
 
@@ -35,3 +46,29 @@
     await sleep(STOP_CHECK_MS);
   }
 }
+
+/** What a stopping daemon still does. */
+export interface StopPhase {
+  /** Whether it takes requests of other daemons for its upstream. */
+  readonly takesForwarded: boolean;
+  /** Whether it takes new requests of its own callers. */
+  readonly takesNew: boolean;
+}
+
+/** Time after the stop signal at which new requests are refused. */
+export function refuseNewAfterMs(drainTimeoutMs: number): number {
+  return Math.floor(REFUSE_NEW_SHARE * drainTimeoutMs);
+}
+
+/** Decides what a daemon does a while after its stop signal. */
+export function decideStopPhase(
+  { stoppingForMs, drainTimeoutMs }: {
+    readonly stoppingForMs: number;
+    readonly drainTimeoutMs: number;
+  },
+): StopPhase {
+  return {
+    takesForwarded: stoppingForMs < TAKE_WORK_SHARE * drainTimeoutMs,
+    takesNew: stoppingForMs < refuseNewAfterMs(drainTimeoutMs),
+  };
+}
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -19,7 +19,12 @@
   peerAddresses,
   readersBefore,
 } from "./daemon_addresses.ts";
-import { whenDrained } from "./drain.ts";
+import {
+  decideStopPhase,
+  refuseNewAfterMs,
+  type StopPhase,
+  whenDrained,
+} from "./drain.ts";
 import type { ForwardTicket, OwnerState } from "./forwarding.ts";
 import { type HttpListener, listenHttp } from "./http_listener.ts";
 import { createObserver } from "./observer.ts";
@@ -54,9 +59,6 @@
 /** Time for the last answers to leave before their connections are closed. */
 const STOP_FLUSH_MS = 100;
 
-/** Share of the drain timeout after which new requests are refused. */
-const REFUSE_NEW_SHARE = 0.45;
-
 /** Options of `startSidecar`. */
 export interface StartSidecarOptions {
   readonly settings: SidecarSettings;
@@ -121,6 +123,7 @@
   });
   let stoppingSinceMs: number | undefined;
   let ownUpstreamId: string | undefined;
+  let isOwnDraining = false;
 
   const ownerState = (): OwnerState => ({
     load: owner.load(),
@@ -128,6 +131,13 @@
     revision: catalog.changeRevision,
   });
   const isStopping = () => stoppingSinceMs !== undefined;
+  const stopPhase = (): StopPhase =>
+    decideStopPhase({
+      stoppingForMs: stoppingSinceMs === undefined
+        ? 0
+        : performance.now() - stoppingSinceMs,
+      drainTimeoutMs: settings.drainTimeoutMs,
+    });
   const notePeer = (peer: Endpoint, state: OwnerState) =>
     void sync.notePeer(`${peer.address}:${peer.port}`, state);
 
@@ -136,22 +146,30 @@
     if (event.kind === "upstream_taken" && isOwn(event.entry)) {
       owner.setSlots(event.entry.slots);
       ownUpstreamId = event.entry.id;
-      owner.setLeaving(isStopping() || event.entry.state === "draining");
+      isOwnDraining = event.entry.state === "draining";
+      applyLeaving();
     }
     if (event.kind === "upstream_removed") {
-      // What waits for an upstream that has left would reach it too late.
-      if (event.id === ownUpstreamId) owner.setLeaving(true);
+      if (event.id === ownUpstreamId) {
+        isOwnDraining = true;
+        applyLeaving();
+      }
       reports.retain((id) => catalog.upstreams.has(id));
     }
   }
 
+  /** What waits for an upstream that leaves, or late in a stop, would be run too late. */
+  function applyLeaving(): void {
+    owner.setLeaving(isOwnDraining || !stopPhase().takesNew);
+  }
+
   function isOwn(entry: Endpoint): boolean {
     return entry.address === settings.upstream.address &&
       entry.port === settings.upstream.port;
   }
 
   function admits(ticket: ForwardTicket): boolean {
-    if (isStopping()) return false;
+    if (!stopPhase().takesForwarded) return false;
     return catalog.upstreams.get(ticket.upstreamId)?.entry.state !== "draining";
   }
 
@@ -183,10 +201,7 @@
     shares: new TargetShares(),
     budgets,
     isStopping,
-    refusesNew: () =>
-      stoppingSinceMs !== undefined &&
-      performance.now() - stoppingSinceMs >
-        REFUSE_NEW_SHARE * settings.drainTimeoutMs,
+    refusesNew: () => !stopPhase().takesNew,
     onResult: (result) => observer.onResult(result),
   });
   const callerServer = createServer({
@@ -228,7 +243,7 @@
           catalog.revision > 0 && sync.lostAtMs === undefined && !isStopping(),
         state: ownerState,
         admits,
-        isStopping,
+        isLeaving: () => !stopPhase().takesForwarded,
         maxBodyBytes: () => PEER_MAX_BODY_BYTES,
         onForwarded: (result) => observer.onForwarded(result),
       }),
@@ -306,11 +321,16 @@
 
   async function close(): Promise<void> {
     stoppingSinceMs = performance.now();
-    owner.setLeaving(true);
+    const { drainTimeoutMs } = settings;
+    const refuseNew = setTimeout(
+      applyLeaving,
+      refuseNewAfterMs(drainTimeoutMs),
+    );
     await whenDrained({
-      drainTimeoutMs: settings.drainTimeoutMs,
+      drainTimeoutMs,
       isBusy: () => callers.inFlight > 0 || owner.running > 0,
     });
+    clearTimeout(refuseNew);
     owner.close();
     callers.cutAll();
     await new Promise((resolve) => setTimeout(resolve, STOP_FLUSH_MS));
