Count requests in flight by their connection, and close it after the last

Cause: when an answer closed a connection, Node told the responses behind it nothing. While a daemon stopped, it also put "Connection: close" on the first answer of a pipeline, which lost the answers to requests at work behind it.

Change: CallerConnections keeps the requests of each connection and takes the end from the socket. A stopping daemon closes a connection with the answer to its newest request; what arrives behind that is not read.

Ruled out: a wait for long answers.

--- /dev/null
+++ b/packages/sidecar/src/caller_connections.ts
@@ -0,0 +1,79 @@
+import type { Socket } from "node:net";
+import type { CallerRequest } from "./caller_request.ts";
+
+interface CallerConnection {
+  /** Requests whose answers have not left, in the order of their arrival. */
+  readonly pending: Set<CallerRequest>;
+  /** Whether an answer that closes the connection has been given. */
+  isClosing: boolean;
+}
+
+/**
+ * Requests in flight by the connection that they came on. Node tells a response
+ * nothing of the end of its connection while responses to earlier requests of
+ * the connection are unsent, so the end is taken from the socket.
+ */
+export class CallerConnections {
+  readonly #connections = new Map<Socket, CallerConnection>();
+  #inFlight = 0;
+
+  /** Requests whose answers have not left. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Requests in flight on all connections. */
+  *[Symbol.iterator](): IterableIterator<CallerRequest> {
+    for (const { pending } of this.#connections.values()) yield* pending;
+  }
+
+  /** Adds a request; its run is cancelled if its connection ends before the answer has left. */
+  add(caller: CallerRequest): void {
+    const connection = this.#of(caller.request.socket);
+    connection.pending.add(caller);
+    this.#inFlight += 1;
+    caller.response.once("finish", () => this.#settle(connection, caller));
+    caller.response.once("close", () => this.#settle(connection, caller));
+  }
+
+  /** Whether a request arrived behind an answer that closes its connection: its own could never leave. */
+  isBehindClose(socket: Socket): boolean {
+    return this.#connections.get(socket)?.isClosing ?? false;
+  }
+
+  /**
+   * Closes the connection of a request after its answer, unless requests behind
+   * it are in flight: their answers would be lost.
+   */
+  closeAfter({ request, response }: CallerRequest): void {
+    const connection = this.#connections.get(request.socket);
+    if (connection === undefined) return;
+    const newest = [...connection.pending].at(-1);
+    if (newest?.response !== response) return;
+    connection.isClosing = true;
+    response.shouldKeepAlive = false;
+  }
+
+  #of(socket: Socket): CallerConnection {
+    const known = this.#connections.get(socket);
+    if (known !== undefined) return known;
+    const connection = {
+      pending: new Set<CallerRequest>(),
+      isClosing: false,
+    };
+    this.#connections.set(socket, connection);
+    socket.once("close", () => {
+      this.#connections.delete(socket);
+      for (const caller of connection.pending) this.#settle(connection, caller);
+    });
+    return connection;
+  }
+
+  #settle({ pending }: CallerConnection, caller: CallerRequest): void {
+    if (!pending.delete(caller)) return;
+    this.#inFlight -= 1;
+    if (caller.response.writableFinished) return;
+    caller.isGone = true;
+    caller.cancel?.();
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/caller_connections_test.ts
@@ -0,0 +1,91 @@
+import { createServer } from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import t, { type Test } from "tap";
+import { waitFor } from "@tanagercove/test_helpers";
+import { CallerConnections } from "./caller_connections.ts";
+import type { CallerRequest } from "./caller_request.ts";
+
+async function setUp(t: Test) {
+  const connections = new CallerConnections();
+  const callers: CallerRequest[] = [];
+  const behindClose: string[] = [];
+  const server = createServer((request, response) => {
+    if (connections.isBehindClose(request.socket)) {
+      behindClose.push(request.url!);
+      return;
+    }
+    const caller: CallerRequest = {
+      request,
+      response,
+      requestId: request.url!,
+      startedMs: 0,
+      attempts: [],
+      isGone: false,
+      cancel: undefined,
+    };
+    connections.add(caller);
+    callers.push(caller);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+  let received = "";
+  let isEnded = false;
+  socket.on("data", (chunk) => received += chunk);
+  socket.on("end", () => isEnded = true);
+  t.teardown(() => {
+    socket.destroy();
+    server.close();
+    server.closeAllConnections();
+  });
+  const send = (...paths: readonly string[]) =>
+    socket.write(
+      paths.map((path) => `GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`).join(""),
+    );
+  return {
+    connections,
+    callers,
+    behindClose,
+    socket,
+    send,
+    received: () => received,
+    isEnded: () => isEnded,
+  };
+}
+
+// Guards against a stop that lasts until the kill: answers behind one that had closed its connection
+// never left, and were counted as in flight for ever.
+t.test("should end all requests of a connection with it", async (t) => {
+  const { connections, callers, socket, send } = await setUp(t);
+  send("/1", "/2", "/3");
+  await waitFor(() => callers.length === 3);
+  t.equal(connections.inFlight, 3);
+  let cancelled = 0;
+  for (const caller of callers) caller.cancel = () => cancelled += 1;
+  callers[1]!.response.end("ready, but behind the first");
+  socket.destroy();
+  await waitFor(() => connections.inFlight === 0);
+  t.ok(callers.every(({ isGone }) => isGone));
+  t.equal(cancelled, 3);
+  t.same([...connections], []);
+});
+
+// Guards against the loss of requests at work behind the answer that closes their connection.
+t.test("should close a connection only after the answers to all its requests", async (t) => {
+  const { connections, callers, behindClose, send, received, isEnded } =
+    await setUp(t);
+  send("/1", "/2");
+  await waitFor(() => callers.length === 2);
+  connections.closeAfter(callers[1]!);
+  callers[1]!.response.end("two");
+  send("/3");
+  await waitFor(() => behindClose.length === 1);
+  connections.closeAfter(callers[0]!);
+  callers[0]!.response.end("one");
+  await waitFor(isEnded);
+  const answers = received().split("HTTP/1.1 200").slice(1);
+  t.equal(answers.length, 2);
+  t.match(answers[0], /keep-alive[\s\S]*one/);
+  t.match(answers[1], /close[\s\S]*two/);
+  t.notOk(callers.some(({ isGone }) => isGone), "both answers have left");
+  await waitFor(() => connections.inFlight === 0);
+});
--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -3,6 +3,7 @@
 import type { Catalog } from "@tanagercove/catalog";
 import type { ServiceBudgets } from "@tanagercove/retries";
 import { matchRoute, type TargetShares } from "@tanagercove/routing";
+import { CallerConnections } from "./caller_connections.ts";
 import type {
   CallerRequest,
   CallerResult,
@@ -57,12 +58,14 @@
   const { names, catalog, serve } = options;
   const own = ownFields(names);
   const waits = new CallerWaits();
-  const active = new Set<CallerRequest>();
+  const connections = new CallerConnections();
 
   async function handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    // The caller sends it again on a new connection.
+    if (connections.isBehindClose(request.socket)) return;
     const requestId = request.headers[names.requestId];
     const caller: CallerRequest = {
       request,
@@ -73,18 +76,13 @@
       isGone: false,
       cancel: undefined,
     };
-    active.add(caller);
-    response.on("close", () => {
-      active.delete(caller);
-      if (response.writableFinished) return;
-      caller.isGone = true;
-      caller.cancel?.();
-    });
+    connections.add(caller);
     const index = catalog.index;
     const limits = index?.configuration.limits;
     const body = await readBody(request, limits?.maxBodyBytes ?? 1_048_576);
+    if (caller.isGone) return finish(caller, "gone", 0);
     if (body.isErr) {
-      if (body.error === "gone") return;
+      if (body.error === "gone") return finish(caller, "gone", 0);
       return refuse(caller, "body_too_large");
     }
     if (caller.requestId === "") {
@@ -127,7 +125,7 @@
     { status, headers, body }: OwnedAnswer,
   ): void {
     const { response } = routed;
-    if (options.isStopping()) response.shouldKeepAlive = false;
+    if (options.isStopping()) connections.closeAfter(routed);
     response.sendDate = false;
     const length = status === 204 || status === 304
       ? []
@@ -145,7 +143,7 @@
     const { request, response } = caller;
     const { status, message } = REFUSALS[reason];
     if (options.isStopping() || !request.complete) {
-      response.shouldKeepAlive = false;
+      connections.closeAfter(caller);
     }
     const body = JSON.stringify({ error: reason, message });
     const fields = [
@@ -190,10 +188,10 @@
   return {
     handle: (request, response) => void handle(request, response),
     get inFlight() {
-      return active.size;
+      return connections.inFlight;
     },
     cutAll() {
-      for (const caller of active) caller.cancel?.();
+      for (const caller of connections) caller.cancel?.();
     },
   };
 }
