Use the current id of an upstream that is back before its entry

Cause: after a loss of power, upstreams are back with new ids about 3 s before their entries are written.

Change: when its upstream refuses a request as meant for another, the daemon beside it asks the health path for the id, at most every 200 ms, and gives requests of the same service the current id. Only this daemon can reach the upstream, and the settings name its service. An id that the catalog lists as leaving or as of another service is not used, and none while the daemon stops: the address may have been given away. The entry of a former start no longer overrides that of the present one in the daemon beside it.

Ruled out: sending without an id, since a reused address could then run the request at another service.

--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -405,6 +405,13 @@
     meaning: "A value of the platform cannot be read; it names nothing to use",
     action: "mend the value at its writer",
   },
+  upstream_id_learnt: {
+    level: "info",
+    fields: { former_upstream_id: "text", upstream_id: "text" },
+    meaning:
+      "The upstream of this VM has started again under another id, and its entry is not known yet",
+    action: NOTHING,
+  },
   upstream_avoided: {
     level: "warn",
     fields: {
--- a/packages/sidecar/src/observer.ts
+++ b/packages/sidecar/src/observer.ts
@@ -10,6 +10,7 @@
 import type { UpstreamEjection } from "@tanagercove/placement";
 import type { CallerResult } from "./caller_request.ts";
 import type { ForwardedResult } from "./peer_server.ts";
+import type { LearntIdentity } from "./upstream_identity.ts";
 
 /** Lines on requests in a second; at most as many again come from the owner's side. */
 const REQUEST_LINES_PER_SECOND = 100;
@@ -22,6 +23,7 @@
   onCatalog(event: CatalogEvent): void;
   onSync(event: CatalogSyncEvent): void;
   onEjected(ejection: UpstreamEjection): void;
+  onIdentityLearnt(learnt: LearntIdentity): void;
   onResult(result: CallerResult): void;
   onForwarded(result: ForwardedResult): void;
 }
@@ -76,6 +78,14 @@
         unlogged_changes,
       }));
     },
+    onIdentityLearnt({ formerId, id }) {
+      metrics.counter("upstream_ids_learnt").add();
+      logEvent(log, {
+        event: "upstream_id_learnt",
+        former_upstream_id: formerId,
+        upstream_id: id,
+      });
+    },
     onResult(result) {
       metrics.counter("requests", { outcome: result.outcome }).add();
       metrics.counter("attempts").add(result.attempts.length);
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -12,6 +12,7 @@
 import { RouteTimes } from "./route_times.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 import { judgeUpstreamAnswer } from "./upstream_answer.ts";
+import type { UpstreamIdentity } from "./upstream_identity.ts";
 
 /** A request for this VM's upstream. */
 export interface OwnedRequest {
@@ -51,6 +52,7 @@
   readonly agents: ConnectionAgents;
   readonly names: RequestHeaderNames;
   readonly maxAnswerBytes: number;
+  readonly identity: UpstreamIdentity;
 }
 
 /** Runs requests on the upstream of this VM. */
@@ -116,7 +118,11 @@
         localAddress: options.localAddress,
         method: request.method,
         path: request.path,
-        headers: requestHeaders(request, { names: options.names, timeLeftMs }),
+        headers: requestHeaders(request, {
+          names: options.names,
+          timeLeftMs,
+          upstreamId: options.identity.idFor(ticket),
+        }),
         body: request.body,
         timeoutMs: timeLeftMs + UPSTREAM_GRACE_MS,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -168,6 +174,9 @@
       names: options.names,
     });
     if (verdict.kind === "not_run") {
+      if (verdict.reason === "upstream_changed") {
+        void options.identity.noteRefused(request.ticket.upstreamId);
+      }
       return refused(verdict.reason, ranked, verdict.reachedUpstream);
     }
     if (verdict.kind === "unknown") {
--- a/packages/sidecar/src/passed_headers.ts
+++ b/packages/sidecar/src/passed_headers.ts
@@ -35,19 +35,21 @@
 export interface RequestHeadersOptions {
   readonly names: RequestHeaderNames;
   readonly timeLeftMs: number;
+  /** Id that the upstream must have to run the request. */
+  readonly upstreamId: string;
 }
 
 /** Fields of a request to an upstream. */
 export function requestHeaders(
   { ticket, headers, method, body }: OwnedRequest,
-  { names, timeLeftMs }: RequestHeadersOptions,
+  { names, timeLeftMs, upstreamId }: RequestHeadersOptions,
 ): string[] {
   return [
     ...headers,
     names.timeLeftMs,
     String(Math.max(1, Math.floor(timeLeftMs))),
     names.upstreamId,
-    ticket.upstreamId,
+    upstreamId,
     names.callerService,
     ticket.callerService,
     ...lengthField(method, body),
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -11,7 +11,8 @@
 import { UpstreamReports } from "@tanagercove/placement";
 import { ServiceBudgets } from "@tanagercove/retries";
 import { TargetShares } from "@tanagercove/routing";
-import type { Endpoint } from "@tanagercove/types";
+import type { Endpoint, UpstreamEntry } from "@tanagercove/types";
+import { askUpstreamId } from "./ask_upstream_id.ts";
 import { createCallerHandler } from "./caller_handler.ts";
 import { ConnectionAgents } from "./connection_agent.ts";
 import {
@@ -34,6 +35,7 @@
 import { startPeerServer } from "./peer_server.ts";
 import { createRequestServer } from "./serve_request.ts";
 import type { RequestHeaderNames, SidecarSettings } from "./settings.ts";
+import { UpstreamIdentity } from "./upstream_identity.ts";
 
 /** Idle connections are closed before either end may have dropped them. */
 const PEER_IDLE_MS = 8_000;
@@ -105,12 +107,19 @@
     localAddress: settings.address,
     maxAnswerBytes: MAX_ANSWER_BYTES,
   });
+  const identity = new UpstreamIdentity({
+    service: settings.service,
+    askId: askOwnUpstream,
+    isUsable: isOwnServiceId,
+    onLearnt: (learnt) => observer.onIdentityLearnt(learnt),
+  });
   const owner = createOwner({
     upstream: settings.upstream,
     localAddress: settings.address,
     agents: upstreamAgents,
     names,
     maxAnswerBytes: MAX_ANSWER_BYTES,
+    identity,
   });
   const sync = new CatalogSync({
     catalog,
@@ -122,8 +131,8 @@
     onEvent: (event) => observer.onSync(event),
   });
   let stoppingSinceMs: number | undefined;
-  let ownUpstreamId: string | undefined;
-  let isOwnDraining = false;
+  let ownEntry: UpstreamEntry | undefined;
+  let isOwnLeaving = false;
 
   const ownerState = (): OwnerState => ({
     load: owner.load(),
@@ -144,14 +153,17 @@
   function onCatalogEvent(event: CatalogEvent): void {
     if (event.kind === "configuration_taken") return applyLimits();
     if (event.kind === "upstream_taken" && isOwn(event.entry)) {
-      owner.setSlots(event.entry.slots);
-      ownUpstreamId = event.entry.id;
-      isOwnDraining = event.entry.state === "draining";
+      const { entry } = event;
+      // The entry of a former start may be listed after that of the present one.
+      if ((entry.bornMs ?? 0) < (ownEntry?.bornMs ?? 0)) return;
+      ownEntry = entry;
+      owner.setSlots(entry.slots);
+      isOwnLeaving = entry.state === "draining";
       applyLeaving();
     }
     if (event.kind === "upstream_removed") {
-      if (event.id === ownUpstreamId) {
-        isOwnDraining = true;
+      if (event.id === ownEntry?.id) {
+        isOwnLeaving = true;
         applyLeaving();
       }
       reports.retain((id) => catalog.upstreams.has(id));
@@ -160,7 +172,28 @@
 
   /** What waits for an upstream that leaves, or late in a stop, would be run too late. */
   function applyLeaving(): void {
-    owner.setLeaving(isOwnDraining || !stopPhase().takesNew);
+    owner.setLeaving(isOwnLeaving || !stopPhase().takesNew);
+  }
+
+  function askOwnUpstream(): Promise<string | undefined> {
+    const definition = catalog.index?.configuration.services
+      .find(({ name }) => name === settings.service);
+    if (definition === undefined) return Promise.resolve(undefined);
+    return askUpstreamId({
+      agent: upstreamAgents.of("idempotent"),
+      upstream: settings.upstream,
+      localAddress: settings.address,
+      healthPath: definition.healthPath,
+      idHeader: names.answeringUpstreamId,
+    });
+  }
+
+  /** While this daemon stops, another upstream may have been given the address. */
+  function isOwnServiceId(id: string): boolean {
+    if (isStopping()) return false;
+    const entry = catalog.upstreams.get(id)?.entry;
+    return entry === undefined ||
+      entry.service === settings.service && entry.state === "ready";
   }
 
   function isOwn(entry: Endpoint): boolean {
