Tell a caller of missing room before upstreams that are leaving

Change: a refusal for lack of room stays the reason of a request when the attempts after it find upstreams that are leaving or out of reach. The new test fails before the change. The status is 503 as before; the Retry-After is that of the upstream without room.

--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -112,14 +112,13 @@
       if (step.kind === "deliver") {
         return { kind: "answered", answer: answer! };
       }
-      if (step.kind === "refuse") {
-        reason = step.reason;
-        break;
-      }
-      // An upstream without room says more than others that are leaving or gone.
-      if (verdict.kind === "not_run" && reason !== "busy") {
-        reason = notRunReason(verdict);
-      }
+      const latest = step.kind === "refuse"
+        ? step.reason
+        : verdict.kind === "not_run"
+        ? notRunReason(verdict)
+        : reason;
+      reason = moreTelling(reason, latest);
+      if (step.kind === "refuse") break;
     }
     if (fallback !== undefined) return { kind: "answered", answer: fallback };
     if (mayHaveRun && REFUSALS[reason].status === 503) reason = "cut";
@@ -287,6 +286,15 @@
   return serve;
 }
 
+/** An upstream without room says more than others that are leaving or gone. */
+function moreTelling(
+  reason: RefusalReason,
+  latest: RefusalReason,
+): RefusalReason {
+  const isGone = latest === "no_upstream" || latest === "unreachable";
+  return reason === "busy" && isGone ? reason : latest;
+}
+
 function placementResult(
   { verdict, answer, state }: ForwardResult,
   isSilent: boolean,
--- a/packages/sidecar/src/serve_request_test.ts
+++ b/packages/sidecar/src/serve_request_test.ts
@@ -3,6 +3,7 @@
 import t from "tap";
 import { Catalog } from "@tanagercove/catalog";
 import { UpstreamReports } from "@tanagercove/placement";
+import { waitFor } from "@tanagercove/test_helpers";
 import { ServiceBudgets } from "@tanagercove/retries";
 import type { Route } from "@tanagercove/types";
 import type { RoutedRequest } from "./caller_request.ts";
@@ -186,3 +187,24 @@
   stopping.sent[0]!.answer(ANSWERED);
   t.equal((await kept).kind, "answered");
 });
+
+// Guards against "no upstream" for a request that would have had a place a little later.
+t.test("should tell of missing room before upstreams that are leaving", async (t) => {
+  const { serve, sent } = setUp();
+  const served = serve(routed());
+  const refused = (reason: "busy" | "leaving"): ForwardResult => ({
+    verdict: {
+      kind: "not_run",
+      reason,
+      reachedUpstream: false,
+      retryAfterMs: reason === "busy" ? 700 : 0,
+    },
+    answer: undefined,
+    state: undefined,
+  });
+  sent[0]!.answer(refused("busy"));
+  await waitFor(() => sent.length === 2);
+  sent[1]!.answer(refused("leaving"));
+  const told = { kind: "refused", reason: "busy", retryAfterMs: 700 };
+  t.same(await served, told);
+});
