--- a/packages/sidecar/src/serve_request_test.ts
+++ b/packages/sidecar/src/serve_request_test.ts
@@ -208,3 +208,30 @@
   const told = { kind: "refused", reason: "busy", retryAfterMs: 700 };
   t.same(await served, told);
 });
+
+// Guards against refusals in a large service, where the first few upstreams asked are full by chance.
+t.test("should ask several upstreams for room, and not all of a large service", async (t) => {
+  const { serve, sent } = setUp({ upstreams: 30 });
+  const busy: ForwardResult = {
+    verdict: {
+      kind: "not_run",
+      reason: "busy",
+      reachedUpstream: false,
+      retryAfterMs: 100,
+    },
+    answer: undefined,
+    state: undefined,
+  };
+  for (const [asked, last] of [[6, ANSWERED], [8, busy]] as const) {
+    const first = sent.length;
+    const served = serve(routed());
+    for (let hop = 1; hop <= asked; hop += 1) {
+      await waitFor(() => sent.length === first + hop);
+      sent.at(-1)!.answer(hop === asked ? last : busy);
+    }
+    const kind = last === ANSWERED ? "answered" : "refused";
+    t.equal((await served).kind, kind);
+    const addresses = sent.slice(first).map(({ address }) => address);
+    t.equal(new Set(addresses).size, asked, "each is asked once");
+  }
+});
