--- a/packages/sidecar/src/decide_next_step.ts
+++ b/packages/sidecar/src/decide_next_step.ts
@@ -14,8 +14,8 @@
   readonly timeLeftMs: number;
   /** Time that another upstream is expected to take. */
   readonly neededMs: number;
-  /** Upstreams that have not been tried. */
-  readonly untried: number;
+  /** Whether an upstream that has not been tried is worth asking. */
+  readonly hasUntried: () => boolean;
   /** Takes a token for a repeat; asked last, so that none is taken in vain. */
   readonly takeToken: () => boolean;
 }
@@ -50,13 +50,11 @@
     return last;
   }
   if (verdict.kind !== "not_run" && requestClass !== "idempotent") return last;
-  if (
-    options.untried === 0 ||
-    verdict.kind !== "answered" && verdict.reason === "cancelled"
-  ) {
+  if (verdict.kind !== "answered" && verdict.reason === "cancelled") {
     return last;
   }
   if (options.timeLeftMs < options.neededMs / 2) return last;
+  if (!options.hasUntried()) return last;
   const wasReached = verdict.kind !== "not_run" || verdict.reachedUpstream;
   if (!wasReached) return { kind: "try_another" };
   if (options.upstreamsReached >= options.maxAttempts) return last;
--- a/packages/sidecar/src/decisions_test.ts
+++ b/packages/sidecar/src/decisions_test.ts
@@ -79,7 +79,7 @@
     maxAttempts: 2,
     timeLeftMs: 1_000,
     neededMs: 100,
-    untried: 1,
+    hasUntried: () => true,
     takeToken: () => true,
     ...options,
   });
@@ -129,7 +129,7 @@
 t.test("should stop at the attempts of the route, without time, or with no other upstream", (t) => {
   t.equal(next({ upstreamsReached: 2 }), "cut");
   t.equal(next({ timeLeftMs: 40 }), "cut");
-  t.equal(next({ untried: 0 }), "cut");
+  t.equal(next({ hasUntried: () => false }), "cut");
   const verdict: OwnerVerdict = { kind: "unknown", reason: "cancelled" };
   t.equal(next({ verdict }), "cut");
   t.end();
--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -152,7 +152,6 @@
       readonly progress: Progress;
     },
   ): NextStep {
-    const others = candidatesOf(routed, progress);
     const wasReached = verdict.kind !== "not_run" || verdict.reachedUpstream;
     return decideNextStep({
       verdict,
@@ -162,9 +161,12 @@
       maxAttempts: routed.route.maxAttempts,
       timeLeftMs: routed.endAtMs - performance.now(),
       neededMs: chosen.serviceMs,
-      untried: verdict.kind === "not_run" && verdict.reason === "busy"
-        ? others.filter((other) => mayHaveRoom(routed, other)).length
-        : others.length,
+      hasUntried() {
+        const others = candidatesOf(routed, progress);
+        return verdict.kind === "not_run" && verdict.reason === "busy"
+          ? others.some((other) => mayHaveRoom(routed, other))
+          : others.length > 0;
+      },
       takeToken: () => options.budgets.tryTake(routed.service),
     });
   }
