Gather changes for 100 ms before followers are answered

A reader answers each of its 27 followers for every single change of a release or series of versions.

Change: a waiting follower is answered 100 ms after the first change, with all changes since, and at once if contact to the platform is lost.

The test fails before the change.

--- a/packages/catalog/src/catalog_feed.ts
+++ b/packages/catalog/src/catalog_feed.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Catalog } from "./catalog.ts";
 import {
   type ConfigurationDelta,
@@ -39,6 +40,14 @@
   readonly isInContact: () => boolean;
 }
 
+/**
+ * Time in which changes are gathered into one answer. Where 27 followers wait
+ * on a reader with a quarter of a core, an answer to each for every change of a
+ * release or a series of versions would take all of it. A twentieth of the 2 s
+ * in which a change must be in force.
+ */
+const GATHER_MS = 100;
+
 /**
  * Routes in one answer. More would fill the link of a small VM when all
  * followers ask at once; they read the platform instead.
@@ -55,6 +64,7 @@
     question.version >= catalog.version;
   if (isCurrent() && isInContact()) {
     await catalog.whenChanged(question.waitMs);
+    if (!isCurrent() && isInContact()) await sleep(GATHER_MS);
   }
   const logged = question.feedId === feedId
     ? catalog.changesSince(question.position)
--- a/packages/catalog/src/catalog_test.ts
+++ b/packages/catalog/src/catalog_test.ts
@@ -201,6 +201,22 @@
   t.equal((await answer).changes.length, 1);
 });
 
+// Guards against a reader that spends its core on answers while many upstreams change one after the other.
+t.test("should gather changes that follow each other into one answer", async (t) => {
+  const catalog = new Catalog();
+  const answer = answerFeed({
+    catalog,
+    feedId: "f",
+    question: { version: 0, feedId: "f", position: 0, waitMs: 60_000 },
+    isInContact: () => true,
+  });
+  for (const revision of [1, 2, 3]) {
+    catalog.apply([upstream(`u${revision}`, revision)]);
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  t.equal((await answer).changes.length, 3);
+});
+
 // A reader whose store had gone silent kept its followers waiting past the
 // time in which a version must be in force.
 t.test("should tell a waiting follower at once that contact to the platform is lost", async (t) => {
