Report the transfers of routes and upstreams

On fleets with narrow links, daemons log that the platform is lost and say nothing of what they asked for, how much of it arrived and how fast. So a response that is too large for the link, a store that does not answer and a connection that has gone silent look the same.

Each fetch from the store or from another daemon now ends in one report with source, content, outcome, bytes and times. Incomplete and missing responses and those of 16 KB or more are logged as catalog_transfer_ended; all are counted.

--- a/packages/catalog/src/catalog_sync.ts
+++ b/packages/catalog/src/catalog_sync.ts
@@ -3,6 +3,7 @@
 import type { PlatformError } from "@tanagercove/errors";
 import type { Catalog } from "./catalog.ts";
 import type { FeedRequest, FeedResponse } from "./catalog_feed.ts";
+import type { CatalogTransfer } from "./catalog_transfer.ts";
 import { applyConfigurationDelta } from "./configuration_delta.ts";
 import type { CatalogSource, CatalogUpdate } from "./source_port.ts";
 
@@ -46,6 +47,8 @@
   /** Daemons of the same zone that precede this one in the ranking of readers of the platform, in that order. */
   readonly higherRankedReaders: () => readonly string[];
   readonly onEvent: (event: CatalogSyncEvent) => void;
+  /** Called at the end of each response of the platform. */
+  readonly onTransfer?: (transfer: CatalogTransfer) => void;
   /** Timeout of a watch without changes, after which it is renewed. */
   readonly watchWaitMs?: number;
 }
@@ -232,7 +235,8 @@
   }
 
   async #readAll(): Promise<"ok" | "failed"> {
-    const result = await this.#options.source.readAll();
+    const { source, onTransfer } = this.#options;
+    const result = await source.readAll({ onTransfer });
     if (result.isErr) return this.#recordFailure(result.error);
     this.#recordContact();
     this.#options.catalog.replace(result.value, this.#removalOptions());
@@ -248,6 +252,7 @@
       afterRevision: catalog.revision,
       waitMs: this.#options.watchWaitMs ?? WATCH_WAIT_MS,
       signal,
+      onTransfer: this.#options.onTransfer,
     });
     if (signal.aborted) return "ok";
     if (result.isErr) {
--- a/packages/catalog/src/source_port.ts
+++ b/packages/catalog/src/source_port.ts
@@ -1,6 +1,7 @@
 import type { Result } from "true-myth";
 import type { PlatformError } from "@tanagercove/errors";
 import type { RouteConfiguration, UpstreamEntry } from "@tanagercove/types";
+import type { CatalogTransfer } from "./catalog_transfer.ts";
 
 /** A change of the routes or upstreams that the platform publishes. */
 export type CatalogChange =
@@ -35,8 +36,14 @@
   readonly changes: readonly CatalogChange[];
 }
 
+/** Options of `CatalogSource.readAll`. */
+export interface ReadCatalogOptions {
+  /** Called at the end of each response that the read needs. */
+  readonly onTransfer?: (transfer: CatalogTransfer) => void;
+}
+
 /** Options of `CatalogSource.watch`. */
-export interface WatchCatalogOptions {
+export interface WatchCatalogOptions extends ReadCatalogOptions {
   readonly afterRevision: number;
   /** Timeout of a watch without changes. */
   readonly waitMs: number;
@@ -47,7 +54,9 @@
 /** Read-only access to the routes and upstreams that the platform publishes. */
 export interface CatalogSource {
   /** Reads all entries; an entry that is missing from the result does not exist. */
-  readAll(): Promise<Result<CatalogUpdate, PlatformError>>;
+  readAll(
+    options?: ReadCatalogOptions,
+  ): Promise<Result<CatalogUpdate, PlatformError>>;
   /** Waits for changes after a revision. */
   watch(
     options: WatchCatalogOptions,
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -366,6 +366,21 @@
     meaning: "This daemon took a newer state from another daemon",
     action: NOTHING,
   },
+  catalog_transfer_ended: {
+    level: "info",
+    fields: {
+      source: "text",
+      content: "text",
+      outcome: "text",
+      size_bytes: "number",
+      head_ms: "optional_number",
+      duration_ms: "number",
+    },
+    meaning:
+      "A response with routes or upstreams was incomplete or missing, or had 16 KB or more. `outcome` is `complete`, `no_response` or `incomplete`; `size_bytes` counts what arrived; the time after `head_ms` is the transfer itself",
+    action:
+      "if transfers stay incomplete, compare `size_bytes` per time with the bandwidth of the VM's link",
+  },
   configuration_taken: {
     level: "info",
     fields: { configuration_version: "number", routes: "number" },
--- a/packages/sidecar/src/observer.ts
+++ b/packages/sidecar/src/observer.ts
@@ -1,4 +1,8 @@
-import type { CatalogEvent, CatalogSyncEvent } from "@tanagercove/catalog";
+import type {
+  CatalogEvent,
+  CatalogSyncEvent,
+  CatalogTransfer,
+} from "@tanagercove/catalog";
 import { formatPlatformError } from "@tanagercove/errors";
 import {
   LineLimit,
@@ -21,10 +25,14 @@
  */
 const CHANGE_LINES_PER_TEN_SECONDS = 100;
 
+/** Complete transfers of less than this are counted and not logged. */
+const LOGGED_TRANSFER_BYTES = 16 * 1024;
+
 /** Logs and counts the decisions of a sidecar. */
 export interface SidecarObserver {
   onCatalog(event: CatalogEvent): void;
   onSync(event: CatalogSyncEvent): void;
+  onTransfer(transfer: CatalogTransfer): void;
   onEjected(ejection: UpstreamEjection): void;
   onIdentityLearnt(learnt: LearntIdentity): void;
   onResult(result: CallerResult): void;
@@ -78,6 +86,21 @@
       metrics.counter("platform_events", { kind: event.kind }).add();
       SYNC_EVENT_LOGGERS[event.kind](event as never, { log, catalogRevision });
     },
+    onTransfer(transfer) {
+      const { source, content, outcome, sizeBytes } = transfer;
+      metrics.counter("catalog_transfers", { content, outcome }).add();
+      metrics.counter("catalog_transfer_bytes", { content }).add(sizeBytes);
+      if (outcome === "complete" && sizeBytes < LOGGED_TRANSFER_BYTES) return;
+      logEvent(log, {
+        event: "catalog_transfer_ended",
+        source,
+        content,
+        outcome,
+        size_bytes: sizeBytes,
+        head_ms: transfer.headMs && Math.round(transfer.headMs),
+        duration_ms: Math.round(transfer.durationMs),
+      });
+    },
     onEjected({ id, failures, lengthMs }) {
       metrics.counter("upstreams_avoided").add();
       logChange((unlogged_changes) => ({
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -1,9 +1,11 @@
 import type { ConnectionAgents } from "./connection_agent.ts";
 import type {
+  CatalogTransfer,
   CatalogUpdate,
   FeedRequest,
   FeedResponse,
 } from "@tanagercove/catalog";
+import { fetchBody } from "@tanagercove/transfers";
 import type { Endpoint } from "@tanagercove/types";
 import { type Exchange, type ExchangeEnd, startExchange } from "./exchange.ts";
 import {
@@ -63,6 +65,8 @@
   readonly agents: ConnectionAgents;
   readonly localAddress: string;
   readonly maxAnswerBytes: number;
+  /** Called at the end of each response of another daemon with routes or upstreams. */
+  readonly onTransfer?: (transfer: CatalogTransfer) => void;
 }
 
 /** Options of `PeerClient.forward`. */
@@ -88,7 +92,7 @@
 
 /** Creates the client for calls to other daemons. */
 export function createPeerClient(
-  { agents, localAddress, maxAnswerBytes }: CreatePeerClientOptions,
+  { agents, localAddress, maxAnswerBytes, onTransfer }: CreatePeerClientOptions,
 ): PeerClient {
   return {
     forward({ destination, request, onSilent }) {
@@ -116,12 +120,14 @@
     },
     follow: (destination, { version, feedId, position, waitMs }) =>
       fetchJson<FeedResponse>(destination, {
+        content: "feed",
         path: `${FEED_PATH}?version=${version}&feed_id=${feedId}` +
           `&position=${position}&wait_ms=${waitMs}`,
         timeoutMs: waitMs + FEED_GRACE_MS,
       }),
     readCatalog: (destination, { version, changeRevision }) =>
       fetchJson<CatalogUpdate>(destination, {
+        content: "catalog",
         path:
           `${CATALOG_PATH}?version=${version}&change_revision=${changeRevision}`,
         timeoutMs: CATALOG_TIMEOUT_MS,
@@ -131,23 +137,25 @@
   /** Fetches JSON from a daemon of the same fleet; it runs the same program, so the JSON has the expected type. */
   async function fetchJson<T>(
     destination: Endpoint,
-    { path, timeoutMs }: { readonly path: string; readonly timeoutMs: number },
+    { content, path, timeoutMs }: {
+      readonly content: string;
+      readonly path: string;
+      readonly timeoutMs: number;
+    },
   ): Promise<T | undefined> {
-    const { ended } = startExchange({
+    const source = `${destination.address}:${destination.port}`;
+    const fetched = await fetchBody({
       agent: agents.forClass("idempotent"),
       destination,
       localAddress,
-      method: "GET",
       path,
-      headers: ["host", `${destination.address}:${destination.port}`],
-      body: undefined,
       timeoutMs,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      maxAnswerBytes: MAX_CATALOG_BYTES,
+      maxBytes: MAX_CATALOG_BYTES,
+      onEnd: (stats) => onTransfer?.({ source, content, ...stats }),
     });
-    const end = await ended;
-    if (end.kind !== "answered" || end.status !== 200) return undefined;
-    return JSON.parse(end.body.toString()) as T;
+    if (fetched.isErr || fetched.value.status !== 200) return undefined;
+    return JSON.parse(fetched.value.body.toString()) as T;
   }
 }
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -108,6 +108,7 @@
     onEjected: (ejection) => observer.onEjected(ejection),
   });
   const peers = createPeerClient({
+    onTransfer: (transfer) => observer.onTransfer(transfer),
     agents: peerAgents,
     localAddress: settings.address,
     maxAnswerBytes: MAX_ANSWER_BYTES,
@@ -134,6 +135,7 @@
     peers: () => peerAddresses(catalog, { ...settings, seeds }),
     higherRankedReaders: () => higherRankedReaders(catalog, settings),
     onEvent: (event) => observer.onSync(event),
+    onTransfer: (transfer) => observer.onTransfer(transfer),
   });
   let stoppingSinceMs: number | undefined;
   let ownEntry: UpstreamEntry | undefined;
--- /dev/null
+++ b/packages/transfers/src/fetch_body.ts
@@ -0,0 +1,126 @@
+import { type Agent, get, type IncomingMessage } from "node:http";
+import { Result } from "true-myth";
+import type { Endpoint } from "@tanagercove/types";
+
+/** Options of `fetchBody`. */
+export interface FetchBodyOptions {
+  readonly agent: Agent;
+  readonly destination: Endpoint;
+  /** Source address of a new connection. */
+  readonly localAddress: string;
+  readonly path: string;
+  /** Time within which the whole response must have arrived. */
+  readonly timeoutMs: number;
+  /** Time within which a new connection must be open; `timeoutMs` by default. */
+  readonly connectTimeoutMs?: number;
+  readonly maxBytes: number;
+  /** Aborts the fetch, which then fails as `unreachable`. */
+  readonly signal?: AbortSignal;
+  /** Called once, when the fetch ends. */
+  readonly onEnd?: (stats: FetchStats) => void;
+}
+
+/** How a fetch ended: with the complete response, without the head of one, or with only a part of one. */
+export type FetchOutcome = "complete" | "no_response" | "incomplete";
+
+/** What arrived, and when. */
+export interface FetchStats {
+  readonly outcome: FetchOutcome;
+  /** Bytes of the body that arrived. */
+  readonly sizeBytes: number;
+  /** Time until the head of the response arrived; undefined if it did not. */
+  readonly headMs: number | undefined;
+  readonly durationMs: number;
+}
+
+/** A complete response. */
+export interface FetchedBody {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+/** Why no complete response arrived. */
+export type FetchError =
+  | { readonly kind: "timeout"; readonly timeoutMs: number }
+  | { readonly kind: "unreachable"; readonly message: string }
+  | { readonly kind: "too_large"; readonly maxBytes: number };
+
+/** Sends one GET request and reads the response whole. */
+export function fetchBody(
+  options: FetchBodyOptions,
+): Promise<Result<FetchedBody, FetchError>> {
+  const { timeoutMs, connectTimeoutMs = timeoutMs, maxBytes } = options;
+  const startedMs = performance.now();
+  const elapsedMs = () => performance.now() - startedMs;
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    let headMs: number | undefined;
+    let isSettled = false;
+
+    const request = get({
+      host: options.destination.address,
+      port: options.destination.port,
+      localAddress: options.localAddress,
+      path: options.path,
+      agent: options.agent,
+      signal: options.signal,
+    });
+    const timer = setTimeout(
+      () => fail({ kind: "timeout", timeoutMs }),
+      timeoutMs,
+    );
+    const connectTimer = setTimeout(() => {
+      if (request.socket?.connecting !== false) {
+        fail({ kind: "timeout", timeoutMs: connectTimeoutMs });
+      }
+    }, connectTimeoutMs);
+
+    function settle(result: Result<FetchedBody, FetchError>): void {
+      if (isSettled) return;
+      isSettled = true;
+      clearTimeout(timer);
+      clearTimeout(connectTimer);
+      options.onEnd?.({
+        outcome: result.isOk
+          ? "complete"
+          : headMs === undefined
+          ? "no_response"
+          : "incomplete",
+        sizeBytes,
+        headMs,
+        durationMs: elapsedMs(),
+      });
+      resolve(result);
+    }
+
+    function fail(error: FetchError): void {
+      settle(Result.err(error));
+      request.destroy();
+    }
+
+    function readBody(response: IncomingMessage): void {
+      headMs = elapsedMs();
+      response.on("data", (chunk: Buffer) => {
+        chunks.push(chunk);
+        sizeBytes += chunk.length;
+        if (sizeBytes > maxBytes) fail({ kind: "too_large", maxBytes });
+      });
+      response.on(
+        "error",
+        ({ message }) => fail({ kind: "unreachable", message }),
+      );
+      response.on("end", () =>
+        settle(Result.ok({
+          status: response.statusCode!,
+          body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
+        })));
+    }
+
+    request.on("response", readBody);
+    request.on(
+      "error",
+      ({ message }) => fail({ kind: "unreachable", message }),
+    );
+  });
+}
--- /dev/null
+++ b/packages/transfers/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./fetch_body.ts";
