Give up a transfer when it stops arriving, not when it takes long

Callers on VMs with narrow links got 404 for routes that were in force elsewhere, reached upstreams that had left, and were answered late: their daemon stayed on an old version for up to 25 s.

Cause: each transfer of routes and upstreams had a limit on its whole time (0.8 to 1.5 s). On a link of 3.5 Mbit/s a version of 1,600 routes takes about that long, so it was cut off shortly before its end, thrown away, and requested again at once, from the same or the next source. The links stayed full, which delayed requests too.

A fetch now has a time limit on the head, on the pause between bytes, and a wide one on the whole, so the time of a complete response may follow from its size and the link. Ruled out: an unreachable or slow store; the heads arrived within milliseconds.

--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -28,7 +28,7 @@
  */
 export const FEED_PATH = "/-/tanagercove/feed";
 
-/** Timeout of a follower's long poll, in addition to its wait. */
+/** Time until the response to a follower's long poll must begin, in addition to its wait. */
 const FEED_GRACE_MS = 400;
 
 /** Another VM in the same region accepts a connection within milliseconds; one that takes longer is unreachable. */
@@ -40,8 +40,8 @@
 /** Interval of `onSilent` calls; almost four times `CONFIRM_AFTER_MS`, after which the owner daemon sends an interim answer. */
 const SILENT_INTERVAL_MS = 450;
 
-/** Timeout of one catalog fetch. */
-const CATALOG_TIMEOUT_MS = 800;
+/** Time until the response to a catalog fetch must begin. */
+const CATALOG_HEAD_TIMEOUT_MS = 800;
 
 /** Limit that allows a catalog of thousands of routes and upstreams. */
 const MAX_CATALOG_BYTES = 32 * 1024 * 1024;
@@ -123,24 +123,24 @@
         content: "feed",
         path: `${FEED_PATH}?version=${version}&feed_id=${feedId}` +
           `&position=${position}&wait_ms=${waitMs}`,
-        timeoutMs: waitMs + FEED_GRACE_MS,
+        headTimeoutMs: waitMs + FEED_GRACE_MS,
       }),
     readCatalog: (destination, { version, changeRevision }) =>
       fetchJson<CatalogUpdate>(destination, {
         content: "catalog",
         path:
           `${CATALOG_PATH}?version=${version}&change_revision=${changeRevision}`,
-        timeoutMs: CATALOG_TIMEOUT_MS,
+        headTimeoutMs: CATALOG_HEAD_TIMEOUT_MS,
       }),
   };
 
   /** Fetches JSON from a daemon of the same fleet; it runs the same program, so the JSON has the expected type. */
   async function fetchJson<T>(
     destination: Endpoint,
-    { content, path, timeoutMs }: {
+    { content, path, headTimeoutMs }: {
       readonly content: string;
       readonly path: string;
-      readonly timeoutMs: number;
+      readonly headTimeoutMs: number;
     },
   ): Promise<T | undefined> {
     const source = `${destination.address}:${destination.port}`;
@@ -149,7 +149,7 @@
       destination,
       localAddress,
       path,
-      timeoutMs,
+      headTimeoutMs,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxBytes: MAX_CATALOG_BYTES,
       onEnd: (stats) => onTransfer?.({ source, content, ...stats }),
--- a/packages/transfers/src/fetch_body.ts
+++ b/packages/transfers/src/fetch_body.ts
@@ -2,6 +2,15 @@
 import { Result } from "true-myth";
 import type { Endpoint } from "@tanagercove/types";
 
+/**
+ * Default for `stallTimeoutMs`. A narrow link that is full delays packets by more than half a second; a connection that
+ * has delivered nothing for several times as long has most likely gone silent.
+ */
+const STALL_TIMEOUT_MS = 1_500;
+
+/** Default for `timeoutMs`: 1 MB takes half of this time on a link of 0.5 Mbit/s. */
+const TIMEOUT_MS = 30_000;
+
 /** Options of `fetchBody`. */
 export interface FetchBodyOptions {
   readonly agent: Agent;
@@ -9,10 +18,14 @@
   /** Source address of a new connection. */
   readonly localAddress: string;
   readonly path: string;
-  /** Time within which the whole response must have arrived. */
-  readonly timeoutMs: number;
-  /** Time within which a new connection must be open; `timeoutMs` by default. */
+  /** Time within which the head of the response must have arrived. */
+  readonly headTimeoutMs: number;
+  /** Time within which a new connection must be open; `headTimeoutMs` by default. */
   readonly connectTimeoutMs?: number;
+  /** Longest pause between bytes of the response. */
+  readonly stallTimeoutMs?: number;
+  /** Time within which the whole response must have arrived, however steadily it does. */
+  readonly timeoutMs?: number;
   readonly maxBytes: number;
   /** Aborts the fetch, which then fails as `unreachable`. */
   readonly signal?: AbortSignal;
@@ -45,11 +58,20 @@
   | { readonly kind: "unreachable"; readonly message: string }
   | { readonly kind: "too_large"; readonly maxBytes: number };
 
-/** Sends one GET request and reads the response whole. */
+/**
+ * Sends one GET request and reads the response whole. A response is given up when it stops arriving, not when it takes
+ * long: on a narrow link, the time of a complete response depends on its size.
+ */
 export function fetchBody(
   options: FetchBodyOptions,
 ): Promise<Result<FetchedBody, FetchError>> {
-  const { timeoutMs, connectTimeoutMs = timeoutMs, maxBytes } = options;
+  const {
+    headTimeoutMs,
+    connectTimeoutMs = headTimeoutMs,
+    stallTimeoutMs = STALL_TIMEOUT_MS,
+    timeoutMs = TIMEOUT_MS,
+    maxBytes,
+  } = options;
   const startedMs = performance.now();
   const elapsedMs = () => performance.now() - startedMs;
   return new Promise((resolve) => {
@@ -66,10 +88,11 @@
       agent: options.agent,
       signal: options.signal,
     });
-    const timer = setTimeout(
-      () => fail({ kind: "timeout", timeoutMs }),
-      timeoutMs,
-    );
+    const failAfter = (afterMs: number) =>
+      setTimeout(() => fail({ kind: "timeout", timeoutMs: afterMs }), afterMs);
+    const timer = failAfter(timeoutMs);
+    const headTimer = failAfter(headTimeoutMs);
+    let stallTimer: NodeJS.Timeout | undefined;
     const connectTimer = setTimeout(() => {
       if (request.socket?.connecting !== false) {
         fail({ kind: "timeout", timeoutMs: connectTimeoutMs });
@@ -80,6 +103,8 @@
       if (isSettled) return;
       isSettled = true;
       clearTimeout(timer);
+      clearTimeout(headTimer);
+      clearTimeout(stallTimer);
       clearTimeout(connectTimer);
       options.onEnd?.({
         outcome: result.isOk
@@ -101,7 +126,10 @@
 
     function readBody(response: IncomingMessage): void {
       headMs = elapsedMs();
+      clearTimeout(headTimer);
+      stallTimer = failAfter(stallTimeoutMs);
       response.on("data", (chunk: Buffer) => {
+        stallTimer!.refresh();
         chunks.push(chunk);
         sizeBytes += chunk.length;
         if (sizeBytes > maxBytes) fail({ kind: "too_large", maxBytes });
--- a/packages/transfers/src/fetch_body_test.ts
+++ b/packages/transfers/src/fetch_body_test.ts
@@ -26,7 +26,8 @@
     },
     localAddress: "127.0.0.1",
     path: "/",
-    timeoutMs: 200,
+    headTimeoutMs: 200,
+    stallTimeoutMs: 200,
     maxBytes: 1_000,
     onEnd: (stats) => ends.push(stats),
     ...options,
@@ -53,6 +54,22 @@
   t.match(none.ends, [{ outcome: "no_response", sizeBytes: 0 }]);
 });
 
+t.test("should wait for a response that keeps arriving, up to the limit on the whole", async (t) => {
+  const drip: RequestListener = (_request, response) => {
+    let pieces = 0;
+    const timer = setInterval(() => {
+      pieces += 1;
+      response.write("x");
+      if (pieces === 10) response.end();
+    }, 50);
+    response.on("close", () => clearInterval(timer));
+  };
+  const slow = await fetchFrom(t, drip);
+  t.ok(slow.result.isOk);
+  const tooSlow = await fetchFrom(t, drip, { timeoutMs: 300 });
+  t.match(tooSlow.ends, [{ outcome: "incomplete" }]);
+});
+
 t.test("should close the connection of a response that is cut short or too large", async (t) => {
   const cut = await fetchFrom(t, (_request, response) => {
     response.writeHead(200, { "content-length": 500 });
