Send versions compressed from daemon to daemon, along a tree

Callers on VMs with narrow links got 404 for new routes and late answers while a version spread.

Cause: a version reached a follower as a delta of at most 40 changed routes. Any larger change, and any follower more than four versions behind, made the follower read the whole configuration from the platform, each over its own link, as 365 KB for 1,600 routes. Daemons that caught up from another daemon fetched the whole catalog, uncompressed, again and again, and cancelled their own watch for it. All daemons of a zone followed the same one, so that each version left its link once for each of them. The delta was computed again for each poll.

The configuration now has a response of its own between daemons: a delta of any size or the whole, compressed, and encoded once for each held version. Upstreams are fetched separately. Catching up no longer cancels a watch that may be about to deliver the same version.

--- a/packages/catalog/src/catalog.ts
+++ b/packages/catalog/src/catalog.ts
@@ -47,6 +47,11 @@
 /** Number of configuration versions kept, so that followers that hold one of them get a delta. */
 const MAX_KEPT_VERSIONS = 4;
 
+/** All upstreams that a daemon holds, and the version of the configuration that it held at the same time. */
+export interface UpstreamsSnapshot extends CatalogUpdate {
+  readonly version: number;
+}
+
 /** Upstream changes since a position in the change log. */
 export interface LoggedChanges {
   /** Log position after these changes. */
@@ -73,6 +78,7 @@
   #index: RouteIndex | undefined;
   #revision = 0;
   #changeRevision = 0;
+  #upstreamRevision = 0;
   #configurationRevision = 0;
   readonly #upstreams = new Map<string, HeldUpstream>();
   readonly #byService = new Map<string, HeldUpstream[]>();
@@ -114,6 +120,11 @@
     return this.#changeRevision;
   }
 
+  /** Like `changeRevision`, but without changes of the configuration. */
+  get upstreamRevision(): number {
+    return this.#upstreamRevision;
+  }
+
   /** Platform revision of the configuration in force. */
   get configurationRevision(): number {
     return this.#configurationRevision;
@@ -140,10 +151,13 @@
     { deferRemovals = false }: { readonly deferRemovals?: boolean } = {},
   ): void {
     for (const change of changes) {
-      this.#changeRevision = Math.max(this.#changeRevision, change.revision);
       if (change.kind === "configuration") {
+        this.#changeRevision = Math.max(this.#changeRevision, change.revision);
         this.#applyConfiguration(change.configuration, change.revision);
-      } else if (change.kind === "upstream") {
+        continue;
+      }
+      this.#recordUpstreamRevision(change.revision);
+      if (change.kind === "upstream") {
         this.#applyUpstream(change.entry, change.revision);
       } else if (change.kind === "upstream_removed") {
         this.#remove(change.id, change.revision, deferRemovals);
@@ -172,6 +186,7 @@
       if (listed.has(id) || held.revision > update.revision) continue;
       this.#remove(id, update.revision, options.deferRemovals ?? false);
     }
+    this.#recordUpstreamRevision(update.upstreamRevision ?? 0);
     this.advance(update.revision);
   }
 
@@ -210,17 +225,17 @@
     });
   }
 
-  /** All upstreams held, and the configuration if it is newer than the given version, for another daemon. */
-  snapshot(knownVersion: number): CatalogUpdate {
+  /** All upstreams held, for another daemon. */
+  snapshot(): UpstreamsSnapshot {
     const changes: CatalogChange[] = [...this.#upstreams.values()].map((
       { entry, revision },
     ) => ({ kind: "upstream", revision, entry }));
-    if (this.#index !== undefined && this.version > knownVersion) {
-      const { configuration } = this.#index;
-      const revision = this.#configurationRevision;
-      changes.push({ kind: "configuration", revision, configuration });
-    }
-    return { revision: this.#revision, changes };
+    return {
+      revision: this.#revision,
+      upstreamRevision: this.#upstreamRevision,
+      version: this.version,
+      changes,
+    };
   }
 
   /** Applies the deferred removals of entries that have not come back. */
@@ -292,6 +307,11 @@
     this.#onEvent({ kind: "upstream_removed", id, service });
   }
 
+  #recordUpstreamRevision(revision: number): void {
+    this.#upstreamRevision = Math.max(this.#upstreamRevision, revision);
+    this.#changeRevision = Math.max(this.#changeRevision, revision);
+  }
+
   #logChange(change: CatalogChange): void {
     this.#log.push(change);
     if (this.#log.length > MAX_LOGGED_CHANGES) {
--- a/packages/catalog/src/catalog_feed.ts
+++ b/packages/catalog/src/catalog_feed.ts
@@ -1,9 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Catalog } from "./catalog.ts";
-import {
-  type ConfigurationDelta,
-  diffConfigurations,
-} from "./configuration_delta.ts";
 import type { CatalogChange, CatalogUpdate } from "./source_port.ts";
 
 /** Long poll of a follower to the daemon that it follows. */
@@ -29,9 +25,7 @@
   readonly whole: CatalogUpdate | undefined;
   readonly changes: readonly CatalogChange[];
   readonly revision: number;
-  readonly delta: ConfigurationDelta | undefined;
-  readonly configurationRevision: number;
-  /** Version in force. A follower that holds an older one and gets no delta reads the platform. */
+  /** Version in force. A follower that holds an older one fetches the configuration separately. */
   readonly version: number;
 }
 
@@ -51,13 +45,6 @@
  */
 const BATCH_WINDOW_MS = 100;
 
-/**
- * Maximum number of changed routes in a delta that is sent. A larger delta would
- * saturate the link of a small VM when all followers poll at once, so followers
- * read the platform instead.
- */
-const MAX_DELTA_ROUTES = 40;
-
 /**
  * Responds to a follower's long poll. A follower that is behind gets the response at once. Any other follower gets it
  * `BATCH_WINDOW_MS` after the next change, or at the timeout. Loss of contact to the platform is reported at once.
@@ -80,26 +67,9 @@
     feedId,
     position: catalog.position,
     isInContact: isInContact(),
-    whole: loggedChanges === undefined
-      ? catalog.snapshot(Number.MAX_SAFE_INTEGER)
-      : undefined,
+    whole: loggedChanges === undefined ? catalog.snapshot() : undefined,
     changes: loggedChanges?.changes ?? [],
     revision: catalog.revision,
-    delta: deltaFor(catalog, request.version),
-    configurationRevision: catalog.configurationRevision,
     version: catalog.version,
   };
 }
-
-function deltaFor(
-  catalog: Catalog,
-  version: number,
-): ConfigurationDelta | undefined {
-  const to = catalog.index?.configuration;
-  const from = catalog.keptVersion(version);
-  if (to === undefined || from === undefined || to.version <= version) {
-    return undefined;
-  }
-  const delta = diffConfigurations({ from, to });
-  return delta.changed.length > MAX_DELTA_ROUTES ? undefined : delta;
-}
--- a/packages/catalog/src/catalog_sync.ts
+++ b/packages/catalog/src/catalog_sync.ts
@@ -1,17 +1,27 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Result } from "true-myth";
 import type { PlatformError } from "@tanagercove/errors";
-import type { Catalog } from "./catalog.ts";
+import type { Catalog, UpstreamsSnapshot } from "./catalog.ts";
 import type { FeedRequest, FeedResponse } from "./catalog_feed.ts";
 import type { CatalogTransfer } from "./catalog_transfer.ts";
-import { applyConfigurationDelta } from "./configuration_delta.ts";
+import { chooseReader } from "./choose_reader.ts";
+import {
+  applyConfigurationUpdate,
+  type ConfigurationUpdate,
+} from "./configuration_update.ts";
 import type { CatalogSource, CatalogUpdate } from "./source_port.ts";
 
-/** Fetches the catalog of another daemon; undefined if that daemon does not answer or holds nothing newer. */
-export type FetchFromPeer = (
+/** Fetches the upstreams of another daemon; undefined if that daemon does not answer or holds nothing newer. */
+export type FetchUpstreams = (
   peer: string,
-  have: { readonly version: number; readonly changeRevision: number },
-) => Promise<CatalogUpdate | undefined>;
+  heldUpstreamRevision: number,
+) => Promise<UpstreamsSnapshot | undefined>;
+
+/** Fetches the configuration of another daemon; undefined if that daemon does not answer or holds nothing newer. */
+export type FetchConfiguration = (
+  peer: string,
+  heldVersion: number,
+) => Promise<ConfigurationUpdate | undefined>;
 
 /** Sends one long poll to the daemon that this one follows; undefined if it does not answer. */
 export type FollowPeer = (
@@ -40,7 +50,8 @@
 export interface CatalogSyncOptions {
   readonly catalog: Catalog;
   readonly source: CatalogSource;
-  readonly fetchFromPeer: FetchFromPeer;
+  readonly fetchUpstreams: FetchUpstreams;
+  readonly fetchConfiguration: FetchConfiguration;
   readonly followPeer: FollowPeer;
   /** Other daemons, those of the same zone first. */
   readonly peers: () => readonly string[];
@@ -135,7 +146,6 @@
     try {
       await this.#sleep(BEHIND_GRACE_MS);
       if (!this.#isBehind(state) || this.#closing.signal.aborted) return;
-      this.#watchAbort.abort();
       await this.#fetchFromPeer(peer);
     } finally {
       this.#isCatchingUp = false;
@@ -169,8 +179,8 @@
   }
 
   /**
-   * Performs one update. The first one comes from the platform. Later ones come from the first higher-ranked reader
-   * that is not avoided, or from the platform if there is none.
+   * Performs one update. The first one comes from the platform. Later ones come from the reader that `chooseReader`
+   * finds, or from the platform if there is none.
    */
   async #syncOnce(): Promise<"ok" | "failed"> {
     const isEmpty = this.#options.catalog.revision === 0;
@@ -187,9 +197,10 @@
 
   #chooseReader(): string | undefined {
     const nowMs = performance.now();
-    return this.#options.higherRankedReaders().find((reader) =>
-      (this.#avoidedUntilMs.get(reader) ?? 0) <= nowMs
-    );
+    return chooseReader({
+      higherRanked: this.#options.higherRankedReaders(),
+      isAvoided: (reader) => (this.#avoidedUntilMs.get(reader) ?? 0) > nowMs,
+    });
   }
 
   async #followReader(reader: string): Promise<"ok" | "failed"> {
@@ -213,25 +224,19 @@
     this.#recordContact();
     if (response.whole !== undefined) catalog.replace(response.whole);
     catalog.apply(response.changes);
-    return await this.#applyVersion(response);
+    await this.#fetchConfiguration(reader, response.version);
+    if (catalog.version < response.version) return await this.#readAll();
+    catalog.advance(response.revision);
+    return "ok";
   }
 
-  async #applyVersion(
-    { delta, version, configurationRevision, revision }: FeedResponse,
-  ): Promise<"ok" | "failed"> {
-    const { catalog } = this.#options;
-    const from = catalog.index?.configuration;
-    if (delta !== undefined && from?.version === delta.fromVersion) {
-      const configuration = applyConfigurationDelta(from, delta);
-      catalog.apply([{
-        kind: "configuration",
-        revision: configurationRevision,
-        configuration,
-      }]);
-    }
-    if (catalog.version < version) return await this.#readAll();
-    catalog.advance(revision);
-    return "ok";
+  /** Fetches the configuration of another daemon that holds a newer version than this one. */
+  async #fetchConfiguration(peer: string, version: number): Promise<void> {
+    const { catalog, fetchConfiguration } = this.#options;
+    if (catalog.version >= version) return;
+    const update = await fetchConfiguration(peer, catalog.version);
+    if (update === undefined || this.#closing.signal.aborted) return;
+    applyConfigurationUpdate(catalog, update);
   }
 
   async #readAll(): Promise<"ok" | "failed"> {
@@ -310,11 +315,14 @@
   }
 
   async #fetchFromPeer(peer: string): Promise<void> {
-    const { catalog, fetchFromPeer, onEvent } = this.#options;
+    const { catalog, fetchUpstreams, onEvent } = this.#options;
     const { version, changeRevision } = catalog;
-    const update = await fetchFromPeer(peer, { version, changeRevision });
-    if (update === undefined || this.#closing.signal.aborted) return;
-    catalog.replace(update);
+    const upstreams = await fetchUpstreams(peer, catalog.upstreamRevision);
+    if (this.#closing.signal.aborted) return;
+    if (upstreams !== undefined) catalog.replace(upstreams);
+    await this.#fetchConfiguration(peer, Infinity);
+    // A watch continues after the revision of the upstreams, so it does not deliver a configuration missed here.
+    this.#needsFullRead ||= catalog.version < (upstreams?.version ?? 0);
     if (
       catalog.version === version && catalog.changeRevision === changeRevision
     ) return;
--- a/packages/catalog/src/catalog_sync_test.ts
+++ b/packages/catalog/src/catalog_sync_test.ts
@@ -2,6 +2,7 @@
 import t from "tap";
 import { Result } from "true-myth";
 import type { PlatformError } from "@tanagercove/errors";
+import type { RouteConfiguration } from "@tanagercove/types";
 import { waitFor } from "@tanagercove/test_helpers";
 import {
   Catalog,
@@ -9,7 +10,9 @@
   CatalogSync,
   type CatalogSyncEvent,
   type CatalogUpdate,
+  type ConfigurationUpdate,
   type FeedResponse,
+  type UpstreamsSnapshot,
 } from "./index.ts";
 
 type Answer = Result<CatalogUpdate, PlatformError>;
@@ -74,6 +77,18 @@
   },
 });
 
+const configurationAt = (version: number): RouteConfiguration => ({
+  version,
+  routes: [],
+  services: [],
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+});
+
 const feedResponse = (options: Partial<FeedResponse>): FeedResponse => ({
   feedId: "reader",
   position: 0,
@@ -81,8 +96,6 @@
   whole: undefined,
   changes: [],
   revision: 1,
-  delta: undefined,
-  configurationRevision: 0,
   version: 0,
   ...options,
 });
@@ -90,7 +103,8 @@
 function setUp(options: {
   readonly higherRankedReaders?: () => readonly string[];
   readonly followPeer?: () => Promise<FeedResponse | undefined>;
-  readonly fetchFromPeer?: () => Promise<CatalogUpdate | undefined>;
+  readonly fetchUpstreams?: () => Promise<UpstreamsSnapshot | undefined>;
+  readonly fetchConfiguration?: () => Promise<ConfigurationUpdate | undefined>;
 } = {}) {
   const source = new FakeSource();
   const catalog = new Catalog();
@@ -98,7 +112,10 @@
   const sync = new CatalogSync({
     catalog,
     source,
-    fetchFromPeer: options.fetchFromPeer ?? (() => Promise.resolve(undefined)),
+    fetchUpstreams: options.fetchUpstreams ??
+      (() => Promise.resolve(undefined)),
+    fetchConfiguration: options.fetchConfiguration ??
+      (() => Promise.resolve(undefined)),
     followPeer: options.followPeer ?? (() => Promise.resolve(undefined)),
     peers: () => ["peer:1"],
     higherRankedReaders: options.higherRankedReaders ?? (() => []),
@@ -125,12 +142,23 @@
 
 t.test("should fetch the catalog of another daemon while the platform is down", async (t) => {
   const { source, catalog, events, sync } = setUp({
-    fetchFromPeer: () =>
-      Promise.resolve({ revision: 5, changes: [upstreamAt("u1", 5)] }),
+    fetchUpstreams: () =>
+      Promise.resolve({
+        revision: 5,
+        version: 2,
+        changes: [upstreamAt("u1", 5)],
+      }),
+    fetchConfiguration: () =>
+      Promise.resolve({
+        kind: "whole",
+        revision: 4,
+        configuration: configurationAt(2),
+      }),
   });
   source.readAnswer = UNAVAILABLE;
   sync.start();
   await waitFor(() => catalog.upstreams.has("u1"));
+  await waitFor(() => catalog.version === 2);
   t.equal(events[0]?.kind, "platform_lost");
 });
 
@@ -186,3 +214,59 @@
     "a full read covers changes that the reader had not delivered",
   );
 });
+
+// Guards against a fleet that reads each large version from the platform once per daemon, over narrow links.
+t.test("should take a new version from the followed reader, and from the platform only if that fails", async (t) => {
+  let version = 1;
+  let isFetchUp = true;
+  const heldVersions: number[] = [];
+  const { source, catalog, sync } = setUp({
+    higherRankedReaders: () => ["reader:1"],
+    followPeer: async () => {
+      await sleep(20);
+      return feedResponse({ version, revision: version });
+    },
+    fetchConfiguration: () => {
+      heldVersions.push(catalog.version);
+      return Promise.resolve(
+        isFetchUp
+          ? {
+            kind: "whole",
+            revision: version,
+            configuration: configurationAt(version),
+          }
+          : undefined,
+      );
+    },
+  });
+  sync.start();
+  await waitFor(() => catalog.version === 1);
+  const readsBefore = source.reads;
+  version = 2;
+  await waitFor(() => catalog.version === 2);
+  t.equal(source.reads, readsBefore, "the platform is not read again");
+  t.same(heldVersions, [0, 1]);
+  isFetchUp = false;
+  version = 3;
+  await waitFor(() => source.reads > readsBefore);
+});
+
+// A watch continues after the revision of the fetched upstreams, so it never delivers a configuration from before it.
+t.test("should read everything again after an outage in which it learnt of a version but did not get it", async (t) => {
+  const { source, catalog, sync } = setUp({
+    fetchUpstreams: () =>
+      Promise.resolve({ revision: 9, version: 4, changes: [] }),
+  });
+  source.readAnswer = Result.ok({ revision: 2, changes: [] });
+  sync.start();
+  await waitFor(() => source.watches === 1);
+  source.isDown = true;
+  source.publish(UNAVAILABLE);
+  await waitFor(() => catalog.revision === 9);
+  const readsBefore = source.reads;
+  source.isDown = false;
+  source.publish(Result.ok({ revision: 9, changes: [] }));
+  source.watchAnswer = undefined;
+  await waitFor(() => source.reads > readsBefore);
+  t.equal(catalog.version, 0);
+});
--- a/packages/catalog/src/catalog_test.ts
+++ b/packages/catalog/src/catalog_test.ts
@@ -7,8 +7,10 @@
 import {
   answerFeedRequest,
   applyConfigurationDelta,
+  applyConfigurationUpdate,
   Catalog,
   type CatalogChange,
+  configurationUpdateFrom,
   diffConfigurations,
 } from "./index.ts";
 
@@ -155,6 +157,54 @@
   t.end();
 });
 
+t.test("should update any held version to the one in force, by a delta where that is smaller", (t) => {
+  const routes = ["a", "b", "c", "d"].map((name) => route(name));
+  const source = new Catalog();
+  for (const number of [1, 2, 3, 4, 5, 6]) {
+    const changed = route(`new-${number}`);
+    source.apply([{
+      kind: "configuration",
+      revision: number,
+      configuration: version(number, [...routes, changed]),
+    }]);
+  }
+  for (const held of [0, 1, 5]) {
+    const target = new Catalog();
+    if (held > 0) {
+      target.apply([{
+        kind: "configuration",
+        revision: held,
+        configuration: version(held, [...routes, route(`new-${held}`)]),
+      }]);
+    }
+    const update = configurationUpdateFrom(source, held)!;
+    t.equal(update.kind, held === 5 ? "delta" : "whole", `from ${held}`);
+    applyConfigurationUpdate(target, update);
+    t.same(
+      target.index!.configuration.routes.map(({ name }) => name),
+      ["a", "b", "c", "d", "new-6"],
+    );
+    t.equal(target.configurationRevision, 6);
+  }
+  t.equal(configurationUpdateFrom(source, 6), undefined);
+  t.end();
+});
+
+// Guards against daemons that fetch all upstreams again with every answer of another daemon.
+t.test("should know a removal from a snapshot as known, so that it is not fetched again", (t) => {
+  const source = new Catalog();
+  source.apply([upstream("u1", 5), upstream("u2", 6)]);
+  const target = new Catalog();
+  target.replace(source.snapshot());
+  source.apply([{ kind: "upstream_removed", revision: 9, id: "u2" }]);
+  source.advance(9);
+  target.replace(source.snapshot());
+  t.same([...target.upstreams.keys()], ["u1"]);
+  t.equal(target.upstreamRevision, source.upstreamRevision);
+  t.equal(target.changeRevision, source.changeRevision);
+  t.end();
+});
+
 t.test("should send a follower only changes that are new to it, and everything to an unknown follower", async (t) => {
   const catalog = new Catalog();
   catalog.apply([upstream("u1", 5), configuration(1, 6)]);
@@ -178,7 +228,7 @@
     "upstream",
     "upstream_removed",
   ]);
-  t.equal(next.delta?.version, 2);
+  t.equal(next.version, 2);
   const other = await poll("run-0", first.position, 2);
   t.equal(
     other.whole?.changes.length,
--- a/packages/catalog/src/source_port.ts
+++ b/packages/catalog/src/source_port.ts
@@ -33,6 +33,8 @@
 /** Changes up to a revision of the platform, or a full snapshot at that revision. */
 export interface CatalogUpdate {
   readonly revision: number;
+  /** Revision of the newest upstream change in a full snapshot, removals included; undefined if it is not known. */
+  readonly upstreamRevision?: number;
   readonly changes: readonly CatalogChange[];
 }
 
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -1,9 +1,10 @@
 import type { ConnectionAgents } from "./connection_agent.ts";
 import type {
   CatalogTransfer,
-  CatalogUpdate,
+  ConfigurationUpdate,
   FeedRequest,
   FeedResponse,
+  UpstreamsSnapshot,
 } from "@tanagercove/catalog";
 import { fetchBody } from "@tanagercove/transfers";
 import type { Endpoint } from "@tanagercove/types";
@@ -19,8 +20,11 @@
 import type { OwnedAnswer, OwnedRequest } from "./owner.ts";
 import { contentLengthField, endToEndHeaders } from "./passed_headers.ts";
 
-/** Path at which a daemon serves its catalog to other daemons. */
-export const CATALOG_PATH = "/-/tanagercove/catalog";
+/** Path at which a daemon serves the upstreams that it holds to other daemons. */
+export const UPSTREAMS_PATH = "/-/tanagercove/upstreams";
+
+/** Path at which a daemon serves its configuration, whole or as a delta, to other daemons. */
+export const CONFIGURATION_PATH = "/-/tanagercove/configuration";
 
 /**
  * Path of the long poll for changes of a daemon's catalog. A follower is a daemon that uses this long poll instead of
@@ -40,7 +44,7 @@
 /** Interval of `onSilent` calls; almost four times `CONFIRM_AFTER_MS`, after which the owner daemon sends an interim answer. */
 const SILENT_INTERVAL_MS = 450;
 
-/** Time until the response to a catalog fetch must begin. */
+/** Time until the response to a fetch of upstreams or of a configuration must begin. */
 const CATALOG_HEAD_TIMEOUT_MS = 800;
 
 /** Limit that allows a catalog of thousands of routes and upstreams. */
@@ -84,10 +88,14 @@
     destination: Endpoint,
     request: FeedRequest,
   ): Promise<FeedResponse | undefined>;
-  readCatalog(
+  fetchUpstreams(
+    destination: Endpoint,
+    heldUpstreamRevision: number,
+  ): Promise<UpstreamsSnapshot | undefined>;
+  fetchConfiguration(
     destination: Endpoint,
-    have: { readonly version: number; readonly changeRevision: number },
-  ): Promise<CatalogUpdate | undefined>;
+    heldVersion: number,
+  ): Promise<ConfigurationUpdate | undefined>;
 }
 
 /** Creates the client for calls to other daemons. */
@@ -125,11 +133,16 @@
           `&position=${position}&wait_ms=${waitMs}`,
         headTimeoutMs: waitMs + FEED_GRACE_MS,
       }),
-    readCatalog: (destination, { version, changeRevision }) =>
-      fetchJson<CatalogUpdate>(destination, {
-        content: "catalog",
-        path:
-          `${CATALOG_PATH}?version=${version}&change_revision=${changeRevision}`,
+    fetchUpstreams: (destination, heldUpstreamRevision) =>
+      fetchJson<UpstreamsSnapshot>(destination, {
+        content: "upstreams",
+        path: `${UPSTREAMS_PATH}?upstream_revision=${heldUpstreamRevision}`,
+        headTimeoutMs: CATALOG_HEAD_TIMEOUT_MS,
+      }),
+    fetchConfiguration: (destination, heldVersion) =>
+      fetchJson<ConfigurationUpdate>(destination, {
+        content: "configuration",
+        path: `${CONFIGURATION_PATH}?version=${heldVersion}`,
         headTimeoutMs: CATALOG_HEAD_TIMEOUT_MS,
       }),
   };
@@ -152,6 +165,7 @@
       headTimeoutMs,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxBytes: MAX_CATALOG_BYTES,
+      acceptsGzip: true,
       onEnd: (stats) => onTransfer?.({ source, content, ...stats }),
     });
     if (fetched.isErr || fetched.value.status !== 200) return undefined;
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -16,7 +16,16 @@
 } from "./forwarding.ts";
 import type { OwnedResult, Owner } from "./owner.ts";
 import { endToEndHeaders } from "./passed_headers.ts";
-import { CATALOG_PATH, FEED_PATH } from "./peer_client.ts";
+import {
+  ConfigurationResponses,
+  encodeJson,
+  type JsonBody,
+} from "./configuration_responses.ts";
+import {
+  CONFIGURATION_PATH,
+  FEED_PATH,
+  UPSTREAMS_PATH,
+} from "./peer_client.ts";
 import { readBody } from "./read_body.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 import { type HttpListener, listenHttp } from "./http_listener.ts";
@@ -75,6 +84,7 @@
 export async function startPeerServer(
   options: StartPeerServerOptions,
 ): Promise<HttpListener> {
+  const configurations = new ConfigurationResponses(options.catalog);
   const server = createServer({
     maxHeaderSize: PEER_MAX_HEADER_BYTES,
     keepAliveTimeout: PEER_KEEP_ALIVE_MS,
@@ -86,8 +96,10 @@
     const ticketText = request.headers[FORWARD_HEADER];
     if (typeof ticketText === "string") {
       void handleForwarded(request, response, decodeTicket(ticketText));
-    } else if (request.url!.startsWith(`${CATALOG_PATH}?`)) {
-      answerCatalog(request, response);
+    } else if (request.url!.startsWith(`${UPSTREAMS_PATH}?`)) {
+      answerUpstreams(request, response);
+    } else if (request.url!.startsWith(`${CONFIGURATION_PATH}?`)) {
+      answerConfiguration(request, response);
     } else if (request.url!.startsWith(`${FEED_PATH}?`)) {
       void answerFollower(request, response);
     } else {
@@ -95,23 +107,26 @@
     }
   });
 
-  function answerCatalog(
+  function answerUpstreams(
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    const { searchParams } = new URL(request.url!, "http://daemon");
-    const version = Number(searchParams.get("version"));
-    const changeRevision = Number(searchParams.get("change_revision"));
     const { catalog } = options;
-    const isNewer = catalog.version > version ||
-      catalog.changeRevision > changeRevision;
-    if (!isNewer) {
-      response.writeHead(204).end();
-      return;
-    }
-    const body = JSON.stringify(catalog.snapshot(version));
-    response.writeHead(200, { "content-type": "application/json" });
-    response.end(body);
+    const held = numberParameter(request, "upstream_revision");
+    respondJson(
+      response,
+      catalog.upstreamRevision > held
+        ? encodeJson(catalog.snapshot())
+        : undefined,
+    );
+  }
+
+  function answerConfiguration(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const held = numberParameter(request, "version");
+    respondJson(response, configurations.bodyFor(held));
   }
 
   async function answerFollower(
@@ -131,9 +146,7 @@
       },
       isInContact: options.isInContact,
     });
-    if (response.destroyed) return;
-    response.writeHead(200, { "content-type": "application/json" });
-    response.end(JSON.stringify(answer));
+    respondJson(response, encodeJson(answer));
   }
 
   async function handleForwarded(
@@ -223,3 +236,26 @@
 
   return await listenHttp(server, options);
 }
+
+/** Sends JSON, or 204 if there is nothing to send. */
+function respondJson(
+  response: ServerResponse,
+  body: JsonBody | undefined,
+): void {
+  if (response.destroyed) return;
+  if (body === undefined) {
+    response.writeHead(204).end();
+    return;
+  }
+  response.writeHead(200, {
+    "content-type": "application/json",
+    "content-length": body.bytes.length,
+    ...(body.isGzip ? { "content-encoding": "gzip" } : {}),
+  });
+  response.end(body.bytes);
+}
+
+function numberParameter(request: IncomingMessage, name: string): number {
+  const { searchParams } = new URL(request.url!, "http://daemon");
+  return Number(searchParams.get(name));
+}
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -130,7 +130,10 @@
   const sync = new CatalogSync({
     catalog,
     source,
-    fetchFromPeer: (peer, have) => peers.readCatalog(parseEndpoint(peer), have),
+    fetchUpstreams: (peer, heldRevision) =>
+      peers.fetchUpstreams(parseEndpoint(peer), heldRevision),
+    fetchConfiguration: (peer, heldVersion) =>
+      peers.fetchConfiguration(parseEndpoint(peer), heldVersion),
     followPeer: (peer, request) => peers.follow(parseEndpoint(peer), request),
     peers: () => peerAddresses(catalog, { ...settings, seeds }),
     higherRankedReaders: () => higherRankedReaders(catalog, settings),
--- a/packages/transfers/src/fetch_body.ts
+++ b/packages/transfers/src/fetch_body.ts
@@ -1,4 +1,5 @@
 import { type Agent, get, type IncomingMessage } from "node:http";
+import { gunzipSync } from "node:zlib";
 import { Result } from "true-myth";
 import type { Endpoint } from "@tanagercove/types";
 
@@ -26,7 +27,10 @@
   readonly stallTimeoutMs?: number;
   /** Time within which the whole response must have arrived, however steadily it does. */
   readonly timeoutMs?: number;
+  /** Limit on the body, before and after its decompression. */
   readonly maxBytes: number;
+  /** Whether the server may compress the body with gzip. */
+  readonly acceptsGzip?: boolean;
   /** Aborts the fetch, which then fails as `unreachable`. */
   readonly signal?: AbortSignal;
   /** Called once, when the fetch ends. */
@@ -56,7 +60,8 @@
 export type FetchError =
   | { readonly kind: "timeout"; readonly timeoutMs: number }
   | { readonly kind: "unreachable"; readonly message: string }
-  | { readonly kind: "too_large"; readonly maxBytes: number };
+  | { readonly kind: "too_large"; readonly maxBytes: number }
+  | { readonly kind: "malformed"; readonly message: string };
 
 /**
  * Sends one GET request and reads the response whole. A response is given up when it stops arriving, not when it takes
@@ -85,6 +90,7 @@
       port: options.destination.port,
       localAddress: options.localAddress,
       path: options.path,
+      headers: options.acceptsGzip ? { "accept-encoding": "gzip" } : {},
       agent: options.agent,
       signal: options.signal,
     });
@@ -138,11 +144,13 @@
         "error",
         ({ message }) => fail({ kind: "unreachable", message }),
       );
-      response.on("end", () =>
-        settle(Result.ok({
-          status: response.statusCode!,
-          body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
-        })));
+      response.on("end", () => {
+        const encoding = response.headers["content-encoding"] ?? "identity";
+        settle(
+          decodeBody(Buffer.concat(chunks), { encoding, maxBytes })
+            .map((body) => ({ status: response.statusCode!, body })),
+        );
+      });
     }
 
     request.on("response", readBody);
@@ -152,3 +160,23 @@
     );
   });
 }
+
+function decodeBody(
+  body: Buffer,
+  { encoding, maxBytes }: {
+    readonly encoding: string;
+    readonly maxBytes: number;
+  },
+): Result<Buffer, FetchError> {
+  const malformed = (message: string) =>
+    Result.err<Buffer, FetchError>({ kind: "malformed", message });
+  if (encoding === "identity") return Result.ok(body);
+  if (encoding !== "gzip") {
+    return malformed(`Unexpected content encoding ${encoding}`);
+  }
+  try {
+    return Result.ok(gunzipSync(body, { maxOutputLength: maxBytes }));
+  } catch (error) {
+    return malformed(String(error));
+  }
+}
--- a/packages/transfers/src/fetch_body_test.ts
+++ b/packages/transfers/src/fetch_body_test.ts
@@ -1,5 +1,6 @@
 import { Agent, createServer, type RequestListener } from "node:http";
 import type { AddressInfo } from "node:net";
+import { gzipSync } from "node:zlib";
 import t, { type Test } from "tap";
 import { fetchBody, type FetchBodyOptions, type FetchStats } from "./index.ts";
 
@@ -85,3 +86,20 @@
   await new Promise((resolve) => setTimeout(resolve, 50));
   t.ok(closed);
 });
+
+t.test("should decompress a body, and give up one that is damaged or too large when decompressed", async (t) => {
+  const send = (body: Buffer): RequestListener => (request, response) => {
+    const encoding = String(request.headers["accept-encoding"]);
+    response.writeHead(200, { "content-encoding": encoding });
+    response.end(body);
+  };
+  const options = { acceptsGzip: true };
+  const small = gzipSync("x".repeat(900));
+  const good = await fetchFrom(t, send(small), options);
+  t.equal(good.result.isOk && good.result.value.body.length, 900);
+  t.match(good.ends, [{ sizeBytes: small.length }]);
+  for (const body of [small.subarray(0, -4), gzipSync("x".repeat(9_000))]) {
+    const bad = await fetchFrom(t, send(body), options);
+    t.equal(bad.result.isErr && bad.result.error.kind, "malformed");
+  }
+});
