Refuse callers' requests once a drain has ended

Callers saw: during a stop of their daemon, a request on a kept connection was passed on to an upstream, and the connection closed without an answer.

Cause: a drain may end after 2.3 s without requests in flight, but new requests were refused by time only, with a drain timeout of 6 s from 2.7 s on. A request that arrived between the end of the drain and the close of the connections 100 ms later was forwarded to another daemon and then cut. On a VM with few requests a second, most drains end this way.

Ruled out: the upstream of the daemon's own VM. A test with a drain timeout of 3 s can't show the fault, since requests are then refused from 1.35 s on.

Why this works: the phase of the stop now depends on the end of the drain, which is recorded in the same turn of the event loop in which no request was in flight. Later requests are answered with 503. The same rule now covers forwarded requests, which a drain timeout above 8.2 s left open in the same way.

--- a/packages/sidecar/src/decisions_test.ts
+++ b/packages/sidecar/src/decisions_test.ts
@@ -174,7 +174,11 @@
 // accepting forwarded requests too late to end before the process is killed.
 t.test("should accept all requests, then only those of its callers, then none while it stops", (t) => {
   const phaseAfter = (stoppingForMs: number) =>
-    decideStopPhase({ stoppingForMs, drainTimeoutMs: 6_000 });
+    decideStopPhase({
+      stoppingForMs,
+      drainTimeoutMs: 6_000,
+      isDrained: false,
+    });
   t.same(phaseAfter(0), { acceptsForwarded: true, acceptsNew: true });
   t.same(phaseAfter(1_600), { acceptsForwarded: true, acceptsNew: true });
   t.same(phaseAfter(1_800), { acceptsForwarded: false, acceptsNew: true });
--- a/packages/sidecar/src/drain.ts
+++ b/packages/sidecar/src/drain.ts
@@ -65,15 +65,21 @@
   return Math.floor(REFUSE_NEW_SHARE * drainTimeoutMs);
 }
 
+/** Options of `decideStopPhase`. */
+export interface DecideStopPhaseOptions {
+  readonly stoppingForMs: number;
+  readonly drainTimeoutMs: number;
+  /** Whether the drain has ended; a request that starts after it would be cut when the connections are closed. */
+  readonly isDrained: boolean;
+}
+
 /** Decides which requests a daemon still accepts some time after its stop signal. */
 export function decideStopPhase(
-  { stoppingForMs, drainTimeoutMs }: {
-    readonly stoppingForMs: number;
-    readonly drainTimeoutMs: number;
-  },
+  { stoppingForMs, drainTimeoutMs, isDrained }: DecideStopPhaseOptions,
 ): StopPhase {
+  const isBefore = (endMs: number) => !isDrained && stoppingForMs < endMs;
   return {
-    acceptsForwarded: stoppingForMs < ACCEPT_FORWARDED_SHARE * drainTimeoutMs,
-    acceptsNew: stoppingForMs < refuseNewAfterMs(drainTimeoutMs),
+    acceptsForwarded: isBefore(ACCEPT_FORWARDED_SHARE * drainTimeoutMs),
+    acceptsNew: isBefore(refuseNewAfterMs(drainTimeoutMs)),
   };
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -136,6 +136,7 @@
     onEvent: (event) => observer.onSync(event),
   });
   let stoppingSinceMs: number | undefined;
+  let isDrained = false;
   let ownEntry: UpstreamEntry | undefined;
   let isUpstreamLeaving = false;
 
@@ -151,6 +152,7 @@
         ? 0
         : performance.now() - stoppingSinceMs,
       drainTimeoutMs: settings.drainTimeoutMs,
+      isDrained,
     });
   const handlePeerState = (peer: Endpoint, state: OwnerState) =>
     void sync.catchUpIfBehind(`${peer.address}:${peer.port}`, state);
@@ -378,6 +380,7 @@
       isBusy: () => callers.inFlight > 0 || owner.running > 0,
     });
     clearTimeout(refuseNewTimer);
+    isDrained = true;
     owner.close();
     callers.cancelAll();
     await new Promise((resolve) => setTimeout(resolve, STOP_FLUSH_MS));
