Answer the requests at work when a framing error ends a connection

Callers saw: on a connection with pipelined requests, 408 or 400 in place of the answer to a request that was running, and then a closed connection. A 408 promises that the request has not run; it had. The requests behind the first got no answer at all.

Cause: Node's server, without a listener for `clientError`, writes its own answer on the connection and destroys it. It doesn't look at the responses in flight. A head that isn't complete within the header timeout is such an error even if it waits behind requests at work: its time runs from its first byte, and Node itself stops reading a connection on which answers are queued.

Ruled out: the header timeout of a connection on which all requests are complete (Node checks only heads that have begun), `requestTimeout` (0), and the keep-alive timeout (any byte resets it).

Why this works: a framing error now ends only the reading. Requests received before it keep their own answers, and the connection closes after them.

--- a/packages/sidecar/src/caller_connections.ts
+++ b/packages/sidecar/src/caller_connections.ts
@@ -32,7 +32,13 @@
     const connection = this.#connectionOf(caller.request.socket);
     connection.pending.add(caller);
     this.#inFlight += 1;
-    caller.response.once("finish", () => this.#settle(connection, caller));
+    caller.response.once("finish", () => {
+      this.#settle(connection, caller);
+      // The head of this answer may have been written before it was known that the connection closes.
+      if (connection.isClosing && connection.pending.size === 0) {
+        caller.request.socket.destroySoon();
+      }
+    });
     caller.response.once("close", () => this.#settle(connection, caller));
   }
 
@@ -54,6 +60,20 @@
     response.shouldKeepAlive = false;
   }
 
+  /** The request that arrived last on a connection, if it is in flight. */
+  newestOn(socket: Socket): CallerRequest | undefined {
+    return [...this.#connections.get(socket)?.pending ?? []].at(-1);
+  }
+
+  /** Takes no further request on a connection, and closes it after the answers in flight. */
+  closeAfterPending(socket: Socket): void {
+    const connection = this.#connectionOf(socket);
+    connection.isClosing = true;
+    const newest = this.newestOn(socket);
+    if (newest === undefined) socket.destroySoon();
+    else newest.response.shouldKeepAlive = false;
+  }
+
   #connectionOf(socket: Socket): CallerConnection {
     const known = this.#connections.get(socket);
     if (known !== undefined) return known;
--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -1,4 +1,9 @@
-import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  type IncomingMessage,
+  type ServerResponse,
+  STATUS_CODES,
+} from "node:http";
+import type { Socket } from "node:net";
 import { CallerWaits } from "@tanagercove/admission";
 import type { Catalog } from "@tanagercove/catalog";
 import type { ServiceBudgets } from "@tanagercove/retries";
@@ -34,6 +39,18 @@
  */
 const MAX_PRIORITY = 3;
 
+/** Status of the answer to a framing error, by error code of Node; 400 for the others. */
+const FRAMING_STATUSES: Readonly<Record<string, number>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+  HPE_HEADER_OVERFLOW: 431,
+};
+
+/** Prefix of the error codes of Node's parser. */
+const PARSER_ERROR_PREFIX = "HPE_";
+
+/** Error code of a connection that ends within a request. */
+const EARLY_END_CODE = "HPE_INVALID_EOF_STATE";
+
 /** Options of `createCallerHandler`. */
 export interface CreateCallerHandlerOptions {
   readonly names: RequestHeaderNames;
@@ -51,6 +68,8 @@
 /** Handles the requests of this VM's clients and upstream. */
 export interface CallerHandler {
   handle(request: IncomingMessage, response: ServerResponse): void;
+  /** Handles an error of a connection, the event `clientError` of Node's server. */
+  handleConnectionError(error: NodeJS.ErrnoException, socket: Socket): void;
   /** Requests whose answers have not been sent completely. */
   readonly inFlight: number;
   /**
@@ -74,7 +93,10 @@
     response: ServerResponse,
   ): Promise<void> {
     // The connection closes after an earlier answer, so this request gets none. The caller retries on a new connection.
-    if (connections.isClosing(request.socket)) return;
+    if (connections.isClosing(request.socket)) {
+      request.resume();
+      return;
+    }
     const requestId = request.headers[names.requestId];
     const caller: CallerRequest = {
       request,
@@ -89,6 +111,8 @@
     const index = catalog.index;
     const limits = index?.configuration.limits;
     const body = await readBody(request, limits?.maxBodyBytes ?? 1_048_576);
+    // Refused because of a framing error in its body.
+    if (response.writableEnded) return;
     if (caller.isDisconnected) return reportResult(caller, "gone", 0);
     if (body.isErr) {
       if (body.error === "gone") return reportResult(caller, "gone", 0);
@@ -129,6 +153,37 @@
     refuse(routed, served.reason, served.retryAfterMs);
   }
 
+  /**
+   * After a framing error, no further request can be read from the connection.
+   * The requests received before it keep their own answers: Node would answer
+   * 408 or 400 in place of the first of them, though it may have run.
+   */
+  function handleConnectionError(
+    error: NodeJS.ErrnoException,
+    socket: Socket,
+  ): void {
+    const code = error.code ?? "";
+    const isFramingError = code.startsWith(PARSER_ERROR_PREFIX) ||
+      FRAMING_STATUSES[code] !== undefined;
+    if (!isFramingError || code === EARLY_END_CODE || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    if (connections.isClosing(socket)) return;
+    const newest = connections.newestOn(socket);
+    if (newest !== undefined && !newest.request.complete) {
+      return refuse(newest, "bad_request");
+    }
+    if (newest === undefined) {
+      const status = FRAMING_STATUSES[code] ?? 400;
+      socket.write(
+        `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
+          "Connection: close\r\nContent-Length: 0\r\n\r\n",
+      );
+    }
+    connections.closeAfterPending(socket);
+  }
+
   function deliver(
     routed: RoutedRequest,
     { status, headers, body }: OwnedAnswer,
@@ -196,6 +251,7 @@
 
   return {
     handle: (request, response) => void handle(request, response),
+    handleConnectionError,
     get inFlight() {
       return connections.inFlight;
     },
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -259,6 +259,7 @@
   }, (request, response) => {
     callers.handle(request, response);
   });
+  callerServer.on("clientError", callers.handleConnectionError);
 
   function applyLimits(): void {
     const limits = catalog.index!.configuration.limits;
