Close callers' connections in stages

Callers saw: the end of an answer was missing and the connection was reset, in a stop of the daemon, when they had sent another request before they had the whole answer. The request had been passed on to an upstream and answered by it.

Cause: after an answer with `Connection: close`, Node's server releases the socket as soon as the kernel has taken the bytes. On a narrow link or with a caller that reads slowly, they are still in the kernel's buffer; a byte that then arrives from the caller makes the kernel reset the connection and drop the buffer. Pipelining callers send such bytes.

Ruled out: answers in the middle of a connection's life, which don't close it, and connections between daemons: their agent sends nothing behind a request, so no byte arrives after the close.

Why this works: the daemon ends its side, reads on and discards what arrives (by the protocol, requests behind a closing answer count as not read), and releases the socket when the caller has closed it, or after 2 s. RFC 9112 (section 9.6) asks for this.

--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -14,6 +14,7 @@
 import type { Endpoint, UpstreamEntry } from "@tanagercove/types";
 import { fetchUpstreamId } from "./fetch_upstream_id.ts";
 import { createCallerHandler } from "./caller_handler.ts";
+import { closeInStages } from "./close_in_stages.ts";
 import { ConnectionAgents } from "./connection_agent.ts";
 import {
   higherRankedReaders,
@@ -259,6 +260,10 @@
   }, (request, response) => {
     callers.handle(request, response);
   });
+  callerServer.on("connection", (socket) => {
+    // Node's server calls this after an answer that closes its connection.
+    socket.destroySoon = () => closeInStages(socket);
+  });
   callerServer.on("clientError", callers.handleConnectionError);
 
   function applyLimits(): void {
