Wait in a stop until callers have their answers

Cause: a stop closed all connections 100 ms after the end of the drain, however much of an answer was still on its way to a slow caller. A request counts as answered for the drain once the kernel has taken the bytes.

Why this works: the close of a connection by its caller, after the answer that says so, shows that the caller has the answer. Without such connections it no longer waits 100 ms.

--- a/packages/sidecar/src/caller_connections.ts
+++ b/packages/sidecar/src/caller_connections.ts
@@ -22,6 +22,16 @@
     return this.#inFlight;
   }
 
+  /**
+   * Whether a caller may not have received its answer: a request is in flight, or a caller has not closed the
+   * connection that its last answer closes.
+   */
+  get isSending(): boolean {
+    return [...this.#connections.values()].some(({ pending, isClosing }) =>
+      isClosing || pending.size > 0
+    );
+  }
+
   /** Requests in flight on all connections. */
   *[Symbol.iterator](): IterableIterator<CallerRequest> {
     for (const { pending } of this.#connections.values()) yield* pending;
--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -72,6 +72,8 @@
   handleConnectionError(error: NodeJS.ErrnoException, socket: Socket): void;
   /** Requests whose answers have not been sent completely. */
   readonly inFlight: number;
+  /** Whether a caller may not have received its answer. */
+  readonly isSending: boolean;
   /**
    * Cancels the running attempt of each request in flight, which is then answered at once. A request that is still
    * being received has no attempt and is not affected.
@@ -255,6 +257,9 @@
     get inFlight() {
       return connections.inFlight;
     },
+    get isSending() {
+      return connections.isSending;
+    },
     cancelAll() {
       for (const caller of connections) caller.cancel?.();
     },
--- a/packages/sidecar/src/drain.ts
+++ b/packages/sidecar/src/drain.ts
@@ -9,6 +9,15 @@
 /** The drain ends at the latest this long before the process is killed, even with requests in flight. */
 const STOP_MARGIN_MS = 400;
 
+/**
+ * The wait for the last answers ends this long before the process is killed, so that all is closed when `runSidecar`
+ * stops waiting for it.
+ */
+const SEND_MARGIN_MS = 200;
+
+/** How often the wait for the last answers checks whether they have been sent. */
+const SEND_CHECK_MS = 10;
+
 /**
  * Share of the drain timeout in which a stopping daemon still accepts forwarded
  * requests. Its upstream keeps running; in a rolling restart of all daemons, the
@@ -52,6 +61,24 @@
   }
 }
 
+/** Options of `whenSent`. */
+export interface WhenSentOptions {
+  /** Time until the process is killed. */
+  readonly timeLeftMs: number;
+  /** Whether a caller may not have received its answer. */
+  readonly isSending: () => boolean;
+}
+
+/** Resolves once all answers have been sent, at the latest `SEND_MARGIN_MS` before the process is killed. */
+export async function whenSent(
+  { timeLeftMs, isSending }: WhenSentOptions,
+): Promise<void> {
+  const endAtMs = performance.now() + timeLeftMs - SEND_MARGIN_MS;
+  while (isSending() && performance.now() < endAtMs) {
+    await sleep(SEND_CHECK_MS);
+  }
+}
+
 /** Which requests a stopping daemon still accepts. */
 export interface StopPhase {
   /** Whether it accepts requests that other daemons forward to its upstream. */
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -26,6 +26,7 @@
   refuseNewAfterMs,
   type StopPhase,
   whenDrained,
+  whenSent,
 } from "./drain.ts";
 import type { ForwardTicket, OwnerState } from "./forwarding.ts";
 import { type HttpListener, listenHttp } from "./http_listener.ts";
@@ -64,9 +65,6 @@
  */
 const PEER_MAX_BODY_BYTES = 256 * 1024 * 1024;
 
-/** Time in which the last answers are sent before their connections are closed. */
-const STOP_FLUSH_MS = 100;
-
 /** Options of `startSidecar`. */
 export interface StartSidecarOptions {
   readonly settings: SidecarSettings;
@@ -389,7 +387,10 @@
     isDrained = true;
     owner.close();
     callers.cancelAll();
-    await new Promise((resolve) => setTimeout(resolve, STOP_FLUSH_MS));
+    await whenSent({
+      timeLeftMs: stoppingSinceMs + drainTimeoutMs - performance.now(),
+      isSending: () => callers.isSending,
+    });
     await closeListeners();
     // The sync waits for its requests in flight; closing the connections ends those that get no answer.
     const syncClosed = sync.close();
