--- a/packages/sidecar/src/caller_connections.ts
+++ b/packages/sidecar/src/caller_connections.ts
@@ -22,6 +22,16 @@
     return this.#inFlight;
   }
 
+  /**
+   * Whether a caller may not have received its answer: a request is in flight, or a caller has not closed the
+   * connection that its last answer closes.
+   */
+  get isSending(): boolean {
+    return [...this.#connections.values()].some(({ pending, isClosing }) =>
+      isClosing || pending.size > 0
+    );
+  }
+
   /** Requests in flight on all connections. */
   *[Symbol.iterator](): IterableIterator<CallerRequest> {
     for (const { pending } of this.#connections.values()) yield* pending;
@@ -32,7 +42,13 @@
     const connection = this.#connectionOf(caller.request.socket);
     connection.pending.add(caller);
     this.#inFlight += 1;
-    caller.response.once("finish", () => this.#settle(connection, caller));
+    caller.response.once("finish", () => {
+      this.#settle(connection, caller);
+      // The head of this answer may have been written before it was known that the connection closes.
+      if (connection.isClosing && connection.pending.size === 0) {
+        caller.request.socket.destroySoon();
+      }
+    });
     caller.response.once("close", () => this.#settle(connection, caller));
   }
 
@@ -54,6 +70,20 @@
     response.shouldKeepAlive = false;
   }
 
+  /** The request that arrived last on a connection, if it is in flight. */
+  newestOn(socket: Socket): CallerRequest | undefined {
+    return [...this.#connections.get(socket)?.pending ?? []].at(-1);
+  }
+
+  /** Takes no further request on a connection, and closes it after the answers in flight. */
+  closeAfterPending(socket: Socket): void {
+    const connection = this.#connectionOf(socket);
+    connection.isClosing = true;
+    const newest = this.newestOn(socket);
+    if (newest === undefined) socket.destroySoon();
+    else newest.response.shouldKeepAlive = false;
+  }
+
   #connectionOf(socket: Socket): CallerConnection {
     const known = this.#connections.get(socket);
     if (known !== undefined) return known;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -14,6 +14,7 @@
 import type { Endpoint, UpstreamEntry } from "@tanagercove/types";
 import { fetchUpstreamId } from "./fetch_upstream_id.ts";
 import { createCallerHandler } from "./caller_handler.ts";
+import { closeInStages } from "./close_in_stages.ts";
 import { ConnectionAgents } from "./connection_agent.ts";
 import {
   higherRankedReaders,
@@ -25,6 +26,7 @@
   refuseNewAfterMs,
   type StopPhase,
   whenDrained,
+  whenSent,
 } from "./drain.ts";
 import type { ForwardTicket, OwnerState } from "./forwarding.ts";
 import { type HttpListener, listenHttp } from "./http_listener.ts";
@@ -63,9 +65,6 @@
  */
 const PEER_MAX_BODY_BYTES = 256 * 1024 * 1024;
 
-/** Time in which the last answers are sent before their connections are closed. */
-const STOP_FLUSH_MS = 100;
-
 /** Options of `startSidecar`. */
 export interface StartSidecarOptions {
   readonly settings: SidecarSettings;
@@ -141,6 +140,7 @@
     onTransfer: (transfer) => observer.onTransfer(transfer),
   });
   let stoppingSinceMs: number | undefined;
+  let isDrained = false;
   let ownEntry: UpstreamEntry | undefined;
   let isUpstreamLeaving = false;
 
@@ -156,6 +156,7 @@
         ? 0
         : performance.now() - stoppingSinceMs,
       drainTimeoutMs: settings.drainTimeoutMs,
+      isDrained,
     });
   const handlePeerState = (peer: Endpoint, state: OwnerState) =>
     void sync.catchUpIfBehind(`${peer.address}:${peer.port}`, state);
@@ -262,6 +263,11 @@
   }, (request, response) => {
     callers.handle(request, response);
   });
+  callerServer.on("connection", (socket) => {
+    // Node's server calls this after an answer that closes its connection.
+    socket.destroySoon = () => closeInStages(socket);
+  });
+  callerServer.on("clientError", callers.handleConnectionError);
 
   function applyLimits(): void {
     const limits = catalog.index!.configuration.limits;
@@ -383,9 +389,13 @@
       isBusy: () => callers.inFlight > 0 || owner.running > 0,
     });
     clearTimeout(refuseNewTimer);
+    isDrained = true;
     owner.close();
     callers.cancelAll();
-    await new Promise((resolve) => setTimeout(resolve, STOP_FLUSH_MS));
+    await whenSent({
+      timeLeftMs: stoppingSinceMs + drainTimeoutMs - performance.now(),
+      isSending: () => callers.isSending,
+    });
     await closeListeners();
     // The sync waits for its requests in flight; closing the connections ends those that get no answer.
     const syncClosed = sync.close();
