Answer 400 to a forwarded request whose ticket has a malformed percent-encoding

One such request on a daemon's peer port ended the daemon's process and with it all its connections: decodeTicket threw a URIError in the request listener of the peer server, which nothing caught. The new test sends raw requests to a started peer server; before, it failed with "URI malformed" for the first malformed ticket. decodeTicket now returns undefined for any text that it can't decode, for which the peer server already answers 400.

--- a/packages/sidecar/src/forwarding.ts
+++ b/packages/sidecar/src/forwarding.ts
@@ -80,26 +80,41 @@
   ].join(",");
 }
 
-/** Decodes a ticket; undefined if the field count or a number is wrong. Throws for an invalid percent-encoding. */
+/** Decodes a ticket; undefined if the field count, a number or a percent-encoding is wrong. */
 export function decodeTicket(text: string): ForwardTicket | undefined {
   const parts = text.split(",");
   if (parts.length !== 10) return undefined;
   const numbers = [3, 4, 5, 6, 7, 9].map((i) => Number(parts[i]));
   if (!numbers.every(Number.isFinite)) return undefined;
+  const [upstreamId, service, route, callerService] = [0, 1, 2, 8]
+    .map((i) => decodePercentEncoding(parts[i]!));
+  if (
+    upstreamId === undefined || service === undefined ||
+    route === undefined || callerService === undefined
+  ) return undefined;
   return {
-    upstreamId: decodeURIComponent(parts[0]!),
-    service: decodeURIComponent(parts[1]!),
-    route: decodeURIComponent(parts[2]!),
+    upstreamId,
+    service,
+    route,
     requestClass: numbers[0] === 1 ? "idempotent" : "non_idempotent",
     rank: numbers[1]!,
     timeLeftMs: numbers[2]!,
     objectiveLeftMs: numbers[3]!,
     isNested: numbers[4] === 1,
-    callerService: decodeURIComponent(parts[8]!),
+    callerService,
     version: numbers[5]!,
   };
 }
 
+/** Decodes a percent-encoded text; undefined if the encoding is invalid. */
+function decodePercentEncoding(text: string): string | undefined {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return undefined;
+  }
+}
+
 /** Encodes a verdict and the daemon's state as a header value. */
 export function encodeVerdict(
   verdict: OwnerVerdict,
--- /dev/null
+++ b/packages/sidecar/src/peer_server_test.ts
@@ -0,0 +1,106 @@
+import { connect } from "node:net";
+import t, { type Test } from "tap";
+import { Catalog } from "@tanagercove/catalog";
+import { encodeTicket, type ForwardTicket } from "./forwarding.ts";
+import type { OwnedRequest, Owner } from "./owner.ts";
+import { startPeerServer } from "./peer_server.ts";
+
+const NAMES = {
+  requestId: "x-id",
+  timeLeftMs: "x-left",
+  signature: "x-signature",
+  upstreamId: "x-upstream",
+  answeringUpstreamId: "x-answering",
+  load: "x-load",
+  notRun: "x-not-run",
+  callerService: "x-caller",
+};
+
+const LOAD = { running: 0, slots: 4, waitingByRank: [0], serviceTimeMs: 50 };
+
+const TICKET: ForwardTicket = {
+  upstreamId: "u1",
+  service: "shop",
+  route: "browse",
+  requestClass: "idempotent",
+  rank: 1,
+  timeLeftMs: 900,
+  objectiveLeftMs: 400,
+  isNested: false,
+  callerService: "web",
+  version: 1,
+};
+
+/** Starts a peer server whose upstream answers each request with 200. */
+async function setUp(t: Test) {
+  const runs: OwnedRequest[] = [];
+  const owner: Owner = {
+    run(request) {
+      runs.push(request);
+      const answer = { status: 200, headers: [], body: Buffer.from("whole") };
+      const verdict = { kind: "answered" as const, serviceMs: 1 };
+      return { ended: Promise.resolve({ verdict, answer }), cancel() {} };
+    },
+    runsParentOf: () => false,
+    load: () => LOAD,
+    running: 0,
+    waiting: 0,
+    setSlots() {},
+    setLeaving() {},
+    close() {},
+  };
+  const listener = await startPeerServer({
+    address: "127.0.0.1",
+    ports: [0],
+    names: NAMES,
+    owner,
+    catalog: new Catalog(),
+    feedId: "f",
+    isInContact: () => true,
+    state: () => ({ load: LOAD, version: 1, revision: 1 }),
+    accepts: () => true,
+    isLeaving: () => false,
+    maxBodyBytes: () => 1_000,
+    onForwarded: () => {},
+  });
+  t.teardown(() => listener.close());
+  const { port } = listener.server.address() as { port: number };
+  return { port, runs };
+}
+
+/** Sends raw bytes on a new connection; returns the status of the answer, or undefined if there is none. */
+function sendRaw(port: number, text: string): Promise<number | undefined> {
+  return new Promise((resolve) => {
+    const socket = connect(port, "127.0.0.1", () => socket.write(text));
+    socket.setTimeout(1_000, () => socket.destroy());
+    socket.once("data", (bytes) => {
+      resolve(Number(/^HTTP\/1\.1 (\d{3})/.exec(bytes.toString())?.[1]));
+      socket.destroy();
+    });
+    socket.on("error", () => {});
+    socket.on("close", () => resolve(undefined));
+  });
+}
+
+function forwarded(ticket: string): string {
+  return `GET /browse/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\n` +
+    `Tanagercove-Forward: ${ticket}\r\n\r\n`;
+}
+
+// Guards against an exception in the listener of requests, which ended the process and all its connections.
+t.test("should answer a forwarded request with 400 if its ticket is malformed", async (t) => {
+  const { port, runs } = await setUp(t);
+  const valid = encodeTicket(TICKET);
+  const malformed = {
+    "percent-encoding": valid.replace("u1", "%zz"),
+    "truncated percent-encoding": valid.replace("web", "%"),
+    "bytes that are not UTF-8": valid.replace("shop", "%ff"),
+    "field count": "1,2",
+    "number": valid.replace("900", "soon"),
+  };
+  for (const [name, ticket] of Object.entries(malformed)) {
+    t.equal(await sendRaw(port, forwarded(ticket)), 400, name);
+  }
+  t.equal(runs.length, 0);
+  t.equal(await sendRaw(port, forwarded(valid)), 200, "still serving");
+});
