Treat a malformed answer of another daemon as no answer

A daemon that read the catalog or feed of another one and got 200 with a body that is not the expected JSON ended its process: JSON.parse threw, or the catalog threw at a missing field, and the rejection left the loop of CatalogSync or catchUpIfBehind unhandled. Addresses are used again by other programs, and daemons of other versions run side by side, so such answers can arrive.

The answers are now decoded and checked for all fields without which applying them or routing would throw. One that fails the check is logged as daemon_answer_unreadable and treated as no answer, so that the loops read elsewhere as they do when a daemon is down.

--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -416,6 +416,13 @@
     meaning: "A value of the platform cannot be parsed and is not used",
     action: "correct the value where it is written",
   },
+  daemon_answer_unreadable: {
+    level: "warn",
+    fields: { peer: "text", problem: "text", unlogged_answers: "number" },
+    meaning:
+      "Another daemon's answer with its catalog cannot be decoded and is treated as no answer",
+    action: "check what runs on the peer port of that VM, and which version",
+  },
   upstream_id_learnt: {
     level: "info",
     fields: { former_upstream_id: "text", upstream_id: "text" },
--- /dev/null
+++ b/packages/sidecar/src/decode_peer_answers.ts
@@ -0,0 +1,122 @@
+import { Result } from "true-myth";
+import type {
+  CatalogChange,
+  CatalogUpdate,
+  FeedResponse,
+} from "@tanagercove/catalog";
+
+/** A decoded answer of another daemon, or what is wrong with it. */
+export type PeerAnswerResult<T> = Result<T, string>;
+
+type Fields = Readonly<Record<string, unknown>>;
+
+/**
+ * Decodes another daemon's catalog. Checks the fields without which applying the update or routing a request would
+ * throw; the daemon may run another version of this program.
+ */
+export function decodeCatalogUpdate(
+  body: Buffer,
+): PeerAnswerResult<CatalogUpdate> {
+  return decodeJson(body).andThen((value) =>
+    isCatalogUpdate(value)
+      ? Result.ok(value)
+      : Result.err("The answer is not a catalog")
+  );
+}
+
+/** Decodes the answer to a follower's long poll, with the same checks as `decodeCatalogUpdate`. */
+export function decodeFeedResponse(
+  body: Buffer,
+): PeerAnswerResult<FeedResponse> {
+  return decodeJson(body).andThen((value) =>
+    isFeedResponse(value)
+      ? Result.ok(value)
+      : Result.err("The answer is not a feed response")
+  );
+}
+
+function decodeJson(body: Buffer): Result<unknown, string> {
+  try {
+    return Result.ok(JSON.parse(body.toString()) as unknown);
+  } catch (error) {
+    return Result.err(`The answer is not JSON: ${(error as Error).message}`);
+  }
+}
+
+function isCatalogUpdate(value: unknown): value is CatalogUpdate {
+  return isObject(value) && isNumber(value.revision) &&
+    isListOf(value.changes, isChange);
+}
+
+function isFeedResponse(value: unknown): value is FeedResponse {
+  return isObject(value) && typeof value.feedId === "string" &&
+    typeof value.isInContact === "boolean" &&
+    [
+      value.position,
+      value.revision,
+      value.configurationRevision,
+      value.version,
+    ].every(isNumber) &&
+    isListOf(value.changes, isChange) &&
+    (value.whole === undefined || isCatalogUpdate(value.whole)) &&
+    (value.delta === undefined || isDelta(value.delta));
+}
+
+const CHANGE_CHECKS: ReadonlyMap<string, (change: Fields) => boolean> = new Map<
+  CatalogChange["kind"],
+  (change: Fields) => boolean
+>([
+  ["configuration", ({ configuration }) => isConfiguration(configuration)],
+  ["upstream", ({ entry }) => isUpstreamEntry(entry)],
+  ["upstream_removed", ({ id }) => typeof id === "string"],
+  ["unreadable", ({ key }) => typeof key === "string"],
+]);
+
+function isChange(value: unknown): boolean {
+  return isObject(value) && isNumber(value.revision) &&
+    (CHANGE_CHECKS.get(String(value.kind))?.(value) ?? false);
+}
+
+function isUpstreamEntry(value: unknown): boolean {
+  return isObject(value) &&
+    [value.id, value.service, value.address, value.zone].every(isText) &&
+    [value.port, value.slots, value.coldMs].every(isNumber);
+}
+
+function isConfiguration(value: unknown): boolean {
+  return isObject(value) && isNumber(value.version) &&
+    isListOf(value.routes, isRoute) && isListOf(value.services, isObject) &&
+    isObject(value.limits);
+}
+
+function isDelta(value: unknown): boolean {
+  return isObject(value) && isNumber(value.version) &&
+    isNumber(value.fromVersion) && isListOf(value.changed, isRoute) &&
+    isListOf(value.removed, isText) && isListOf(value.services, isObject) &&
+    isObject(value.limits);
+}
+
+function isRoute(value: unknown): boolean {
+  return isObject(value) &&
+    [value.name, value.host, value.prefix].every(isText) &&
+    isListOf(value.targets, isObject) && value.targets.length > 0;
+}
+
+function isObject(value: unknown): value is Fields {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
+
+function isListOf(
+  value: unknown,
+  isItem: (item: unknown) => boolean,
+): value is readonly unknown[] {
+  return Array.isArray(value) && value.every(isItem);
+}
+
+function isNumber(value: unknown): boolean {
+  return Number.isFinite(value);
+}
+
+function isText(value: unknown): boolean {
+  return typeof value === "string";
+}
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -5,6 +5,11 @@
   FeedResponse,
 } from "@tanagercove/catalog";
 import type { Endpoint } from "@tanagercove/types";
+import {
+  decodeCatalogUpdate,
+  decodeFeedResponse,
+  type PeerAnswerResult,
+} from "./decode_peer_answers.ts";
 import { type Exchange, type ExchangeEnd, startExchange } from "./exchange.ts";
 import {
   decodeVerdict,
@@ -58,11 +63,18 @@
   cancel(): void;
 }
 
+/** An answer of another daemon that can't be decoded; it is treated as no answer. */
+export interface UnreadableAnswer {
+  readonly destination: Endpoint;
+  readonly problem: string;
+}
+
 /** Options of `createPeerClient`. */
 export interface CreatePeerClientOptions {
   readonly agents: ConnectionAgents;
   readonly localAddress: string;
   readonly maxAnswerBytes: number;
+  readonly onUnreadable: (answer: UnreadableAnswer) => void;
 }
 
 /** Options of `PeerClient.forward`. */
@@ -88,7 +100,8 @@
 
 /** Creates the client for calls to other daemons. */
 export function createPeerClient(
-  { agents, localAddress, maxAnswerBytes }: CreatePeerClientOptions,
+  { agents, localAddress, maxAnswerBytes, onUnreadable }:
+    CreatePeerClientOptions,
 ): PeerClient {
   return {
     forward({ destination, request, onSilent }) {
@@ -115,23 +128,29 @@
       return forwardRun(exchange);
     },
     follow: (destination, { version, feedId, position, waitMs }) =>
-      fetchJson<FeedResponse>(destination, {
+      fetchDecoded<FeedResponse>(destination, {
+        decode: decodeFeedResponse,
         path: `${FEED_PATH}?version=${version}&feed_id=${feedId}` +
           `&position=${position}&wait_ms=${waitMs}`,
         timeoutMs: waitMs + FEED_GRACE_MS,
       }),
     readCatalog: (destination, { version, changeRevision }) =>
-      fetchJson<CatalogUpdate>(destination, {
+      fetchDecoded<CatalogUpdate>(destination, {
+        decode: decodeCatalogUpdate,
         path:
           `${CATALOG_PATH}?version=${version}&change_revision=${changeRevision}`,
         timeoutMs: CATALOG_TIMEOUT_MS,
       }),
   };
 
-  /** Fetches JSON from a daemon of the same fleet; it runs the same program, so the JSON has the expected type. */
-  async function fetchJson<T>(
+  /** Fetches from another daemon; undefined if it does not answer, has nothing to send or its answer is unreadable. */
+  async function fetchDecoded<T>(
     destination: Endpoint,
-    { path, timeoutMs }: { readonly path: string; readonly timeoutMs: number },
+    { path, timeoutMs, decode }: {
+      readonly path: string;
+      readonly timeoutMs: number;
+      readonly decode: (body: Buffer) => PeerAnswerResult<T>;
+    },
   ): Promise<T | undefined> {
     const { ended } = startExchange({
       agent: agents.forClass("idempotent"),
@@ -147,7 +166,10 @@
     });
     const end = await ended;
     if (end.kind !== "answered" || end.status !== 200) return undefined;
-    return JSON.parse(end.body.toString()) as T;
+    const decoded = decode(end.body);
+    if (decoded.isOk) return decoded.value;
+    onUnreadable({ destination, problem: decoded.error });
+    return undefined;
   }
 }
 
--- /dev/null
+++ b/packages/sidecar/src/peer_client_test.ts
@@ -0,0 +1,151 @@
+import { createServer } from "node:net";
+import t, { type Test } from "tap";
+import { Catalog } from "@tanagercove/catalog";
+import { ConnectionAgents } from "./connection_agent.ts";
+import { createPeerClient } from "./peer_client.ts";
+
+const ENTRY = {
+  id: "u1",
+  service: "shop",
+  address: "10.0.0.1",
+  port: 80,
+  zone: "a",
+  slots: 4,
+  state: "ready" as const,
+  coldMs: 0,
+  bornMs: 1,
+};
+
+const ROUTE = {
+  name: "browse",
+  host: "shop.example",
+  prefix: "/browse/",
+  requestClass: "idempotent" as const,
+  latencyObjectiveMs: 500,
+  priority: 1,
+  targets: [{ service: "shop", weight: 1 }],
+  timeoutMs: 1_000,
+  maxAttempts: 2,
+};
+
+const CONFIGURATION = {
+  version: 3,
+  routes: [ROUTE],
+  services: [],
+  limits: {
+    maxHeaderBytes: 1_000,
+    maxBodyBytes: 1_000,
+    headerTimeoutMs: 1_000,
+    idleTimeoutMs: 1_000,
+  },
+};
+
+const HAVE = { version: 0, changeRevision: 0 };
+
+const POLL = { version: 0, feedId: "", position: 0, waitMs: 100 };
+
+/** Starts a daemon stand-in that answers each request with the body. */
+async function setUp(t: Test) {
+  const answer = { body: "" };
+  const problems: string[] = [];
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("data", () => {
+      const head = `HTTP/1.1 200 OK\r\nContent-Length: ${answer.body.length}`;
+      socket.write(`${head}\r\n\r\n${answer.body}`);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as { port: number };
+  const agents = new ConnectionAgents({ maxIdleMs: 1_000 });
+  t.teardown(() => {
+    agents.close();
+    server.close();
+  });
+  const client = createPeerClient({
+    agents,
+    localAddress: "127.0.0.1",
+    maxAnswerBytes: 1_000_000,
+    onUnreadable: ({ problem }) => problems.push(problem),
+  });
+  const destination = { address: "127.0.0.1", port };
+  return { answer, client, destination, problems };
+}
+
+// Guards against rejected promises: one such answer ended the loops that synchronize the catalog, and the process.
+t.test("should treat a malformed answer of a daemon as none, and report it", async (t) => {
+  const { answer, client, destination, problems } = await setUp(t);
+  const update = (change: unknown) =>
+    JSON.stringify({ revision: 1, changes: [change] });
+  const withRoute = (route: unknown) =>
+    update({
+      kind: "configuration",
+      revision: 1,
+      configuration: { ...CONFIGURATION, routes: [route] },
+    });
+  const malformed = {
+    "not JSON": "<html>",
+    "truncated": '{"revision":1,"changes":[',
+    "empty": "",
+    "null": "null",
+    "list": "[]",
+    "no changes": '{"revision":1}',
+    "no revision": '{"changes":[]}',
+    "change of an unknown kind": update({ kind: "later", revision: 1 }),
+    "null change": update(null),
+    "no entry": update({ kind: "upstream", revision: 1 }),
+    "no address": update({
+      kind: "upstream",
+      revision: 1,
+      entry: { ...ENTRY, address: undefined },
+    }),
+    "no routes": update({
+      kind: "configuration",
+      revision: 1,
+      configuration: { ...CONFIGURATION, routes: undefined },
+    }),
+    "null route": withRoute(null),
+    "route without a target": withRoute({ ...ROUTE, targets: [] }),
+  };
+  for (const [name, body] of Object.entries(malformed)) {
+    answer.body = body;
+    t.equal(await client.readCatalog(destination, HAVE), undefined, name);
+    t.equal(await client.follow(destination, POLL), undefined, name);
+  }
+  t.equal(problems.length, 2 * Object.keys(malformed).length);
+});
+
+t.test("should accept what a daemon sends", async (t) => {
+  const { answer, client, destination, problems } = await setUp(t);
+  const catalog = new Catalog();
+  catalog.apply([
+    { kind: "upstream", revision: 1, entry: ENTRY },
+    { kind: "configuration", revision: 2, configuration: CONFIGURATION },
+  ]);
+  const snapshot = catalog.snapshot(0);
+  answer.body = JSON.stringify(snapshot);
+  t.same(await client.readCatalog(destination, HAVE), snapshot);
+  const response = {
+    feedId: "f",
+    position: 1,
+    isInContact: true,
+    changes: [{ kind: "upstream_removed", revision: 4, id: "u1" }],
+    revision: 4,
+    delta: {
+      fromVersion: 2,
+      version: 3,
+      changed: [ROUTE],
+      removed: ["shop.example/buy/"],
+      services: [],
+      limits: CONFIGURATION.limits,
+    },
+    configurationRevision: 2,
+    version: 3,
+  };
+  answer.body = JSON.stringify(response);
+  t.same(await client.follow(destination, POLL), response);
+  const whole = { ...response, whole: snapshot, delta: undefined };
+  answer.body = JSON.stringify(whole);
+  t.match(await client.follow(destination, POLL), { whole: snapshot });
+  t.same(problems, []);
+});
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -12,6 +12,7 @@
 import { ServiceBudgets } from "@tanagercove/retries";
 import { TargetShares } from "@tanagercove/routing";
 import type { Endpoint, UpstreamEntry } from "@tanagercove/types";
+import { createFailureLog } from "./failure_log.ts";
 import { fetchUpstreamId } from "./fetch_upstream_id.ts";
 import { createCallerHandler } from "./caller_handler.ts";
 import { ConnectionAgents } from "./connection_agent.ts";
@@ -101,6 +102,7 @@
     catalogRevision: () => catalog.revision,
     routeCount: () => catalog.index?.configuration.routes.length ?? 0,
   });
+  const failures = createFailureLog({ log, metrics });
   let seeds = settings.seeds;
   const peerAgents = new ConnectionAgents({ maxIdleMs: PEER_IDLE_MS });
   const upstreamAgents = new ConnectionAgents({ maxIdleMs: UPSTREAM_IDLE_MS });
@@ -111,6 +113,7 @@
     agents: peerAgents,
     localAddress: settings.address,
     maxAnswerBytes: MAX_ANSWER_BYTES,
+    onUnreadable: failures.onUnreadableAnswer,
   });
   const identity = new UpstreamIdentity({
     service: settings.service,
