Treat a verdict with an unknown kind or reason as malformed

A daemon that got such a verdict from another one, as one of a later version may send, left the caller's request without an answer and ended its process: for an unknown reason, the lookups in decide_next_step and REFUSALS gave undefined, whose fields were then read; for the kind __proto__, decodeVerdict itself threw. The new test calls decodeVerdict; before, 9 of its 10 malformed texts were decoded or threw.

A kind or reason outside the closed sets now makes the verdict undefined. It is then not known if the request ran, and the outcome is unknown, as for every other malformed verdict: 502, or another attempt if the request is idempotent. The sets are checked against the types, so a new reason can't be forgotten here.

--- a/packages/sidecar/src/decisions_test.ts
+++ b/packages/sidecar/src/decisions_test.ts
@@ -170,6 +170,34 @@
   t.end();
 });
 
+// Guards against a reason that no table has, with which a caller's request was answered by an exception and the
+// process ended, and against names that every object has.
+t.test("should not decode a verdict of an unknown kind or with an unknown reason", (t) => {
+  const rest = "1,10,3,4,0:1,80,12,99";
+  t.ok(decodeVerdict(`not_run,busy,${rest}`));
+  t.ok(decodeVerdict(`unknown,cut,${rest}`));
+  t.ok(decodeVerdict(`answered,,${rest}`));
+  const malformed = [
+    "not_run,bored",
+    "not_run,",
+    "not_run,cut",
+    "not_run,constructor",
+    "unknown,bored",
+    "unknown,busy",
+    "maybe,busy",
+    "__proto__,busy",
+    "constructor,busy",
+    "toString,busy",
+  ];
+  for (const start of malformed) {
+    t.doesNotThrow(
+      () => t.equal(decodeVerdict(`${start},${rest}`), undefined, start),
+      start,
+    );
+  }
+  t.end();
+});
+
 // Guards against refusing callers before they can see the failing readiness check, and against
 // accepting forwarded requests too late to end before the process is killed.
 t.test("should accept all requests, then only those of its callers, then none while it stops", (t) => {
--- a/packages/sidecar/src/forwarding.ts
+++ b/packages/sidecar/src/forwarding.ts
@@ -141,19 +141,20 @@
   ].join(",");
 }
 
-/** Decodes a verdict; undefined if the text is malformed. The reason is not validated. */
+/** Decodes a verdict; undefined if the text is malformed or its kind or reason is unknown. */
 export function decodeVerdict(
   text: string,
 ): { readonly verdict: OwnerVerdict; readonly state: OwnerState } | undefined {
   const parts = text.split(",");
-  if (parts.length !== 10) return undefined;
-  const decode = VERDICTS[parts[0]!];
+  const kind = parts[0]!;
+  if (parts.length !== 10 || !isVerdictKind(kind)) return undefined;
   const waitingByRank = parts[6]!.split(":").map(Number);
   const numbers = [3, 4, 5, 7, 8, 9].map((i) => Number(parts[i]));
-  if (decode === undefined) return undefined;
   if (![...waitingByRank, ...numbers].every(Number.isFinite)) return undefined;
+  const verdict = VERDICTS[kind](parts[1]!, parts[2] === "1", numbers[0]!);
+  if (verdict === undefined) return undefined;
   return {
-    verdict: decode(parts[1]!, parts[2] === "1", numbers[0]!),
+    verdict,
     state: {
       load: {
         running: numbers[1]!,
@@ -167,18 +168,47 @@
   };
 }
 
-const VERDICTS: Readonly<
-  Record<
-    string,
-    (reason: string, reachedUpstream: boolean, timeMs: number) => OwnerVerdict
-  >
-> = {
+type DecodeVerdict = (
+  reason: string,
+  reachedUpstream: boolean,
+  timeMs: number,
+) => OwnerVerdict | undefined;
+
+const VERDICTS: Readonly<Record<OwnerVerdict["kind"], DecodeVerdict>> = {
   answered: (_reason, _reached, serviceMs) => ({ kind: "answered", serviceMs }),
-  not_run: (reason, reachedUpstream, retryAfterMs) => ({
-    kind: "not_run",
-    reason: reason as NotRunReason,
-    reachedUpstream,
-    retryAfterMs,
-  }),
-  unknown: (reason) => ({ kind: "unknown", reason: reason as UnknownReason }),
+  not_run: (reason, reachedUpstream, retryAfterMs) =>
+    isNotRunReason(reason)
+      ? { kind: "not_run", reason, reachedUpstream, retryAfterMs }
+      : undefined,
+  unknown: (reason) =>
+    isUnknownReason(reason) ? { kind: "unknown", reason } : undefined,
+};
+
+const NOT_RUN_REASONS: Readonly<Record<NotRunReason, true>> = {
+  busy: true,
+  deadline: true,
+  leaving: true,
+  cancelled: true,
+  upstream_refused: true,
+  upstream_changed: true,
+  connect_failed: true,
+};
+
+const UNKNOWN_REASONS: Readonly<Record<UnknownReason, true>> = {
+  cut: true,
+  deadline: true,
+  malformed: true,
+  cancelled: true,
 };
+
+function isVerdictKind(kind: string): kind is OwnerVerdict["kind"] {
+  return Object.hasOwn(VERDICTS, kind);
+}
+
+function isNotRunReason(reason: string): reason is NotRunReason {
+  return Object.hasOwn(NOT_RUN_REASONS, reason);
+}
+
+function isUnknownReason(reason: string): reason is UnknownReason {
+  return Object.hasOwn(UNKNOWN_REASONS, reason);
+}
