Answer 400 to a request that Node can read but not write

One request of a caller with a tab in its path, or with an empty field name or a space in one, ended the daemon's process and all its connections. Node's parser accepts such heads, but http.request refuses them; a trial on Node 20.19 with every byte value found these four cases. The exception came after a slot of the upstream had been granted, so the slot stayed taken.

The new test sends the four requests to a sidecar; before, the first one ended it with ERR_UNESCAPED_CHARACTERS. The test of the peer server got 200 instead of 400 for such a path. Both servers now check path and fields with Node's own rules before they choose an upstream or request a slot.

--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -13,6 +13,7 @@
 import { endToEndHeaders, ownFieldNames } from "./passed_headers.ts";
 import { readBody } from "./read_body.ts";
 import { type RefusalReason, REFUSALS } from "./refusals.ts";
+import { isSendableRequest } from "./sendable_heads.ts";
 import { DEFAULT_RETRY_AFTER_MS, type ServeRequest } from "./serve_request.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 
@@ -94,7 +95,11 @@
       if (body.error === "gone") return reportResult(caller, "gone", 0);
       return refuse(caller, "body_too_large");
     }
-    if (caller.requestId === "") {
+    const headers = endToEndHeaders(request.rawHeaders, ownNames);
+    if (
+      caller.requestId === "" ||
+      !isSendableRequest({ path: request.url!, headers })
+    ) {
       return refuse(caller, "bad_request");
     }
     if (index === undefined) return refuse(caller, "starting");
@@ -115,7 +120,7 @@
       rank: isNested
         ? NESTED_RANK
         : 1 + Math.min(MAX_PRIORITY, Math.floor(route.priority)),
-      headers: endToEndHeaders(request.rawHeaders, ownNames),
+      headers,
       body: body.value,
       deadlineAtMs: caller.startedMs + Math.min(deadlineMs, route.timeoutMs),
       objectiveAtMs: caller.startedMs + route.latencyObjectiveMs -
--- /dev/null
+++ b/packages/sidecar/src/malformed_messages_test.ts
@@ -0,0 +1,180 @@
+import { connect, createServer, type Socket } from "node:net";
+import t, { type Test } from "tap";
+import { Result } from "true-myth";
+import type { CatalogChange, CatalogSource } from "@tanagercove/catalog";
+import { createLogger } from "@tanagercove/logs";
+import { waitFor } from "@tanagercove/test_helpers";
+import { startSidecar } from "./sidecar.ts";
+
+const ADDRESS = "127.41.1.1";
+const UPSTREAM_PORT = 18_080;
+const PEER_PORT = 18_081;
+const CALLER_PORT = 18_082;
+const READINESS_PORT = 18_083;
+const METRICS_PORT = 18_084;
+
+const NAMES = {
+  requestId: "x-id",
+  timeLeftMs: "x-left",
+  signature: "x-signature",
+  upstreamId: "x-upstream",
+  answeringUpstreamId: "x-answering",
+  load: "x-load",
+  notRun: "x-not-run",
+  callerService: "x-caller",
+};
+
+/** The upstream has a single slot, so that a slot that is not released shows at the next request. */
+const CHANGES: readonly CatalogChange[] = [
+  {
+    kind: "upstream",
+    revision: 1,
+    entry: {
+      id: "u1",
+      service: "shop",
+      address: ADDRESS,
+      port: UPSTREAM_PORT,
+      zone: "a",
+      slots: 1,
+      state: "ready",
+      coldMs: 0,
+      bornMs: 1,
+    },
+  },
+  {
+    kind: "configuration",
+    revision: 2,
+    configuration: {
+      version: 1,
+      routes: [{
+        name: "browse",
+        host: "shop.example",
+        prefix: "/browse/",
+        requestClass: "idempotent",
+        latencyObjectiveMs: 500,
+        priority: 1,
+        targets: [{ service: "shop", weight: 1 }],
+        timeoutMs: 900,
+        maxAttempts: 2,
+      }],
+      services: [{ name: "shop", healthPath: "/health", maxConnections: 10 }],
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 65_536,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs: 15_000,
+      },
+    },
+  },
+];
+
+const SOUND_ANSWER = answerHead("200", "X-Signature: s");
+
+function answerHead(status: string, field: string): string {
+  return `HTTP/1.1 ${status} X\r\nX-Id: r1\r\n${field}\r\nContent-Length: 0\r\n\r\n`;
+}
+
+/** Starts a sidecar whose upstream answers each request with `upstream.answer`. */
+async function setUp(t: Test) {
+  const upstream = { answer: SOUND_ANSWER, runCount: 0 };
+  const sockets = new Set<Socket>();
+  const upstreamServer = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    socket.on("data", () => {
+      upstream.runCount += 1;
+      socket.write(upstream.answer, "latin1");
+    });
+  });
+  await new Promise<void>((resolve) =>
+    upstreamServer.listen(UPSTREAM_PORT, ADDRESS, resolve)
+  );
+  const source: CatalogSource = {
+    readAll: () =>
+      Promise.resolve(Result.ok({ revision: 2, changes: CHANGES })),
+    watch: ({ signal }) =>
+      new Promise((resolve) =>
+        signal!.addEventListener(
+          "abort",
+          () => resolve(Result.ok({ revision: 2, changes: [] })),
+        )
+      ),
+    close: () => Promise.resolve(),
+  };
+  const lines: string[] = [];
+  const sidecar = await startSidecar({
+    settings: {
+      vmId: "v1",
+      address: ADDRESS,
+      zone: "a",
+      service: "shop",
+      upstream: { address: ADDRESS, port: UPSTREAM_PORT },
+      caller: { address: ADDRESS, port: CALLER_PORT },
+      peer: { address: ADDRESS, port: PEER_PORT },
+      readiness: { address: ADDRESS, port: READINESS_PORT },
+      control: undefined,
+      seeds: [],
+      metricsPort: METRICS_PORT,
+      platform: { address: ADDRESS, port: 1 },
+      drainTimeoutMs: 500,
+      retryBudgetRatio: 0.2,
+      retryBudgetWindowMs: 10_000,
+      retryBudgetSlack: 50,
+    },
+    names: NAMES,
+    source,
+    log: createLogger({
+      vmId: "v1",
+      zone: "a",
+      write: (line) => lines.push(line),
+    }),
+  });
+  t.teardown(async () => {
+    await sidecar.close();
+    for (const socket of sockets) socket.destroy();
+    upstreamServer.close();
+  });
+  await waitFor(() => sidecar.isReady && sidecar.catalog.upstreams.size === 1);
+  return { upstream, lines };
+}
+
+function requestHead(path: string, field: string): string {
+  return `GET ${path} HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\n${field}\r\n\r\n`;
+}
+
+const SOUND_REQUEST = requestHead("/browse/x", "X-Left: 900");
+
+/** Sends raw bytes on a new connection; returns the status of the answer, or undefined if there is none. */
+function sendRaw(text: string): Promise<number | undefined> {
+  return new Promise((resolve) => {
+    const socket = connect(
+      CALLER_PORT,
+      ADDRESS,
+      () => socket.write(text, "latin1"),
+    );
+    socket.setTimeout(2_000, () => socket.destroy());
+    socket.once("data", (bytes) => {
+      resolve(Number(/^HTTP\/1\.1 (\d{3})/.exec(bytes.toString())?.[1]));
+      socket.destroy();
+    });
+    socket.on("error", () => {});
+    socket.on("close", () => resolve(undefined));
+  });
+}
+
+// Guards against an exception after a slot was granted: the request got no answer, the slot was never released and the
+// process ended. Node's parser accepts these requests, but Node refuses to write them.
+t.test("should answer 400 to a request that cannot be passed on", async (t) => {
+  const { upstream } = await setUp(t);
+  const unsendable = {
+    "tab in the path": requestHead("/browse/\tx", "X-Left: 900"),
+    "form feed in the path": requestHead("/browse/\fx", "X-Left: 900"),
+    "space in a field name": requestHead("/browse/x", "X Y: 1"),
+    "empty field name": requestHead("/browse/x", "X: 1\r\n: 2"),
+  };
+  for (const [name, text] of Object.entries(unsendable)) {
+    t.equal(await sendRaw(text), 400, name);
+  }
+  t.equal(upstream.runCount, 0);
+  t.equal(await sendRaw(SOUND_REQUEST), 200, "still serving");
+});
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -18,6 +18,7 @@
 import { endToEndHeaders } from "./passed_headers.ts";
 import { CATALOG_PATH, FEED_PATH } from "./peer_client.ts";
 import { readBody } from "./read_body.ts";
+import { isSendableRequest } from "./sendable_heads.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 import { type HttpListener, listenHttp } from "./http_listener.ts";
 
@@ -149,7 +150,12 @@
       response.writeHead(413).end();
       return;
     }
-    if (ticket === undefined || typeof requestId !== "string") {
+    const path = request.url!;
+    const headers = endToEndHeaders(request.rawHeaders);
+    if (
+      ticket === undefined || typeof requestId !== "string" ||
+      !isSendableRequest({ path, headers })
+    ) {
       response.writeHead(400).end();
       return;
     }
@@ -178,8 +184,8 @@
       ticket,
       requestId,
       method: request.method!,
-      path: request.url!,
-      headers: endToEndHeaders(request.rawHeaders),
+      path,
+      headers,
       body: body.value,
     });
     const confirmTimer = setTimeout(() => {
--- a/packages/sidecar/src/peer_server_test.ts
+++ b/packages/sidecar/src/peer_server_test.ts
@@ -82,8 +82,8 @@
   });
 }
 
-function forwarded(ticket: string): string {
-  return `GET /browse/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\n` +
+function forwarded(ticket: string, path = "/browse/x"): string {
+  return `GET ${path} HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\n` +
     `Tanagercove-Forward: ${ticket}\r\n\r\n`;
 }
 
@@ -104,3 +104,12 @@
   t.equal(runs.length, 0);
   t.equal(await sendRaw(port, forwarded(valid)), 200, "still serving");
 });
+
+// Guards against an exception after a slot was granted: Node's parser accepts a tab in a path, but Node refuses to
+// write it.
+t.test("should answer 400 to a forwarded request that cannot be passed on", async (t) => {
+  const { port, runs } = await setUp(t);
+  const ticket = encodeTicket(TICKET);
+  t.equal(await sendRaw(port, forwarded(ticket, "/browse/\tx")), 400);
+  t.equal(runs.length, 0);
+});
