Answer 502 if an upstream's answer can't be passed on

An upstream's answer with a final status below 100, an empty field name or a space in one ended the daemon's process: Node's parser accepts such a head, but writeHead throws for it, in deliver or, on the owner daemon, in respond. The caller got no answer.

Both places now count them as malformed: the upstream may have run the request, so the outcome is unknown.

--- a/packages/sidecar/src/malformed_messages_test.ts
+++ b/packages/sidecar/src/malformed_messages_test.ts
@@ -178,3 +178,21 @@
   t.equal(upstream.runCount, 0);
   t.equal(await sendRaw(SOUND_REQUEST), 200, "still serving");
 });
+
+// Guards against an exception while the answer is written, which ended the process: Node's parser accepts these
+// answers, but Node refuses to write them.
+t.test("should answer 502 if the upstream's answer cannot be passed on", async (t) => {
+  const { upstream } = await setUp(t);
+  const unsendable = {
+    "status 000": answerHead("000", "X-Signature: s"),
+    "status 099": answerHead("099", "X-Signature: s"),
+    "space in a field name": answerHead("200", "X-Signature: s\r\nX Y: 1"),
+    "empty field name": answerHead("200", "X-Signature: s\r\n: 1"),
+  };
+  for (const [name, answer] of Object.entries(unsendable)) {
+    upstream.answer = answer;
+    t.equal(await sendRaw(SOUND_REQUEST), 502, name);
+  }
+  upstream.answer = SOUND_ANSWER;
+  t.equal(await sendRaw(SOUND_REQUEST), 200, "still serving");
+});
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -10,6 +10,7 @@
 } from "./forwarding.ts";
 import { deliveredHeaders, requestHeaders } from "./passed_headers.ts";
 import { RouteTimes } from "./route_times.ts";
+import { isSendableAnswer } from "./sendable_heads.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 import { classifyUpstreamAnswer } from "./upstream_answer.ts";
 import type { UpstreamIdentity } from "./upstream_identity.ts";
@@ -184,13 +185,17 @@
       return { verdict, answer: undefined };
     }
     if (end.kind !== "answered") throw new Error("Exchange has no answer");
+    const { status, body } = end;
+    const headers = deliveredHeaders(end.rawHeaders);
+    if (!isSendableAnswer({ status, headers })) {
+      return {
+        verdict: { kind: "unknown", reason: "malformed" },
+        answer: undefined,
+      };
+    }
     return {
       verdict: { kind: "answered", serviceMs: end.durationMs },
-      answer: {
-        status: end.status,
-        headers: deliveredHeaders(end.rawHeaders),
-        body: end.body,
-      },
+      answer: { status, headers, body },
     };
   }
 
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -21,6 +21,7 @@
 } from "./forwarding.ts";
 import type { OwnedAnswer, OwnedRequest } from "./owner.ts";
 import { contentLengthField, endToEndHeaders } from "./passed_headers.ts";
+import { isSendableAnswer } from "./sendable_heads.ts";
 
 /** Path at which a daemon serves its catalog to other daemons. */
 export const CATALOG_PATH = "/-/tanagercove/catalog";
@@ -192,15 +193,19 @@
   const decoded = typeof outcome === "string"
     ? decodeVerdict(outcome)
     : undefined;
-  if (decoded === undefined) {
+  const headers = endToEndHeaders(end.rawHeaders);
+  if (
+    decoded === undefined ||
+    !isSendableAnswer({ status: end.status, headers })
+  ) {
     // The answer is not from a daemon of this fleet, or a daemon refused the request as too large (413) or malformed
-    // (400). Without a verdict, it counts as unknown whether the request ran.
+    // (400), or the answer can't be passed on. Then it counts as unknown whether the request ran.
     const verdict: OwnerVerdict = { kind: "unknown", reason: "malformed" };
     return { verdict, answer: undefined, state: undefined };
   }
   const answer = decoded.verdict.kind !== "answered" ? undefined : {
     status: end.status,
-    headers: endToEndHeaders(end.rawHeaders),
+    headers,
     body: end.body,
   };
   return { ...decoded, answer };
--- a/packages/sidecar/src/peer_client_test.ts
+++ b/packages/sidecar/src/peer_client_test.ts
@@ -40,19 +40,32 @@
   },
 };
 
+const TICKET = {
+  upstreamId: "u1",
+  service: "shop",
+  route: "browse",
+  requestClass: "idempotent" as const,
+  rank: 1,
+  timeLeftMs: 900,
+  objectiveLeftMs: 400,
+  isNested: false,
+  callerService: "web",
+  version: 1,
+};
+
 const HAVE = { version: 0, changeRevision: 0 };
 
 const POLL = { version: 0, feedId: "", position: 0, waitMs: 100 };
 
-/** Starts a daemon stand-in that answers each request with the body. */
+/** Starts a daemon stand-in that answers each request with the head and the body. */
 async function setUp(t: Test) {
-  const answer = { body: "" };
+  const answer = { head: "HTTP/1.1 200 OK", body: "" };
   const problems: string[] = [];
   const server = createServer((socket) => {
     socket.on("error", () => {});
     socket.on("data", () => {
-      const head = `HTTP/1.1 200 OK\r\nContent-Length: ${answer.body.length}`;
-      socket.write(`${head}\r\n\r\n${answer.body}`);
+      const { head, body } = answer;
+      socket.write(`${head}\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
     });
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
@@ -149,3 +162,29 @@
   t.match(await client.follow(destination, POLL), { whole: snapshot });
   t.same(problems, []);
 });
+
+// Guards against an exception while the answer is written to the caller.
+t.test("should treat an answer to a forwarded request that cannot be passed on as malformed", async (t) => {
+  const { answer, client, destination } = await setUp(t);
+  const outcome = "Tanagercove-Outcome: answered,,0,5,0,4,0,80,1,1";
+  const forward = () =>
+    client.forward({
+      destination,
+      request: {
+        ticket: TICKET,
+        requestId: "r1",
+        method: "GET",
+        path: "/browse/x",
+        headers: ["host", "shop.example"],
+        body: undefined,
+      },
+      onSilent: () => {},
+    }).ended;
+  answer.head = `HTTP/1.1 200 OK\r\n${outcome}`;
+  t.match(await forward(), { verdict: { kind: "answered" } });
+  const malformed = { kind: "unknown", reason: "malformed" };
+  answer.head = `HTTP/1.1 099 X\r\n${outcome}`;
+  t.same((await forward()).verdict, malformed);
+  answer.head = `HTTP/1.1 200 OK\r\n${outcome}\r\nX Y: 1`;
+  t.same((await forward()).verdict, malformed);
+});
--- a/packages/sidecar/src/sendable_heads.ts
+++ b/packages/sidecar/src/sendable_heads.ts
@@ -16,6 +16,17 @@
   return !UNSENDABLE_IN_PATH.test(path) && areSendableFields(headers);
 }
 
+/** Whether an answer with this status and these fields, as alternating names and values, can be passed on. */
+export function isSendableAnswer(
+  { status, headers }: {
+    readonly status: number;
+    readonly headers: readonly string[];
+  },
+): boolean {
+  // Node's parser also accepts a final status below 100.
+  return status >= 200 && areSendableFields(headers);
+}
+
 function areSendableFields(headers: readonly string[]): boolean {
   try {
     for (let i = 0; i + 1 < headers.length; i += 2) {
