Answer 500 and log if the handler of a request throws, in place of ending the process

An error in the handler of one request ended the daemon's process: handlers were started with void, so a rejected promise became an uncaught exception. The request got no answer, all other connections were closed, and an error after a slot was granted kept the slot taken. A case that other checks of this code don't cover is an upstream id of the store with a character that Node refuses in a field value.

The new tests send a request for such an upstream to a sidecar, and one to a peer server whose owner throws; before, the first ended with ERR_INVALID_CHAR and the second with the error itself. Now each server has one place in which a failed handler is logged as operation_failed and its request answered with 500, which leaves open whether it ran; a started answer is cut. The owner releases the slot and the request server ends the attempt in any case. An error while catching up with another daemon is logged in the same way.

--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -416,6 +416,18 @@
     meaning: "A value of the platform cannot be parsed and is not used",
     action: "correct the value where it is written",
   },
+  operation_failed: {
+    level: "error",
+    fields: {
+      operation: "text",
+      message: "text",
+      stack: "optional_text",
+      unlogged_failures: "number",
+    },
+    meaning:
+      "An error in one operation, which is a fault in this program; a request is answered with 500, and the process continues",
+    action: "report the stack",
+  },
   daemon_answer_unreadable: {
     level: "warn",
     fields: { peer: "text", problem: "text", unlogged_answers: "number" },
--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -9,6 +9,7 @@
   CallerResult,
   RoutedRequest,
 } from "./caller_request.ts";
+import { answerFailedRequest } from "./failed_request.ts";
 import type { OwnedAnswer, Owner } from "./owner.ts";
 import { endToEndHeaders, ownFieldNames } from "./passed_headers.ts";
 import { readBody } from "./read_body.ts";
@@ -47,6 +48,8 @@
   /** Whether new requests are refused because the process ends soon. */
   readonly refusesNew: () => boolean;
   readonly onResult: (result: CallerResult) => void;
+  /** Called with the error of a request that is answered with 500. */
+  readonly onHandlerFailed: (error: unknown) => void;
 }
 
 /** Handles the requests of this VM's clients and upstream. */
@@ -200,7 +203,11 @@
   }
 
   return {
-    handle: (request, response) => void handle(request, response),
+    handle: (request, response) =>
+      void handle(request, response).catch((error) => {
+        options.onHandlerFailed(error);
+        answerFailedRequest(response);
+      }),
     get inFlight() {
       return connections.inFlight;
     },
--- a/packages/sidecar/src/failure_log.ts
+++ b/packages/sidecar/src/failure_log.ts
@@ -2,9 +2,18 @@
 import type { Metrics } from "@tanagercove/metrics";
 import type { UnreadableAnswer } from "./peer_client.ts";
 
+/** Operations whose errors end neither the process nor other operations. */
+export type FailedOperation =
+  | "request"
+  | "forwarded_request"
+  | "catch_up"
+  | "fetch_upstream_id";
+
 /** Logs and counts failures that this daemon handles although it does not expect them; the lines are limited in rate. */
 export interface FailureLog {
   onUnreadableAnswer(answer: UnreadableAnswer): void;
+  /** Logs an error that was thrown during an operation, which a fault in this program allows. */
+  onOperationFailed(operation: FailedOperation, error: unknown): void;
 }
 
 /** Options of `createFailureLog`. */
@@ -18,6 +27,7 @@
   { log, metrics }: CreateFailureLogOptions,
 ): FailureLog {
   const answerLimit = new LineLimit();
+  const operationLimit = new LineLimit();
   return {
     onUnreadableAnswer({ destination, problem }) {
       metrics.counter("unreadable_daemon_answers").add();
@@ -30,5 +40,20 @@
         unlogged_answers,
       });
     },
+    onOperationFailed(operation, error) {
+      metrics.counter("failed_operations", { operation }).add();
+      const unlogged_failures = operationLimit.take();
+      if (unlogged_failures === undefined) return;
+      const { message, stack } = error instanceof Error
+        ? error
+        : { message: String(error), stack: undefined };
+      logEvent(log, {
+        event: "operation_failed",
+        operation,
+        message,
+        stack,
+        unlogged_failures,
+      });
+    },
   };
 }
--- a/packages/sidecar/src/malformed_messages_test.ts
+++ b/packages/sidecar/src/malformed_messages_test.ts
@@ -75,7 +75,7 @@
 }
 
 /** Starts a sidecar whose upstream answers each request with `upstream.answer`. */
-async function setUp(t: Test) {
+async function setUp(t: Test, changes = CHANGES) {
   const upstream = { answer: SOUND_ANSWER, runCount: 0 };
   const sockets = new Set<Socket>();
   const upstreamServer = createServer((socket) => {
@@ -90,8 +90,7 @@
     upstreamServer.listen(UPSTREAM_PORT, ADDRESS, resolve)
   );
   const source: CatalogSource = {
-    readAll: () =>
-      Promise.resolve(Result.ok({ revision: 2, changes: CHANGES })),
+    readAll: () => Promise.resolve(Result.ok({ revision: 2, changes })),
     watch: ({ signal }) =>
       new Promise((resolve) =>
         signal!.addEventListener(
@@ -135,7 +134,7 @@
     upstreamServer.close();
   });
   await waitFor(() => sidecar.isReady && sidecar.catalog.upstreams.size === 1);
-  return { upstream, lines };
+  return { sidecar, upstream, lines };
 }
 
 function requestHead(path: string, field: string): string {
@@ -196,3 +195,40 @@
   upstream.answer = SOUND_ANSWER;
   t.equal(await sendRaw(SOUND_REQUEST), 200, "still serving");
 });
+
+// Guards against an exception in the handler of a request, which left the request without an answer, the slot of the
+// upstream taken and the process ended. No id in the platform's store is expected to contain such a character.
+t.test("should answer 500 to a request whose handler throws, release its slot and log the error", async (t) => {
+  const unsendable = CHANGES.map((change) =>
+    change.kind === "upstream"
+      ? { ...change, entry: { ...change.entry, id: "u\u2026" } }
+      : change
+  );
+  const { sidecar, lines } = await setUp(t, unsendable);
+  t.equal(await sendRaw(SOUND_REQUEST), 500);
+  t.equal(await sendRaw(SOUND_REQUEST), 500, "still serving");
+  const failures = lines.filter((line) => line.includes("operation_failed"));
+  t.equal(failures.length, 2);
+  t.match(JSON.parse(failures[0]!), {
+    operation: "request",
+    message: /Invalid character/,
+  });
+  const { load, upstreams } = await dump();
+  t.equal(load.running, 0);
+  t.equal(upstreams[0]?.in_flight, 0);
+  sidecar.catalog.apply([
+    { kind: "upstream_removed", revision: 3, id: "u\u2026" },
+    { ...CHANGES[0]!, revision: 4 },
+  ]);
+  t.equal(await sendRaw(SOUND_REQUEST), 200, "the only slot is free");
+});
+
+interface Dump {
+  readonly load: { readonly running: number };
+  readonly upstreams: readonly { readonly in_flight: number }[];
+}
+
+async function dump(): Promise<Dump> {
+  const response = await fetch(`http://${ADDRESS}:${METRICS_PORT}/dump`);
+  return await response.json() as Dump;
+}
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -113,33 +113,37 @@
         grant.release({ serviceTimeMs: undefined });
         return refusedResult("cancelled", ranked);
       }
-      const timeLeftMs = deadlineAtMs - performance.now();
-      exchange = startExchange({
-        agent: options.agents.forClass(ticket.requestClass),
-        destination: options.upstream,
-        localAddress: options.localAddress,
-        method: request.method,
-        path: request.path,
-        headers: requestHeaders(request, {
-          names: options.names,
-          timeLeftMs,
-          upstreamId: options.identity.idFor(ticket),
-        }),
-        body: request.body,
-        timeoutMs: timeLeftMs + UPSTREAM_GRACE_MS,
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
-        maxAnswerBytes: options.maxAnswerBytes,
-      });
-      runningIds.add(request.requestId);
-      const end = await exchange.ended;
-      runningIds.delete(request.requestId);
-      const ownedResult = resultOfExchange(request, end, ranked);
-      const isAnswered = ownedResult.verdict.kind === "answered";
-      if (isAnswered) routeTimes.record(ticket.route, end.durationMs);
-      grant.release({
-        serviceTimeMs: isAnswered ? end.durationMs : undefined,
-      });
-      return ownedResult;
+      let serviceTimeMs: number | undefined;
+      try {
+        const timeLeftMs = deadlineAtMs - performance.now();
+        exchange = startExchange({
+          agent: options.agents.forClass(ticket.requestClass),
+          destination: options.upstream,
+          localAddress: options.localAddress,
+          method: request.method,
+          path: request.path,
+          headers: requestHeaders(request, {
+            names: options.names,
+            timeLeftMs,
+            upstreamId: options.identity.idFor(ticket),
+          }),
+          body: request.body,
+          timeoutMs: timeLeftMs + UPSTREAM_GRACE_MS,
+          connectTimeoutMs: CONNECT_TIMEOUT_MS,
+          maxAnswerBytes: options.maxAnswerBytes,
+        });
+        runningIds.add(request.requestId);
+        const end = await exchange.ended;
+        const ownedResult = resultOfExchange(request, end, ranked);
+        if (ownedResult.verdict.kind === "answered") {
+          routeTimes.record(ticket.route, end.durationMs);
+          serviceTimeMs = end.durationMs;
+        }
+        return ownedResult;
+      } finally {
+        runningIds.delete(request.requestId);
+        grant.release({ serviceTimeMs });
+      }
     }
 
     return {
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -14,6 +14,7 @@
   type OwnerState,
   type OwnerVerdict,
 } from "./forwarding.ts";
+import { answerFailedRequest } from "./failed_request.ts";
 import type { OwnedResult, Owner } from "./owner.ts";
 import { endToEndHeaders } from "./passed_headers.ts";
 import { CATALOG_PATH, FEED_PATH } from "./peer_client.ts";
@@ -70,6 +71,8 @@
   readonly isLeaving: () => boolean;
   readonly maxBodyBytes: () => number;
   readonly onForwarded: (result: ForwardedResult) => void;
+  /** Called with the error of a request that is answered with 500. */
+  readonly onHandlerFailed: (error: unknown) => void;
 }
 
 /** Serves other daemons: forwarded requests and the catalog. */
@@ -82,19 +85,29 @@
     requestTimeout: 0,
     requireHostHeader: false,
   }, (request, response) => {
+    void handle(request, response).catch((error) => {
+      options.onHandlerFailed(error);
+      answerFailedRequest(response);
+    });
+  });
+
+  async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     response.sendDate = false;
     if (options.isLeaving()) response.shouldKeepAlive = false;
     const ticketText = request.headers[FORWARD_HEADER];
     if (typeof ticketText === "string") {
-      void handleForwarded(request, response, decodeTicket(ticketText));
+      await handleForwarded(request, response, decodeTicket(ticketText));
     } else if (request.url!.startsWith(`${CATALOG_PATH}?`)) {
       answerCatalog(request, response);
     } else if (request.url!.startsWith(`${FEED_PATH}?`)) {
-      void answerFollower(request, response);
+      await answerFollower(request, response);
     } else {
       response.writeHead(404).end();
     }
-  });
+  }
 
   function answerCatalog(
     request: IncomingMessage,
@@ -195,8 +208,7 @@
       clearTimeout(confirmTimer);
       if (!response.writableFinished) run.cancel();
     });
-    const result = await run.ended;
-    clearTimeout(confirmTimer);
+    const result = await run.ended.finally(() => clearTimeout(confirmTimer));
     finish(result);
   }
 
--- a/packages/sidecar/src/peer_server_test.ts
+++ b/packages/sidecar/src/peer_server_test.ts
@@ -34,8 +34,11 @@
 /** Starts a peer server whose upstream answers each request with 200. */
 async function setUp(t: Test) {
   const runs: OwnedRequest[] = [];
+  const failures: unknown[] = [];
+  let error: Error | undefined;
   const owner: Owner = {
     run(request) {
+      if (error !== undefined) throw error;
       runs.push(request);
       const answer = { status: 200, headers: [], body: Buffer.from("whole") };
       const verdict = { kind: "answered" as const, serviceMs: 1 };
@@ -62,10 +65,12 @@
     isLeaving: () => false,
     maxBodyBytes: () => 1_000,
     onForwarded: () => {},
+    onHandlerFailed: (failure) => failures.push(failure),
   });
   t.teardown(() => listener.close());
   const { port } = listener.server.address() as { port: number };
-  return { port, runs };
+  const failWith = (next: Error | undefined) => error = next;
+  return { port, runs, failures, failWith };
 }
 
 /** Sends raw bytes on a new connection; returns the status of the answer, or undefined if there is none. */
@@ -113,3 +118,15 @@
   t.equal(await sendRaw(port, forwarded(ticket, "/browse/\tx")), 400);
   t.equal(runs.length, 0);
 });
+
+// Guards against an exception in the handler, which left the request without an answer and ended the process.
+t.test("should answer 500 to a forwarded request whose handler throws, and report the error", async (t) => {
+  const { port, failures, failWith } = await setUp(t);
+  const text = forwarded(encodeTicket(TICKET));
+  const error = new Error("broken");
+  failWith(error);
+  t.equal(await sendRaw(port, text), 500);
+  t.same(failures, [error]);
+  failWith(undefined);
+  t.equal(await sendRaw(port, text), 200, "still serving");
+});
--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -195,16 +195,24 @@
     reports.begin(chosen.id);
     let isSilent = false;
     let step: NextStep | undefined;
-    const run = startRun(ownedRequest(routed, chosen), (silentMs) => {
-      if (!isSilent) reports.markUnreachable(chosen.id);
-      isSilent = true;
-      if (route.requestClass !== "idempotent") return;
-      step = stepAfterSilence(routed, { chosen, progress, silentMs });
-      if (step !== undefined) run.cancel();
-    });
-    routed.cancel = () => run.cancel();
-    const result = await run.ended;
-    routed.cancel = undefined;
+    let result: ForwardResult;
+    try {
+      const run = startRun(ownedRequest(routed, chosen), (silentMs) => {
+        if (!isSilent) reports.markUnreachable(chosen.id);
+        isSilent = true;
+        if (route.requestClass !== "idempotent") return;
+        step = stepAfterSilence(routed, { chosen, progress, silentMs });
+        if (step !== undefined) run.cancel();
+      });
+      routed.cancel = () => run.cancel();
+      result = await run.ended;
+    } catch (error) {
+      // Otherwise the request would count as in flight for ever.
+      reports.end(chosen.id, { result: "cancelled", route: route.name });
+      throw error;
+    } finally {
+      routed.cancel = undefined;
+    }
     if (result.state !== undefined) {
       reports.recordLoad(chosen.id, result.state.load);
     }
@@ -288,10 +296,12 @@
     }
     const destination = { address: entry.address, port: options.peerPort };
     const run = options.peers.forward({ destination, request, onSilent });
-    void run.ended.then(({ state }) => {
+    const ended = run.ended.then((result) => {
+      const { state } = result;
       if (state !== undefined) options.onPeerState(destination, state);
+      return result;
     });
-    return run;
+    return { ended, cancel: () => run.cancel() };
   }
 
   return serve;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -156,7 +156,8 @@
       drainTimeoutMs: settings.drainTimeoutMs,
     });
   const handlePeerState = (peer: Endpoint, state: OwnerState) =>
-    void sync.catchUpIfBehind(`${peer.address}:${peer.port}`, state);
+    void sync.catchUpIfBehind(`${peer.address}:${peer.port}`, state)
+      .catch((error) => failures.onOperationFailed("catch_up", error));
 
   function onCatalogEvent(event: CatalogEvent): void {
     if (event.kind === "configuration_taken") return applyLimits();
@@ -250,6 +251,7 @@
     isStopping,
     refusesNew: () => !stopPhase().acceptsNew,
     onResult: (result) => observer.onResult(result),
+    onHandlerFailed: (error) => failures.onOperationFailed("request", error),
   });
   const callerServer = createServer({
     maxHeaderSize: CALLER_MAX_HEADER_BYTES,
@@ -294,6 +296,8 @@
         isLeaving: () => !stopPhase().acceptsForwarded,
         maxBodyBytes: () => PEER_MAX_BODY_BYTES,
         onForwarded: (result) => observer.onForwarded(result),
+        onHandlerFailed: (error) =>
+          failures.onOperationFailed("forwarded_request", error),
       }),
     );
     listeners.push(
