--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -14,10 +14,12 @@
   CallerResult,
   RoutedRequest,
 } from "./caller_request.ts";
+import { answerFailedRequest } from "./failed_request.ts";
 import type { OwnedAnswer, Owner } from "./owner.ts";
 import { endToEndHeaders, ownFieldNames } from "./passed_headers.ts";
 import { readBody } from "./read_body.ts";
 import { type RefusalReason, REFUSALS } from "./refusals.ts";
+import { isSendableRequest } from "./sendable_heads.ts";
 import { DEFAULT_RETRY_AFTER_MS, type ServeRequest } from "./serve_request.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 
@@ -63,6 +65,8 @@
   /** Whether new requests are refused because the process ends soon. */
   readonly refusesNew: () => boolean;
   readonly onResult: (result: CallerResult) => void;
+  /** Called with the error of a request that is answered with 500. */
+  readonly onHandlerFailed: (error: unknown) => void;
 }
 
 /** Handles the requests of this VM's clients and upstream. */
@@ -120,7 +124,11 @@
       if (body.error === "gone") return reportResult(caller, "gone", 0);
       return refuse(caller, "body_too_large");
     }
-    if (caller.requestId === "") {
+    const headers = endToEndHeaders(request.rawHeaders, ownNames);
+    if (
+      caller.requestId === "" ||
+      !isSendableRequest({ path: request.url!, headers })
+    ) {
       return refuse(caller, "bad_request");
     }
     if (index === undefined) return refuse(caller, "starting");
@@ -141,7 +149,7 @@
       rank: isNested
         ? NESTED_RANK
         : 1 + Math.min(MAX_PRIORITY, Math.floor(route.priority)),
-      headers: endToEndHeaders(request.rawHeaders, ownNames),
+      headers,
       body: body.value,
       deadlineAtMs: caller.startedMs + Math.min(deadlineMs, route.timeoutMs),
       objectiveAtMs: caller.startedMs + route.latencyObjectiveMs -
@@ -252,7 +260,11 @@
   }
 
   return {
-    handle: (request, response) => void handle(request, response),
+    handle: (request, response) =>
+      void handle(request, response).catch((error) => {
+        options.onHandlerFailed(error);
+        answerFailedRequest(response);
+      }),
     handleConnectionError,
     get inFlight() {
       return connections.inFlight;
--- a/packages/sidecar/src/forwarding.ts
+++ b/packages/sidecar/src/forwarding.ts
@@ -80,26 +80,41 @@
   ].join(",");
 }
 
-/** Decodes a ticket; undefined if the field count or a number is wrong. Throws for an invalid percent-encoding. */
+/** Decodes a ticket; undefined if the field count, a number or a percent-encoding is wrong. */
 export function decodeTicket(text: string): ForwardTicket | undefined {
   const parts = text.split(",");
   if (parts.length !== 10) return undefined;
   const numbers = [3, 4, 5, 6, 7, 9].map((i) => Number(parts[i]));
   if (!numbers.every(Number.isFinite)) return undefined;
+  const [upstreamId, service, route, callerService] = [0, 1, 2, 8]
+    .map((i) => decodePercentEncoding(parts[i]!));
+  if (
+    upstreamId === undefined || service === undefined ||
+    route === undefined || callerService === undefined
+  ) return undefined;
   return {
-    upstreamId: decodeURIComponent(parts[0]!),
-    service: decodeURIComponent(parts[1]!),
-    route: decodeURIComponent(parts[2]!),
+    upstreamId,
+    service,
+    route,
     requestClass: numbers[0] === 1 ? "idempotent" : "non_idempotent",
     rank: numbers[1]!,
     timeLeftMs: numbers[2]!,
     objectiveLeftMs: numbers[3]!,
     isNested: numbers[4] === 1,
-    callerService: decodeURIComponent(parts[8]!),
+    callerService,
     version: numbers[5]!,
   };
 }
 
+/** Decodes a percent-encoded text; undefined if the encoding is invalid. */
+function decodePercentEncoding(text: string): string | undefined {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return undefined;
+  }
+}
+
 /** Encodes a verdict and the daemon's state as a header value. */
 export function encodeVerdict(
   verdict: OwnerVerdict,
@@ -126,19 +141,20 @@
   ].join(",");
 }
 
-/** Decodes a verdict; undefined if the text is malformed. The reason is not validated. */
+/** Decodes a verdict; undefined if the text is malformed or its kind or reason is unknown. */
 export function decodeVerdict(
   text: string,
 ): { readonly verdict: OwnerVerdict; readonly state: OwnerState } | undefined {
   const parts = text.split(",");
-  if (parts.length !== 10) return undefined;
-  const decode = VERDICTS[parts[0]!];
+  const kind = parts[0]!;
+  if (parts.length !== 10 || !isVerdictKind(kind)) return undefined;
   const waitingByRank = parts[6]!.split(":").map(Number);
   const numbers = [3, 4, 5, 7, 8, 9].map((i) => Number(parts[i]));
-  if (decode === undefined) return undefined;
   if (![...waitingByRank, ...numbers].every(Number.isFinite)) return undefined;
+  const verdict = VERDICTS[kind](parts[1]!, parts[2] === "1", numbers[0]!);
+  if (verdict === undefined) return undefined;
   return {
-    verdict: decode(parts[1]!, parts[2] === "1", numbers[0]!),
+    verdict,
     state: {
       load: {
         running: numbers[1]!,
@@ -152,18 +168,47 @@
   };
 }
 
-const VERDICTS: Readonly<
-  Record<
-    string,
-    (reason: string, reachedUpstream: boolean, timeMs: number) => OwnerVerdict
-  >
-> = {
+type DecodeVerdict = (
+  reason: string,
+  reachedUpstream: boolean,
+  timeMs: number,
+) => OwnerVerdict | undefined;
+
+const VERDICTS: Readonly<Record<OwnerVerdict["kind"], DecodeVerdict>> = {
   answered: (_reason, _reached, serviceMs) => ({ kind: "answered", serviceMs }),
-  not_run: (reason, reachedUpstream, retryAfterMs) => ({
-    kind: "not_run",
-    reason: reason as NotRunReason,
-    reachedUpstream,
-    retryAfterMs,
-  }),
-  unknown: (reason) => ({ kind: "unknown", reason: reason as UnknownReason }),
+  not_run: (reason, reachedUpstream, retryAfterMs) =>
+    isNotRunReason(reason)
+      ? { kind: "not_run", reason, reachedUpstream, retryAfterMs }
+      : undefined,
+  unknown: (reason) =>
+    isUnknownReason(reason) ? { kind: "unknown", reason } : undefined,
+};
+
+const NOT_RUN_REASONS: Readonly<Record<NotRunReason, true>> = {
+  busy: true,
+  deadline: true,
+  leaving: true,
+  cancelled: true,
+  upstream_refused: true,
+  upstream_changed: true,
+  connect_failed: true,
 };
+
+const UNKNOWN_REASONS: Readonly<Record<UnknownReason, true>> = {
+  cut: true,
+  deadline: true,
+  malformed: true,
+  cancelled: true,
+};
+
+function isVerdictKind(kind: string): kind is OwnerVerdict["kind"] {
+  return Object.hasOwn(VERDICTS, kind);
+}
+
+function isNotRunReason(reason: string): reason is NotRunReason {
+  return Object.hasOwn(NOT_RUN_REASONS, reason);
+}
+
+function isUnknownReason(reason: string): reason is UnknownReason {
+  return Object.hasOwn(UNKNOWN_REASONS, reason);
+}
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -10,6 +10,7 @@
 } from "./forwarding.ts";
 import { deliveredHeaders, requestHeaders } from "./passed_headers.ts";
 import { RouteTimes } from "./route_times.ts";
+import { isSendableAnswer } from "./sendable_heads.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 import { classifyUpstreamAnswer } from "./upstream_answer.ts";
 import type { UpstreamIdentity } from "./upstream_identity.ts";
@@ -112,33 +113,37 @@
         grant.release({ serviceTimeMs: undefined });
         return refusedResult("cancelled", ranked);
       }
-      const timeLeftMs = deadlineAtMs - performance.now();
-      exchange = startExchange({
-        agent: options.agents.forClass(ticket.requestClass),
-        destination: options.upstream,
-        localAddress: options.localAddress,
-        method: request.method,
-        path: request.path,
-        headers: requestHeaders(request, {
-          names: options.names,
-          timeLeftMs,
-          upstreamId: options.identity.idFor(ticket),
-        }),
-        body: request.body,
-        timeoutMs: timeLeftMs + UPSTREAM_GRACE_MS,
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
-        maxAnswerBytes: options.maxAnswerBytes,
-      });
-      runningIds.add(request.requestId);
-      const end = await exchange.ended;
-      runningIds.delete(request.requestId);
-      const ownedResult = resultOfExchange(request, end, ranked);
-      const isAnswered = ownedResult.verdict.kind === "answered";
-      if (isAnswered) routeTimes.record(ticket.route, end.durationMs);
-      grant.release({
-        serviceTimeMs: isAnswered ? end.durationMs : undefined,
-      });
-      return ownedResult;
+      let serviceTimeMs: number | undefined;
+      try {
+        const timeLeftMs = deadlineAtMs - performance.now();
+        exchange = startExchange({
+          agent: options.agents.forClass(ticket.requestClass),
+          destination: options.upstream,
+          localAddress: options.localAddress,
+          method: request.method,
+          path: request.path,
+          headers: requestHeaders(request, {
+            names: options.names,
+            timeLeftMs,
+            upstreamId: options.identity.idFor(ticket),
+          }),
+          body: request.body,
+          timeoutMs: timeLeftMs + UPSTREAM_GRACE_MS,
+          connectTimeoutMs: CONNECT_TIMEOUT_MS,
+          maxAnswerBytes: options.maxAnswerBytes,
+        });
+        runningIds.add(request.requestId);
+        const end = await exchange.ended;
+        const ownedResult = resultOfExchange(request, end, ranked);
+        if (ownedResult.verdict.kind === "answered") {
+          routeTimes.record(ticket.route, end.durationMs);
+          serviceTimeMs = end.durationMs;
+        }
+        return ownedResult;
+      } finally {
+        runningIds.delete(request.requestId);
+        grant.release({ serviceTimeMs });
+      }
     }
 
     return {
@@ -184,13 +189,17 @@
       return { verdict, answer: undefined };
     }
     if (end.kind !== "answered") throw new Error("Exchange has no answer");
+    const { status, body } = end;
+    const headers = deliveredHeaders(end.rawHeaders);
+    if (!isSendableAnswer({ status, headers })) {
+      return {
+        verdict: { kind: "unknown", reason: "malformed" },
+        answer: undefined,
+      };
+    }
     return {
       verdict: { kind: "answered", serviceMs: end.durationMs },
-      answer: {
-        status: end.status,
-        headers: deliveredHeaders(end.rawHeaders),
-        body: end.body,
-      },
+      answer: { status, headers, body },
     };
   }
 
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -8,6 +8,12 @@
 } from "@tanagercove/catalog";
 import { fetchBody } from "@tanagercove/transfers";
 import type { Endpoint } from "@tanagercove/types";
+import {
+  decodeConfigurationUpdate,
+  decodeFeedResponse,
+  decodeUpstreamsSnapshot,
+  type PeerAnswerResult,
+} from "./decode_peer_answers.ts";
 import { type Exchange, type ExchangeEnd, startExchange } from "./exchange.ts";
 import {
   decodeVerdict,
@@ -19,6 +25,7 @@
 } from "./forwarding.ts";
 import type { OwnedAnswer, OwnedRequest } from "./owner.ts";
 import { contentLengthField, endToEndHeaders } from "./passed_headers.ts";
+import { isSendableAnswer } from "./sendable_heads.ts";
 
 /** Path at which a daemon serves the upstreams that it holds to other daemons. */
 export const UPSTREAMS_PATH = "/-/tanagercove/upstreams";
@@ -64,6 +71,12 @@
   cancel(): void;
 }
 
+/** An answer of another daemon that can't be decoded; it is treated as no answer. */
+export interface UnreadableAnswer {
+  readonly destination: Endpoint;
+  readonly problem: string;
+}
+
 /** Options of `createPeerClient`. */
 export interface CreatePeerClientOptions {
   readonly agents: ConnectionAgents;
@@ -71,6 +84,7 @@
   readonly maxAnswerBytes: number;
   /** Called at the end of each response of another daemon with routes or upstreams. */
   readonly onTransfer?: (transfer: CatalogTransfer) => void;
+  readonly onUnreadable: (answer: UnreadableAnswer) => void;
 }
 
 /** Options of `PeerClient.forward`. */
@@ -100,7 +114,8 @@
 
 /** Creates the client for calls to other daemons. */
 export function createPeerClient(
-  { agents, localAddress, maxAnswerBytes, onTransfer }: CreatePeerClientOptions,
+  { agents, localAddress, maxAnswerBytes, onTransfer, onUnreadable }:
+    CreatePeerClientOptions,
 ): PeerClient {
   return {
     forward({ destination, request, onSilent }) {
@@ -127,33 +142,37 @@
       return forwardRun(exchange);
     },
     follow: (destination, { version, feedId, position, waitMs }) =>
-      fetchJson<FeedResponse>(destination, {
+      fetchDecoded<FeedResponse>(destination, {
         content: "feed",
+        decode: decodeFeedResponse,
         path: `${FEED_PATH}?version=${version}&feed_id=${feedId}` +
           `&position=${position}&wait_ms=${waitMs}`,
         headTimeoutMs: waitMs + FEED_GRACE_MS,
       }),
     fetchUpstreams: (destination, heldUpstreamRevision) =>
-      fetchJson<UpstreamsSnapshot>(destination, {
+      fetchDecoded<UpstreamsSnapshot>(destination, {
         content: "upstreams",
+        decode: decodeUpstreamsSnapshot,
         path: `${UPSTREAMS_PATH}?upstream_revision=${heldUpstreamRevision}`,
         headTimeoutMs: CATALOG_HEAD_TIMEOUT_MS,
       }),
     fetchConfiguration: (destination, heldVersion) =>
-      fetchJson<ConfigurationUpdate>(destination, {
+      fetchDecoded<ConfigurationUpdate>(destination, {
         content: "configuration",
+        decode: decodeConfigurationUpdate,
         path: `${CONFIGURATION_PATH}?version=${heldVersion}`,
         headTimeoutMs: CATALOG_HEAD_TIMEOUT_MS,
       }),
   };
 
-  /** Fetches JSON from a daemon of the same fleet; it runs the same program, so the JSON has the expected type. */
-  async function fetchJson<T>(
+  /** Fetches from another daemon; undefined if it does not answer, has nothing to send or its answer is unreadable. */
+  async function fetchDecoded<T>(
     destination: Endpoint,
-    { content, path, headTimeoutMs }: {
+    { content, path, headTimeoutMs, decode }: {
       readonly content: string;
       readonly path: string;
       readonly headTimeoutMs: number;
+      readonly decode: (body: Buffer) => PeerAnswerResult<T>;
     },
   ): Promise<T | undefined> {
     const source = `${destination.address}:${destination.port}`;
@@ -169,7 +188,10 @@
       onEnd: (stats) => onTransfer?.({ source, content, ...stats }),
     });
     if (fetched.isErr || fetched.value.status !== 200) return undefined;
-    return JSON.parse(fetched.value.body.toString()) as T;
+    const decoded = decode(fetched.value.body);
+    if (decoded.isOk) return decoded.value;
+    onUnreadable({ destination, problem: decoded.error });
+    return undefined;
   }
 }
 
@@ -192,15 +214,19 @@
   const decoded = typeof outcome === "string"
     ? decodeVerdict(outcome)
     : undefined;
-  if (decoded === undefined) {
+  const headers = endToEndHeaders(end.rawHeaders);
+  if (
+    decoded === undefined ||
+    !isSendableAnswer({ status: end.status, headers })
+  ) {
     // The answer is not from a daemon of this fleet, or a daemon refused the request as too large (413) or malformed
-    // (400). Without a verdict, it counts as unknown whether the request ran.
+    // (400), or the answer can't be passed on. Then it counts as unknown whether the request ran.
     const verdict: OwnerVerdict = { kind: "unknown", reason: "malformed" };
     return { verdict, answer: undefined, state: undefined };
   }
   const answer = decoded.verdict.kind !== "answered" ? undefined : {
     status: end.status,
-    headers: endToEndHeaders(end.rawHeaders),
+    headers,
     body: end.body,
   };
   return { ...decoded, answer };
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -14,6 +14,7 @@
   type OwnerState,
   type OwnerVerdict,
 } from "./forwarding.ts";
+import { answerFailedRequest } from "./failed_request.ts";
 import type { OwnedResult, Owner } from "./owner.ts";
 import { endToEndHeaders } from "./passed_headers.ts";
 import {
@@ -27,6 +28,7 @@
   UPSTREAMS_PATH,
 } from "./peer_client.ts";
 import { readBody } from "./read_body.ts";
+import { isSendableRequest } from "./sendable_heads.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 import { type HttpListener, listenHttp } from "./http_listener.ts";
 
@@ -78,6 +80,8 @@
   readonly isLeaving: () => boolean;
   readonly maxBodyBytes: () => number;
   readonly onForwarded: (result: ForwardedResult) => void;
+  /** Called with the error of a request that is answered with 500. */
+  readonly onHandlerFailed: (error: unknown) => void;
 }
 
 /** Serves other daemons: forwarded requests and the catalog. */
@@ -91,21 +95,31 @@
     requestTimeout: 0,
     requireHostHeader: false,
   }, (request, response) => {
+    void handle(request, response).catch((error) => {
+      options.onHandlerFailed(error);
+      answerFailedRequest(response);
+    });
+  });
+
+  async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     response.sendDate = false;
     if (options.isLeaving()) response.shouldKeepAlive = false;
     const ticketText = request.headers[FORWARD_HEADER];
     if (typeof ticketText === "string") {
-      void handleForwarded(request, response, decodeTicket(ticketText));
+      await handleForwarded(request, response, decodeTicket(ticketText));
     } else if (request.url!.startsWith(`${UPSTREAMS_PATH}?`)) {
       answerUpstreams(request, response);
     } else if (request.url!.startsWith(`${CONFIGURATION_PATH}?`)) {
       answerConfiguration(request, response);
     } else if (request.url!.startsWith(`${FEED_PATH}?`)) {
-      void answerFollower(request, response);
+      await answerFollower(request, response);
     } else {
       response.writeHead(404).end();
     }
-  });
+  }
 
   function answerUpstreams(
     request: IncomingMessage,
@@ -162,7 +176,12 @@
       response.writeHead(413).end();
       return;
     }
-    if (ticket === undefined || typeof requestId !== "string") {
+    const path = request.url!;
+    const headers = endToEndHeaders(request.rawHeaders);
+    if (
+      ticket === undefined || typeof requestId !== "string" ||
+      !isSendableRequest({ path, headers })
+    ) {
       response.writeHead(400).end();
       return;
     }
@@ -191,8 +210,8 @@
       ticket,
       requestId,
       method: request.method!,
-      path: request.url!,
-      headers: endToEndHeaders(request.rawHeaders),
+      path,
+      headers,
       body: body.value,
     });
     const confirmTimer = setTimeout(() => {
@@ -202,8 +221,7 @@
       clearTimeout(confirmTimer);
       if (!response.writableFinished) run.cancel();
     });
-    const result = await run.ended;
-    clearTimeout(confirmTimer);
+    const result = await run.ended.finally(() => clearTimeout(confirmTimer));
     finish(result);
   }
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -12,6 +12,7 @@
 import { ServiceBudgets } from "@tanagercove/retries";
 import { TargetShares } from "@tanagercove/routing";
 import type { Endpoint, UpstreamEntry } from "@tanagercove/types";
+import { createFailureLog } from "./failure_log.ts";
 import { fetchUpstreamId } from "./fetch_upstream_id.ts";
 import { createCallerHandler } from "./caller_handler.ts";
 import { closeInStages } from "./close_in_stages.ts";
@@ -100,6 +101,7 @@
     catalogRevision: () => catalog.revision,
     routeCount: () => catalog.index?.configuration.routes.length ?? 0,
   });
+  const failures = createFailureLog({ log, metrics });
   let seeds = settings.seeds;
   const peerAgents = new ConnectionAgents({ maxIdleMs: PEER_IDLE_MS });
   const upstreamAgents = new ConnectionAgents({ maxIdleMs: UPSTREAM_IDLE_MS });
@@ -111,6 +113,7 @@
     agents: peerAgents,
     localAddress: settings.address,
     maxAnswerBytes: MAX_ANSWER_BYTES,
+    onUnreadable: failures.onUnreadableAnswer,
   });
   const identity = new UpstreamIdentity({
     service: settings.service,
@@ -159,7 +162,8 @@
       isDrained,
     });
   const handlePeerState = (peer: Endpoint, state: OwnerState) =>
-    void sync.catchUpIfBehind(`${peer.address}:${peer.port}`, state);
+    void sync.catchUpIfBehind(`${peer.address}:${peer.port}`, state)
+      .catch((error) => failures.onOperationFailed("catch_up", error));
 
   function onCatalogEvent(event: CatalogEvent): void {
     if (event.kind === "configuration_taken") return applyLimits();
@@ -253,6 +257,7 @@
     isStopping,
     refusesNew: () => !stopPhase().acceptsNew,
     onResult: (result) => observer.onResult(result),
+    onHandlerFailed: (error) => failures.onOperationFailed("request", error),
   });
   const callerServer = createServer({
     maxHeaderSize: CALLER_MAX_HEADER_BYTES,
@@ -302,6 +307,8 @@
         isLeaving: () => !stopPhase().acceptsForwarded,
         maxBodyBytes: () => PEER_MAX_BODY_BYTES,
         onForwarded: (result) => observer.onForwarded(result),
+        onHandlerFailed: (error) =>
+          failures.onOperationFailed("forwarded_request", error),
       }),
     );
     listeners.push(
