Bound the head of an answer, with the interim answers before it

Seen by callers: while an upstream sent interim answers, blank lines or spaces in a header without end, their requests waited for the deadline (504) and held a slot, and idempotent ones were not tried elsewhere. The health check and requests to a daemon's port waited for their timeouts in the same way.

Cause: only Node's parser limited heads. It counts anew for each interim answer, and leaves out blank lines before the head and spaces before a value.

Change: an exchange counts the bytes that arrive on its connection and ends above 64 KB before the end of the head (80 KB between daemons, whose heads have more fields). The reason is `too_large`, also for bodies, which were `cut`.

--- a/packages/sidecar/src/exchange.ts
+++ b/packages/sidecar/src/exchange.ts
@@ -5,6 +5,8 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { Endpoint } from "@tanagercove/types";
+import type { UnknownReason } from "./forwarding.ts";
+import { UPSTREAM_MAX_HEAD_BYTES } from "./header_limits.ts";
 
 /** Why an exchange ended without a complete answer. */
 export type ExchangeFailure =
@@ -47,6 +49,8 @@
   /** Time within which a new connection must be open. */
   readonly connectTimeoutMs: number;
   readonly maxAnswerBytes: number;
+  /** Limit on the bytes that arrive before the end of the answer's head, with all interim answers. */
+  readonly maxHeadBytes?: number;
   /** Called every `silentIntervalMs` until the server responds, even if only with an interim answer. */
   readonly onSilent?: (silentMs: number) => void;
   readonly silentIntervalMs?: number;
@@ -61,9 +65,12 @@
 
 /** Sends one request with a deadline; the answer is buffered until it is complete. */
 export function startExchange(options: ExchangeOptions): Exchange {
+  const { maxHeadBytes = UPSTREAM_MAX_HEAD_BYTES } = options;
   const startedMs = performance.now();
   let mayHaveBeenSent = false;
   let isSettled = false;
+  let hasHead = false;
+  let receivedBytes = 0;
   let wasReset = false;
   let resolveEnded!: (end: ExchangeEnd) => void;
   const ended = new Promise<ExchangeEnd>((resolve) => resolveEnded = resolve);
@@ -75,6 +82,11 @@
   function detectReset(this: Socket): void {
     wasReset = this.remoteAddress === undefined;
   }
+  /** Node's own limit starts anew with each interim answer, and leaves out blank lines and leading spaces of a value. */
+  function countBytes(chunk: Buffer): void {
+    receivedBytes += chunk.length;
+    if (!hasHead && receivedBytes > maxHeadBytes) fail("too_large");
+  }
   function settle(end: ExchangeEnd): void {
     if (isSettled) return;
     isSettled = true;
@@ -98,6 +110,7 @@
     method: options.method,
     path: options.path,
     headers: options.headers as string[],
+    maxHeaderSize: maxHeadBytes,
   });
   const deadlineTimer = setTimeout(
     () => fail("deadline"),
@@ -114,14 +127,18 @@
   request.on("information", () => clearInterval(silenceTimer));
   request.on("socket", (socket) => {
     socket.prependListener("end", detectReset);
-    request.once("close", () => socket.off("end", detectReset));
+    // Added after the listener of Node's HTTP parser, so that a head which ends in this chunk has been parsed.
+    socket.on("data", countBytes);
+    request.once("close", () => {
+      socket.off("end", detectReset);
+      socket.off("data", countBytes);
+    });
     if (!socket.connecting) {
       mayHaveBeenSent = true;
       return;
     }
     socket.once("connect", () => mayHaveBeenSent = true);
   });
-  let hasHead = false;
   request.on("error", failConnection);
   request.on("close", () => {
     // Once there is a head, the end of the body decides whether the answer is complete.
@@ -149,6 +166,12 @@
   return { ended, cancel: () => fail("cancelled") };
 }
 
+/** Reason why it is not known whether a request ran whose exchange failed after bytes of it may have been sent. */
+export function unknownReasonOf(failure: ExchangeFailure): UnknownReason {
+  // `connect_failed` is reported only if nothing was sent.
+  return failure === "connect_failed" ? "cut" : failure;
+}
+
 /** Whether the answer itself marks the end of its body; otherwise only the end of the connection does. */
 function isDelimited(method: string, response: IncomingMessage): boolean {
   const { statusCode, headers } = response;
--- a/packages/sidecar/src/exchange_test.ts
+++ b/packages/sidecar/src/exchange_test.ts
@@ -74,6 +74,23 @@
   t.equal(end.kind === "answered" && end.body.length, body.length);
 });
 
+// Guards against a limit on heads that interim answers or a body in the same packet count towards too early.
+t.test("should accept an answer behind interim answers on a connection that is used again", async (t) => {
+  const interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n".repeat(100);
+  const body = "x".repeat(60_000);
+  const answer =
+    `${interim}HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+  const write = (socket: Socket) => socket.write(answer);
+  const { server, port } = await listen(...Array(40).fill(write));
+  let connections = 0;
+  server.on("connection", () => connections += 1);
+  for (let i = 0; i < 40; i += 1) {
+    const end = await exchange(port);
+    t.equal(end.kind === "answered" && end.body.length, body.length);
+  }
+  t.equal(connections, 1);
+});
+
 t.test("should not reuse a connection on which bytes arrived that belong to no request", async (t) => {
   const answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
   const { port } = await listen(
--- a/packages/sidecar/src/forwarding.ts
+++ b/packages/sidecar/src/forwarding.ts
@@ -37,7 +37,12 @@
   | "connect_failed";
 
 /** Why it is not known whether a request ran. */
-export type UnknownReason = "cut" | "deadline" | "malformed" | "cancelled";
+export type UnknownReason =
+  | "cut"
+  | "deadline"
+  | "malformed"
+  | "too_large"
+  | "cancelled";
 
 /**
  * Whether a request ran: the upstream answered it, it has certainly not run, or it may have run. The owner daemon
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -5,7 +5,12 @@
   FeedResponse,
 } from "@tanagercove/catalog";
 import type { Endpoint } from "@tanagercove/types";
-import { type Exchange, type ExchangeEnd, startExchange } from "./exchange.ts";
+import {
+  type Exchange,
+  type ExchangeEnd,
+  startExchange,
+  unknownReasonOf,
+} from "./exchange.ts";
 import {
   decodeVerdict,
   encodeTicket,
@@ -14,6 +19,7 @@
   type OwnerState,
   type OwnerVerdict,
 } from "./forwarding.ts";
+import { PEER_MAX_HEAD_BYTES } from "./header_limits.ts";
 import type { OwnedAnswer, OwnedRequest } from "./owner.ts";
 import { contentLengthField, endToEndHeaders } from "./passed_headers.ts";
 
@@ -109,6 +115,7 @@
         timeoutMs: ticket.timeLeftMs + VERDICT_GRACE_MS,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         maxAnswerBytes,
+        maxHeadBytes: PEER_MAX_HEAD_BYTES,
         onSilent,
         silentIntervalMs: SILENT_INTERVAL_MS,
       });
@@ -187,10 +194,10 @@
 function failedVerdict(
   { failure, mayHaveBeenSent }: Extract<ExchangeEnd, { kind: "failed" }>,
 ): OwnerVerdict {
-  const isLocalAbort = failure === "deadline" || failure === "cancelled";
   if (mayHaveBeenSent) {
-    return { kind: "unknown", reason: isLocalAbort ? failure : "cut" };
+    return { kind: "unknown", reason: unknownReasonOf(failure) };
   }
+  const isLocalAbort = failure === "deadline" || failure === "cancelled";
   return {
     kind: "not_run",
     reason: isLocalAbort ? failure : "connect_failed",
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -15,6 +15,7 @@
   type OwnerVerdict,
 } from "./forwarding.ts";
 import type { OwnedResult, Owner } from "./owner.ts";
+import { PEER_MAX_HEAD_BYTES } from "./header_limits.ts";
 import { endToEndHeaders } from "./passed_headers.ts";
 import { CATALOG_PATH, FEED_PATH } from "./peer_client.ts";
 import { readBody } from "./read_body.ts";
@@ -27,9 +28,6 @@
 /** Longer than the idle timeout of the daemons' outgoing connections, so that the sender closes first. */
 const PEER_KEEP_ALIVE_MS = 30_000;
 
-/** Room for a caller's headers and those that daemons add. */
-const PEER_MAX_HEADER_BYTES = 80 * 1024;
-
 /**
  * A request that takes longer than this gets an interim answer. Without one, the caller's daemon would treat this
  * daemon as unreachable.
@@ -76,7 +74,7 @@
   options: StartPeerServerOptions,
 ): Promise<HttpListener> {
   const server = createServer({
-    maxHeaderSize: PEER_MAX_HEADER_BYTES,
+    maxHeaderSize: PEER_MAX_HEAD_BYTES,
     keepAliveTimeout: PEER_KEEP_ALIVE_MS,
     requestTimeout: 0,
     requireHostHeader: false,
--- a/packages/sidecar/src/upstream_answer.ts
+++ b/packages/sidecar/src/upstream_answer.ts
@@ -1,4 +1,4 @@
-import type { ExchangeEnd } from "./exchange.ts";
+import { type ExchangeEnd, unknownReasonOf } from "./exchange.ts";
 import type { NotRunReason, UnknownReason } from "./forwarding.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 
@@ -39,10 +39,7 @@
         : "connect_failed";
       return { kind: "not_run", reason, reachedUpstream: false };
     }
-    if (end.failure === "deadline" || end.failure === "cancelled") {
-      return { kind: "unknown", reason: end.failure };
-    }
-    return { kind: "unknown", reason: "cut" };
+    return { kind: "unknown", reason: unknownReasonOf(end.failure) };
   }
   const { headers, status } = end;
   if (headers[names.requestId] !== requestId) {
--- a/packages/test_helpers/src/index.ts
+++ b/packages/test_helpers/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./endless_server.ts";
 export * from "./fake_network.ts";
 export * from "./fake_platform.ts";
 export * from "./fault_case.ts";
