Decide on an answer at its head

Seen by callers: while an upstream sent a success without signature or an answer to another request, with a body that does not end, requests waited for the deadline (504), held a slot, and idempotent ones were not tried elsewhere. It was the same for an address at which no daemon of the fleet answers any more.

Cause: an answer was checked against its request only after its last byte, though all that the check needs is in the head.

Change: an exchange asks `acceptsHead` as soon as the head is complete. If the head makes the answer useless, the exchange fails as `malformed`, which is the verdict that the complete answer got, and the connection is closed. Rejected heads: those that `classifyUpstreamHead` cannot place, answers to forwarded requests without a verdict, and catalogs that are no JSON.

--- a/packages/sidecar/src/exchange.ts
+++ b/packages/sidecar/src/exchange.ts
@@ -13,6 +13,7 @@
   | "connect_failed"
   | "cut"
   | "too_large"
+  | "malformed"
   | "deadline"
   | "cancelled";
 
@@ -35,6 +36,12 @@
     readonly durationMs: number;
   };
 
+/** Status and header fields of an answer; the names of fields are in lower case. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+}
+
 /** One request to the next hop. */
 export interface ExchangeOptions {
   readonly agent: Agent;
@@ -51,6 +58,11 @@
   readonly maxAnswerBytes: number;
   /** Limit on the bytes that arrive before the end of the answer's head, with all interim answers. */
   readonly maxHeadBytes?: number;
+  /**
+   * Whether an answer with this head can be used. If not, the exchange ends with the failure `malformed` before the body
+   * is read, which may have no end. All heads are accepted by default.
+   */
+  readonly acceptsHead?: (head: AnswerHead) => boolean;
   /** Called every `silentIntervalMs` until the server responds, even if only with an interim answer. */
   readonly onSilent?: (silentMs: number) => void;
   readonly silentIntervalMs?: number;
@@ -147,6 +159,8 @@
   request.on("response", (response) => {
     hasHead = true;
     clearInterval(silenceTimer);
+    const head = { status: response.statusCode!, headers: response.headers };
+    if (options.acceptsHead?.(head) === false) return fail("malformed");
     void readAnswerBody(response, options.maxAnswerBytes).then((body) => {
       if (typeof body === "string") return fail(body);
       if (wasReset && !isDelimited(options.method, response)) {
@@ -154,9 +168,8 @@
       }
       settle({
         kind: "answered",
-        status: response.statusCode!,
+        ...head,
         rawHeaders: response.rawHeaders,
-        headers: response.headers,
         body,
         durationMs: performance.now() - startedMs,
       });
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -11,7 +11,10 @@
 import { deliveredHeaders, requestHeaders } from "./passed_headers.ts";
 import { RouteTimes } from "./route_times.ts";
 import type { RequestHeaderNames } from "./settings.ts";
-import { classifyUpstreamAnswer } from "./upstream_answer.ts";
+import {
+  classifyUpstreamAnswer,
+  classifyUpstreamHead,
+} from "./upstream_answer.ts";
 import type { UpstreamIdentity } from "./upstream_identity.ts";
 
 /** A request for an upstream, with its ticket for the upstream's owner daemon. */
@@ -112,6 +115,8 @@
         grant.release({ serviceTimeMs: undefined });
         return refusedResult("cancelled", ranked);
       }
+      const { requestId } = request;
+      const { names } = options;
       const timeLeftMs = deadlineAtMs - performance.now();
       exchange = startExchange({
         agent: options.agents.forClass(ticket.requestClass),
@@ -120,7 +125,7 @@
         method: request.method,
         path: request.path,
         headers: requestHeaders(request, {
-          names: options.names,
+          names,
           timeLeftMs,
           upstreamId: options.identity.idFor(ticket),
         }),
@@ -128,10 +133,12 @@
         timeoutMs: timeLeftMs + UPSTREAM_GRACE_MS,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         maxAnswerBytes: options.maxAnswerBytes,
+        acceptsHead: (head) =>
+          classifyUpstreamHead({ head, requestId, names }).kind !== "unknown",
       });
-      runningIds.add(request.requestId);
+      runningIds.add(requestId);
       const end = await exchange.ended;
-      runningIds.delete(request.requestId);
+      runningIds.delete(requestId);
       const ownedResult = resultOfExchange(request, end, ranked);
       const isAnswered = ownedResult.verdict.kind === "answered";
       if (isAnswered) routeTimes.record(ticket.route, end.durationMs);
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -6,6 +6,7 @@
 } from "@tanagercove/catalog";
 import type { Endpoint } from "@tanagercove/types";
 import {
+  type AnswerHead,
   type Exchange,
   type ExchangeEnd,
   startExchange,
@@ -116,6 +117,7 @@
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         maxAnswerBytes,
         maxHeadBytes: PEER_MAX_HEAD_BYTES,
+        acceptsHead: (head) => decodeOutcome(head) !== undefined,
         onSilent,
         silentIntervalMs: SILENT_INTERVAL_MS,
       });
@@ -151,6 +153,7 @@
       timeoutMs,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxAnswerBytes: MAX_CATALOG_BYTES,
+      acceptsHead: isCatalogHead,
     });
     const end = await ended;
     if (end.kind !== "answered" || end.status !== 200) return undefined;
@@ -173,16 +176,8 @@
       state: undefined,
     };
   }
-  const outcome = end.headers[OUTCOME_HEADER];
-  const decoded = typeof outcome === "string"
-    ? decodeVerdict(outcome)
-    : undefined;
-  if (decoded === undefined) {
-    // The answer is not from a daemon of this fleet, or a daemon refused the request as too large (413) or malformed
-    // (400). Without a verdict, it counts as unknown whether the request ran.
-    const verdict: OwnerVerdict = { kind: "unknown", reason: "malformed" };
-    return { verdict, answer: undefined, state: undefined };
-  }
+  const decoded = decodeOutcome(end);
+  if (decoded === undefined) throw new Error("Exchange accepts no such head");
   const answer = decoded.verdict.kind !== "answered" ? undefined : {
     status: end.status,
     headers: endToEndHeaders(end.rawHeaders),
@@ -191,6 +186,24 @@
   return { ...decoded, answer };
 }
 
+/**
+ * Decodes the verdict and state in the head of an answer to a forwarded request; undefined if it has none. Then it is
+ * not from a daemon of this fleet, or a daemon refused the request as too large (413) or malformed (400), and it counts
+ * as unknown whether the request ran.
+ */
+function decodeOutcome(
+  { headers }: AnswerHead,
+): ReturnType<typeof decodeVerdict> {
+  const outcome = headers[OUTCOME_HEADER];
+  return typeof outcome === "string" ? decodeVerdict(outcome) : undefined;
+}
+
+/** Whether a daemon may have sent this head as the answer to a fetch: JSON, or 204 if there is nothing newer. */
+function isCatalogHead({ status, headers }: AnswerHead): boolean {
+  return status === 204 ||
+    status === 200 && headers["content-type"] === "application/json";
+}
+
 function failedVerdict(
   { failure, mayHaveBeenSent }: Extract<ExchangeEnd, { kind: "failed" }>,
 ): OwnerVerdict {
--- a/packages/sidecar/src/upstream_answer.ts
+++ b/packages/sidecar/src/upstream_answer.ts
@@ -1,4 +1,8 @@
-import { type ExchangeEnd, unknownReasonOf } from "./exchange.ts";
+import {
+  type AnswerHead,
+  type ExchangeEnd,
+  unknownReasonOf,
+} from "./exchange.ts";
 import type { NotRunReason, UnknownReason } from "./forwarding.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 
@@ -21,13 +25,17 @@
   readonly names: RequestHeaderNames;
 }
 
+/** Options of `classifyUpstreamHead`. */
+export interface ClassifyUpstreamHeadOptions {
+  readonly head: AnswerHead;
+  readonly requestId: string;
+  readonly names: RequestHeaderNames;
+}
+
 /**
- * Decides whether an upstream has run a request. An answer is valid only with
- * the id of this request, since a late answer to an earlier request may arrive
- * in its place. Only a 421 is valid without an id. A success must also have the
- * upstream's signature and no content encoding. The verdict `not_run` is given
- * only if the upstream says so, by its `notRun` header or a 421, or if no byte
- * of the request can have been sent.
+ * Decides whether an upstream has run a request. The verdict `not_run` is given
+ * only if the upstream says so in a complete answer, or if no byte of the
+ * request can have been sent.
  */
 export function classifyUpstreamAnswer(
   { end, requestId, names }: ClassifyUpstreamAnswerOptions,
@@ -41,7 +49,19 @@
     }
     return { kind: "unknown", reason: unknownReasonOf(end.failure) };
   }
-  const { headers, status } = end;
+  return classifyUpstreamHead({ head: end, requestId, names });
+}
+
+/**
+ * Decides what an answer with this head says once it is complete. An answer is
+ * valid only with the id of this request, since a late answer to an earlier
+ * request may arrive in its place. Only a 421 is valid without an id. A success
+ * must also have the upstream's signature and no content encoding. An upstream
+ * says by its `notRun` header or a 421 that it has not run the request.
+ */
+export function classifyUpstreamHead(
+  { head: { status, headers }, requestId, names }: ClassifyUpstreamHeadOptions,
+): UpstreamVerdict {
   if (headers[names.requestId] !== requestId) {
     // A 421 needs no id: it says that another upstream now has the address. All answers on a connection come from one
     // process, so even a late 421 to an earlier request means that this one is refused as well.
