--- a/packages/sidecar/src/exchange.ts
+++ b/packages/sidecar/src/exchange.ts
@@ -4,13 +4,17 @@
   request as createRequest,
 } from "node:http";
 import type { Socket } from "node:net";
+import { limitHeadBytes } from "@tanagercove/transfers";
 import type { Endpoint } from "@tanagercove/types";
+import type { UnknownReason } from "./forwarding.ts";
+import { UPSTREAM_MAX_HEAD_BYTES } from "./header_limits.ts";
 
 /** Why an exchange ended without a complete answer. */
 export type ExchangeFailure =
   | "connect_failed"
   | "cut"
   | "too_large"
+  | "malformed"
   | "deadline"
   | "cancelled";
 
@@ -33,6 +37,12 @@
     readonly durationMs: number;
   };
 
+/** Status and header fields of an answer; the names of fields are in lower case. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+}
+
 /** One request to the next hop. */
 export interface ExchangeOptions {
   readonly agent: Agent;
@@ -47,6 +57,13 @@
   /** Time within which a new connection must be open. */
   readonly connectTimeoutMs: number;
   readonly maxAnswerBytes: number;
+  /** Limit on the bytes that arrive before the end of the answer's head, with all interim answers. */
+  readonly maxHeadBytes?: number;
+  /**
+   * Whether an answer with this head can be used. If not, the exchange ends with the failure `malformed` before the body
+   * is read, which may have no end. All heads are accepted by default.
+   */
+  readonly acceptsHead?: (head: AnswerHead) => boolean;
   /** Called every `silentIntervalMs` until the server responds, even if only with an interim answer. */
   readonly onSilent?: (silentMs: number) => void;
   readonly silentIntervalMs?: number;
@@ -61,9 +78,11 @@
 
 /** Sends one request with a deadline; the answer is buffered until it is complete. */
 export function startExchange(options: ExchangeOptions): Exchange {
+  const { maxHeadBytes = UPSTREAM_MAX_HEAD_BYTES } = options;
   const startedMs = performance.now();
   let mayHaveBeenSent = false;
   let isSettled = false;
+  let hasHead = false;
   let wasReset = false;
   let resolveEnded!: (end: ExchangeEnd) => void;
   const ended = new Promise<ExchangeEnd>((resolve) => resolveEnded = resolve);
@@ -98,6 +117,7 @@
     method: options.method,
     path: options.path,
     headers: options.headers as string[],
+    maxHeaderSize: maxHeadBytes,
   });
   const deadlineTimer = setTimeout(
     () => fail("deadline"),
@@ -111,6 +131,10 @@
       () => options.onSilent!(performance.now() - startedMs),
       options.silentIntervalMs,
     );
+  limitHeadBytes(request, {
+    maxBytes: maxHeadBytes,
+    onExceeded: () => fail("too_large"),
+  });
   request.on("information", () => clearInterval(silenceTimer));
   request.on("socket", (socket) => {
     socket.prependListener("end", detectReset);
@@ -121,7 +145,6 @@
     }
     socket.once("connect", () => mayHaveBeenSent = true);
   });
-  let hasHead = false;
   request.on("error", failConnection);
   request.on("close", () => {
     // Once there is a head, the end of the body decides whether the answer is complete.
@@ -130,6 +153,8 @@
   request.on("response", (response) => {
     hasHead = true;
     clearInterval(silenceTimer);
+    const head = { status: response.statusCode!, headers: response.headers };
+    if (options.acceptsHead?.(head) === false) return fail("malformed");
     void readAnswerBody(response, options.maxAnswerBytes).then((body) => {
       if (typeof body === "string") return fail(body);
       if (wasReset && !isDelimited(options.method, response)) {
@@ -137,9 +162,8 @@
       }
       settle({
         kind: "answered",
-        status: response.statusCode!,
+        ...head,
         rawHeaders: response.rawHeaders,
-        headers: response.headers,
         body,
         durationMs: performance.now() - startedMs,
       });
@@ -149,6 +173,12 @@
   return { ended, cancel: () => fail("cancelled") };
 }
 
+/** Reason why it is not known whether a request ran whose exchange failed after bytes of it may have been sent. */
+export function unknownReasonOf(failure: ExchangeFailure): UnknownReason {
+  // `connect_failed` is reported only if nothing was sent.
+  return failure === "connect_failed" ? "cut" : failure;
+}
+
 /** Whether the answer itself marks the end of its body; otherwise only the end of the connection does. */
 function isDelimited(method: string, response: IncomingMessage): boolean {
   const { statusCode, headers } = response;
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -12,7 +12,10 @@
 import { RouteTimes } from "./route_times.ts";
 import { isSendableAnswer } from "./sendable_heads.ts";
 import type { RequestHeaderNames } from "./settings.ts";
-import { classifyUpstreamAnswer } from "./upstream_answer.ts";
+import {
+  classifyUpstreamAnswer,
+  classifyUpstreamHead,
+} from "./upstream_answer.ts";
 import type { UpstreamIdentity } from "./upstream_identity.ts";
 
 /** A request for an upstream, with its ticket for the upstream's owner daemon. */
@@ -115,6 +118,8 @@
       }
       let serviceTimeMs: number | undefined;
       try {
+        const { requestId } = request;
+        const { names } = options;
         const timeLeftMs = deadlineAtMs - performance.now();
         exchange = startExchange({
           agent: options.agents.forClass(ticket.requestClass),
@@ -123,7 +128,7 @@
           method: request.method,
           path: request.path,
           headers: requestHeaders(request, {
-            names: options.names,
+            names,
             timeLeftMs,
             upstreamId: options.identity.idFor(ticket),
           }),
@@ -131,8 +136,10 @@
           timeoutMs: timeLeftMs + UPSTREAM_GRACE_MS,
           connectTimeoutMs: CONNECT_TIMEOUT_MS,
           maxAnswerBytes: options.maxAnswerBytes,
+          acceptsHead: (head) =>
+            classifyUpstreamHead({ head, requestId, names }).kind !== "unknown",
         });
-        runningIds.add(request.requestId);
+        runningIds.add(requestId);
         const end = await exchange.ended;
         const ownedResult = resultOfExchange(request, end, ranked);
         if (ownedResult.verdict.kind === "answered") {
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -14,7 +14,13 @@
   decodeUpstreamsSnapshot,
   type PeerAnswerResult,
 } from "./decode_peer_answers.ts";
-import { type Exchange, type ExchangeEnd, startExchange } from "./exchange.ts";
+import {
+  type AnswerHead,
+  type Exchange,
+  type ExchangeEnd,
+  startExchange,
+  unknownReasonOf,
+} from "./exchange.ts";
 import {
   decodeVerdict,
   encodeTicket,
@@ -23,6 +29,7 @@
   type OwnerState,
   type OwnerVerdict,
 } from "./forwarding.ts";
+import { PEER_MAX_HEAD_BYTES } from "./header_limits.ts";
 import type { OwnedAnswer, OwnedRequest } from "./owner.ts";
 import { contentLengthField, endToEndHeaders } from "./passed_headers.ts";
 import { isSendableAnswer } from "./sendable_heads.ts";
@@ -136,6 +143,8 @@
         timeoutMs: ticket.timeLeftMs + VERDICT_GRACE_MS,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         maxAnswerBytes,
+        maxHeadBytes: PEER_MAX_HEAD_BYTES,
+        acceptsHead: (head) => decodeOutcome(head) !== undefined,
         onSilent,
         silentIntervalMs: SILENT_INTERVAL_MS,
       });
@@ -185,6 +194,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxBytes: MAX_CATALOG_BYTES,
       acceptsGzip: true,
+      acceptsHead: isCatalogHead,
       onEnd: (stats) => onTransfer?.({ source, content, ...stats }),
     });
     if (fetched.isErr || fetched.value.status !== 200) return undefined;
@@ -210,17 +220,10 @@
       state: undefined,
     };
   }
-  const outcome = end.headers[OUTCOME_HEADER];
-  const decoded = typeof outcome === "string"
-    ? decodeVerdict(outcome)
-    : undefined;
+  const decoded = decodeOutcome(end);
+  if (decoded === undefined) throw new Error("Exchange accepts no such head");
   const headers = endToEndHeaders(end.rawHeaders);
-  if (
-    decoded === undefined ||
-    !isSendableAnswer({ status: end.status, headers })
-  ) {
-    // The answer is not from a daemon of this fleet, or a daemon refused the request as too large (413) or malformed
-    // (400), or the answer can't be passed on. Then it counts as unknown whether the request ran.
+  if (!isSendableAnswer({ status: end.status, headers })) {
     const verdict: OwnerVerdict = { kind: "unknown", reason: "malformed" };
     return { verdict, answer: undefined, state: undefined };
   }
@@ -232,13 +235,31 @@
   return { ...decoded, answer };
 }
 
+/**
+ * Decodes the verdict and state in the head of an answer to a forwarded request; undefined if it has none. Then it is
+ * not from a daemon of this fleet, or a daemon refused the request as too large (413) or malformed (400), and it counts
+ * as unknown whether the request ran.
+ */
+function decodeOutcome(
+  { headers }: AnswerHead,
+): ReturnType<typeof decodeVerdict> {
+  const outcome = headers[OUTCOME_HEADER];
+  return typeof outcome === "string" ? decodeVerdict(outcome) : undefined;
+}
+
+/** Whether a daemon may have sent this head as the answer to a fetch: JSON, or 204 if there is nothing newer. */
+function isCatalogHead({ status, headers }: AnswerHead): boolean {
+  return status === 204 ||
+    status === 200 && headers["content-type"] === "application/json";
+}
+
 function failedVerdict(
   { failure, mayHaveBeenSent }: Extract<ExchangeEnd, { kind: "failed" }>,
 ): OwnerVerdict {
-  const isLocalAbort = failure === "deadline" || failure === "cancelled";
   if (mayHaveBeenSent) {
-    return { kind: "unknown", reason: isLocalAbort ? failure : "cut" };
+    return { kind: "unknown", reason: unknownReasonOf(failure) };
   }
+  const isLocalAbort = failure === "deadline" || failure === "cancelled";
   return {
     kind: "not_run",
     reason: isLocalAbort ? failure : "connect_failed",
--- a/packages/sidecar/src/peer_client_test.ts
+++ b/packages/sidecar/src/peer_client_test.ts
@@ -1,6 +1,7 @@
 import { createServer } from "node:net";
 import t, { type Test } from "tap";
 import { Catalog } from "@tanagercove/catalog";
+import { startEndlessServer, waitFor } from "@tanagercove/test_helpers";
 import { ConnectionAgents } from "./connection_agent.ts";
 import { createPeerClient } from "./peer_client.ts";
 
@@ -75,6 +76,12 @@
   },
 };
 
+/** A fetch of the catalog times out after 800 ms; one that ends later than this has waited for it. */
+const SOON_MS = 400;
+
+/** Bytes that the connection may carry until its close arrives. */
+const IN_FLIGHT_BYTES = 1024 * 1024;
+
 const POLL = { version: 0, feedId: "", position: 0, waitMs: 100 };
 
 /** Starts a daemon stand-in that answers each request with the head and the body. */
@@ -85,7 +92,10 @@
     socket.on("error", () => {});
     socket.on("data", () => {
       const { head, body } = answer;
-      socket.write(`${head}\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+      socket.write(
+        `${head}\r\nContent-Type: application/json\r\n` +
+          `Content-Length: ${body.length}\r\n\r\n${body}`,
+      );
     });
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
@@ -221,3 +231,26 @@
   answer.head = `HTTP/1.1 200 OK\r\n${outcome}\r\nX Y: 1`;
   t.same((await forward()).verdict, malformed);
 });
+
+// Guards against a daemon that fetches the catalog from an address at which something else now answers, and reads an
+// answer without end until the timeout.
+t.test("should not read the body of an answer that is not a daemon's catalog", async (t) => {
+  const heads = [
+    "HTTP/1.1 200 OK\r\nContent-Type: text/html",
+    "HTTP/1.1 500 Broken\r\nContent-Type: application/json",
+  ];
+  for (const head of heads) {
+    const { client } = await setUp(t);
+    const server = await startEndlessServer({
+      address: "127.0.0.1",
+      answer: () => ({ start: `${head}\r\n\r\n`, filler: "x" }),
+    });
+    t.teardown(() => server.close());
+    const destination = { address: "127.0.0.1", port: server.port };
+    t.equal(await client.fetchUpstreams(destination, 1), undefined);
+    const [connection] = server.connections;
+    await waitFor(() => connection!.durationMs !== undefined);
+    t.ok(connection!.durationMs! < SOON_MS);
+    t.ok(connection!.sentBytes < IN_FLIGHT_BYTES);
+  }
+});
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -16,6 +16,7 @@
 } from "./forwarding.ts";
 import { answerFailedRequest } from "./failed_request.ts";
 import type { OwnedResult, Owner } from "./owner.ts";
+import { PEER_MAX_HEAD_BYTES } from "./header_limits.ts";
 import { endToEndHeaders } from "./passed_headers.ts";
 import {
   ConfigurationResponses,
@@ -38,9 +39,6 @@
 /** Longer than the idle timeout of the daemons' outgoing connections, so that the sender closes first. */
 const PEER_KEEP_ALIVE_MS = 30_000;
 
-/** Room for a caller's headers and those that daemons add. */
-const PEER_MAX_HEADER_BYTES = 80 * 1024;
-
 /**
  * A request that takes longer than this gets an interim answer. Without one, the caller's daemon would treat this
  * daemon as unreachable.
@@ -90,7 +88,7 @@
 ): Promise<HttpListener> {
   const configurations = new ConfigurationResponses(options.catalog);
   const server = createServer({
-    maxHeaderSize: PEER_MAX_HEADER_BYTES,
+    maxHeaderSize: PEER_MAX_HEAD_BYTES,
     keepAliveTimeout: PEER_KEEP_ALIVE_MS,
     requestTimeout: 0,
     requireHostHeader: false,
--- a/packages/transfers/src/fetch_body.ts
+++ b/packages/transfers/src/fetch_body.ts
@@ -1,7 +1,13 @@
-import { type Agent, get, type IncomingMessage } from "node:http";
+import {
+  type Agent,
+  get,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+} from "node:http";
 import { gunzipSync } from "node:zlib";
 import { Result } from "true-myth";
 import type { Endpoint } from "@tanagercove/types";
+import { limitHeadBytes } from "./limit_head_bytes.ts";
 
 /**
  * Default for `stallTimeoutMs`. A narrow link that is full delays packets by more than half a second; a connection that
@@ -12,6 +18,9 @@
 /** Default for `timeoutMs`: 1 MB takes half of this time on a link of 0.5 Mbit/s. */
 const TIMEOUT_MS = 30_000;
 
+/** Limit on the head of a response, with all interim responses before it. */
+const MAX_HEAD_BYTES = 64 * 1024;
+
 /** Options of `fetchBody`. */
 export interface FetchBodyOptions {
   readonly agent: Agent;
@@ -31,6 +40,11 @@
   readonly maxBytes: number;
   /** Whether the server may compress the body with gzip. */
   readonly acceptsGzip?: boolean;
+  /**
+   * Whether a response with this head can be used. If not, the fetch fails as `malformed` before the body is read. All
+   * heads are accepted by default.
+   */
+  readonly acceptsHead?: (head: ResponseHead) => boolean;
   /** Aborts the fetch, which then fails as `unreachable`. */
   readonly signal?: AbortSignal;
   /** Called once, when the fetch ends. */
@@ -40,6 +54,12 @@
 /** How a fetch ended: with the complete response, without the head of one, or with only a part of one. */
 export type FetchOutcome = "complete" | "no_response" | "incomplete";
 
+/** Status and header fields of a response; the names of fields are in lower case. */
+export interface ResponseHead {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+}
+
 /** What arrived, and when. */
 export interface FetchStats {
   readonly outcome: FetchOutcome;
@@ -90,6 +110,7 @@
       port: options.destination.port,
       localAddress: options.localAddress,
       path: options.path,
+      maxHeaderSize: MAX_HEAD_BYTES,
       headers: options.acceptsGzip ? { "accept-encoding": "gzip" } : {},
       agent: options.agent,
       signal: options.signal,
@@ -133,6 +154,11 @@
     function readBody(response: IncomingMessage): void {
       headMs = elapsedMs();
       clearTimeout(headTimer);
+      const head = { status: response.statusCode!, headers: response.headers };
+      if (options.acceptsHead?.(head) === false) {
+        fail({ kind: "malformed", message: `Unexpected head: ${head.status}` });
+        return;
+      }
       stallTimer = failAfter(stallTimeoutMs);
       response.on("data", (chunk: Buffer) => {
         stallTimer!.refresh();
@@ -153,6 +179,10 @@
       });
     }
 
+    limitHeadBytes(request, {
+      maxBytes: MAX_HEAD_BYTES,
+      onExceeded: () => fail({ kind: "too_large", maxBytes: MAX_HEAD_BYTES }),
+    });
     request.on("response", readBody);
     request.on(
       "error",
--- a/packages/transfers/src/index.ts
+++ b/packages/transfers/src/index.ts
@@ -1,1 +1,2 @@
 export * from "./fetch_body.ts";
+export * from "./limit_head_bytes.ts";
