Reset the connection of a request that is given up

Cause: a request sent to a VM behind a broken path stays in the sender's socket buffer. When its deadline passed, its caller left or its daemon stayed silent, the connection was closed in the orderly way, so the buffered bytes were still sent when the path was mended. Its ticket tells the time left and not the time of sending, so the owner daemon could not see its age.

The connection is now reset, which drops the bytes that have not been delivered. The new test saw an orderly end before, and sees the reset now. Ruled out: the owner's queue; the run started at the moment of arrival.

--- a/packages/sidecar/src/exchange.ts
+++ b/packages/sidecar/src/exchange.ts
@@ -105,6 +105,8 @@
   function fail(failure: ExchangeFailure): void {
     const durationMs = performance.now() - startedMs;
     settle({ kind: "failed", failure, mayHaveBeenSent, durationMs });
+    // Without a reset, bytes that a broken path holds up would be delivered after it is mended.
+    request.socket?.resetAndDestroy();
     request.destroy();
   }
   const failConnection = () => fail(mayHaveBeenSent ? "cut" : "connect_failed");
--- a/packages/sidecar/src/exchange_test.ts
+++ b/packages/sidecar/src/exchange_test.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server, type Socket } from "node:net";
 import t from "tap";
+import { waitFor } from "@tanagercove/test_helpers";
 import { ConnectionAgent } from "./connection_agent.ts";
 import { type ExchangeEnd, startExchange } from "./exchange.ts";
 
@@ -116,3 +117,28 @@
     mayHaveBeenSent: false,
   });
 });
+
+// Guards against a request that is delivered after its caller has left: bytes that a broken path holds up are sent on
+// later, unless the connection is reset.
+t.test("should reset the connection of an exchange that is given up", async (t) => {
+  const ends: string[] = [];
+  const { port } = await listen((socket) => {
+    socket.on("error", ({ message }) => ends.push(message));
+    socket.on("end", () => ends.push("end"));
+  });
+  const started = startExchange({
+    agent,
+    destination: { address: "127.0.0.1", port },
+    localAddress: "127.0.0.1",
+    method: "GET",
+    path: "/",
+    headers: ["host", "x"],
+    body: undefined,
+    timeoutMs: 100,
+    connectTimeoutMs: 500,
+    maxAnswerBytes: 1_000_000,
+  });
+  t.match(await started.ended, { kind: "failed", failure: "deadline" });
+  await waitFor(() => ends.length > 0);
+  t.same(ends, ["read ECONNRESET"]);
+});
