Read the platform over the widest link of a zone

While versions came in quick succession, callers of a whole zone got answers that followed an old version, and late ones: the zone's reader was 10 s behind.

Cause: readers were ranked by a hash alone, so the reader of a zone could be one of its narrowest VMs.

Daemons now tell each other the bandwidth of their links, which the settings name, through the first daemons of the zone. Wider links rank higher, for reading the platform and in the tree of followers; the hash decides among equal ones.

--- a/packages/sidecar/src/daemon_addresses.ts
+++ b/packages/sidecar/src/daemon_addresses.ts
@@ -3,18 +3,45 @@
 import type { Endpoint } from "@tanagercove/types";
 import type { SidecarSettings } from "./settings.ts";
 
-/** Addresses of the daemons of this zone that rank above this daemon for the task of reading the platform. */
-export function higherRankedReaders(
+/** Addresses of the VMs of this zone, this one included, in an order that all daemons compute alike. */
+export function zoneAddresses(
   catalog: Catalog,
-  settings: SidecarSettings,
+  { zone, address }: SidecarSettings,
 ): readonly string[] {
-  const addresses = new Set([settings.address]);
+  const addresses = new Set([address]);
   for (const { entry } of catalog.upstreams.values()) {
-    if (entry.zone === settings.zone) addresses.add(entry.address);
+    if (entry.zone === zone) addresses.add(entry.address);
   }
-  const ranked = rankByRendezvous(settings.zone, [...addresses]);
-  return ranked.slice(0, ranked.indexOf(settings.address))
-    .map((address) => `${address}:${settings.peer.port}`);
+  return rankByRendezvous(zone, [...addresses]);
+}
+
+/** Options of `higherRankedReaders`. */
+export interface HigherRankedReadersOptions {
+  readonly ownAddress: string;
+  /** Addresses of the VMs of this zone, this one included, in an order that all daemons compute alike. */
+  readonly zoneAddresses: readonly string[];
+  /** Bandwidth of a VM's link; undefined if it is not known. */
+  readonly linkMbpsOf: (address: string) => number | undefined;
+}
+
+/**
+ * Addresses of the VMs of this zone whose daemons rank above this one for the
+ * task of reading the platform, the first one first. A wider link ranks higher,
+ * since all versions reach the zone over the link of the first one; among equal
+ * links, the common order decides. A VM whose link is not known is left out: if
+ * each of two daemons guessed, they could follow each other.
+ */
+export function higherRankedReaders(
+  { ownAddress, zoneAddresses, linkMbpsOf }: HigherRankedReadersOptions,
+): readonly string[] {
+  const ranked = zoneAddresses
+    .flatMap((address) => {
+      const linkMbps = linkMbpsOf(address);
+      return linkMbps === undefined ? [] : [{ address, linkMbps }];
+    })
+    .sort((a, b) => b.linkMbps - a.linkMbps)
+    .map(({ address }) => address);
+  return ranked.slice(0, ranked.indexOf(ownAddress));
 }
 
 /** Other daemons: first those of this zone, then those of other zones, then the seeds. */
--- a/packages/sidecar/src/decode_peer_answers.ts
+++ b/packages/sidecar/src/decode_peer_answers.ts
@@ -6,6 +6,7 @@
   FeedResponse,
   UpstreamsSnapshot,
 } from "@tanagercove/catalog";
+import type { LinkTable } from "./zone_links.ts";
 
 /** A decoded answer of another daemon, or what is wrong with it. */
 export type PeerAnswerResult<T> = Result<T, string>;
@@ -48,6 +49,15 @@
   );
 }
 
+/** Decodes the bandwidths that another daemon knows. */
+export function decodeLinkTable(body: Buffer): PeerAnswerResult<LinkTable> {
+  return decodeJson(body).andThen((value) =>
+    isObject(value) && Object.values(value).every(isNumber)
+      ? Result.ok(value as LinkTable)
+      : Result.err("The answer is not a table of links")
+  );
+}
+
 function decodeJson(body: Buffer): Result<unknown, string> {
   try {
     return Result.ok(JSON.parse(body.toString()) as unknown);
--- a/packages/sidecar/src/malformed_messages_test.ts
+++ b/packages/sidecar/src/malformed_messages_test.ts
@@ -106,6 +106,7 @@
       vmId: "v1",
       address: ADDRESS,
       zone: "a",
+      linkMbps: 100,
       service: "shop",
       upstream: { address: ADDRESS, port: UPSTREAM_PORT },
       caller: { address: ADDRESS, port: CALLER_PORT },
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -11,6 +11,7 @@
 import {
   decodeConfigurationUpdate,
   decodeFeedResponse,
+  decodeLinkTable,
   decodeUpstreamsSnapshot,
   type PeerAnswerResult,
 } from "./decode_peer_answers.ts";
@@ -33,6 +34,7 @@
 import type { OwnedAnswer, OwnedRequest } from "./owner.ts";
 import { contentLengthField, endToEndHeaders } from "./passed_headers.ts";
 import { isSendableAnswer } from "./sendable_heads.ts";
+import type { LinkTable } from "./zone_links.ts";
 
 /** Path at which a daemon serves the upstreams that it holds to other daemons. */
 export const UPSTREAMS_PATH = "/-/tanagercove/upstreams";
@@ -40,6 +42,9 @@
 /** Path at which a daemon serves its configuration, whole or as a delta, to other daemons. */
 export const CONFIGURATION_PATH = "/-/tanagercove/configuration";
 
+/** Path at which daemons of a zone tell each other the bandwidths of their links. */
+export const LINKS_PATH = "/-/tanagercove/links";
+
 /**
  * Path of the long poll for changes of a daemon's catalog. A follower is a daemon that uses this long poll instead of
  * reading the platform.
@@ -109,6 +114,11 @@
     destination: Endpoint,
     request: FeedRequest,
   ): Promise<FeedResponse | undefined>;
+  /** Tells another daemon the bandwidth of this VM's link, and returns those that it knows. */
+  exchangeLinks(
+    destination: Endpoint,
+    ownLinkMbps: number,
+  ): Promise<LinkTable | undefined>;
   fetchUpstreams(
     destination: Endpoint,
     heldUpstreamRevision: number,
@@ -158,6 +168,13 @@
           `&position=${position}&wait_ms=${waitMs}`,
         headTimeoutMs: waitMs + FEED_GRACE_MS,
       }),
+    exchangeLinks: (destination, ownLinkMbps) =>
+      fetchDecoded<LinkTable>(destination, {
+        content: "links",
+        decode: decodeLinkTable,
+        path: `${LINKS_PATH}?address=${localAddress}&link_mbps=${ownLinkMbps}`,
+        headTimeoutMs: CATALOG_HEAD_TIMEOUT_MS,
+      }),
     fetchUpstreams: (destination, heldUpstreamRevision) =>
       fetchDecoded<UpstreamsSnapshot>(destination, {
         content: "upstreams",
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -26,12 +26,14 @@
 import {
   CONFIGURATION_PATH,
   FEED_PATH,
+  LINKS_PATH,
   UPSTREAMS_PATH,
 } from "./peer_client.ts";
 import { readBody } from "./read_body.ts";
 import { isSendableRequest } from "./sendable_heads.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 import { type HttpListener, listenHttp } from "./http_listener.ts";
+import type { ZoneLinks } from "./zone_links.ts";
 
 /** HTTP status for the caller's daemon if there is no upstream answer; `OUTCOME_HEADER` has the details. */
 const STATUS_BY_KIND = { not_run: 503, unknown: 502 } as const;
@@ -76,6 +78,7 @@
    * their next answer.
    */
   readonly isLeaving: () => boolean;
+  readonly links: Pick<ZoneLinks, "record" | "table">;
   readonly maxBodyBytes: () => number;
   readonly onForwarded: (result: ForwardedResult) => void;
   /** Called with the error of a request that is answered with 500. */
@@ -112,6 +115,8 @@
       answerUpstreams(request, response);
     } else if (request.url!.startsWith(`${CONFIGURATION_PATH}?`)) {
       answerConfiguration(request, response);
+    } else if (request.url!.startsWith(`${LINKS_PATH}?`)) {
+      answerLinks(request, response);
     } else if (request.url!.startsWith(`${FEED_PATH}?`)) {
       await answerFollower(request, response);
     } else {
@@ -119,6 +124,17 @@
     }
   }
 
+  function answerLinks(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const { searchParams } = new URL(request.url!, "http://daemon");
+    const linkMbps = Number(searchParams.get("link_mbps"));
+    const address = searchParams.get("address") ?? "";
+    if (Number.isFinite(linkMbps)) options.links.record(address, linkMbps);
+    respondJson(response, encodeJson(options.links.table()));
+  }
+
   function answerUpstreams(
     request: IncomingMessage,
     response: ServerResponse,
--- a/packages/sidecar/src/peer_server_test.ts
+++ b/packages/sidecar/src/peer_server_test.ts
@@ -63,6 +63,7 @@
     state: () => ({ load: LOAD, version: 1, revision: 1 }),
     accepts: () => true,
     isLeaving: () => false,
+    links: { record: () => {}, table: () => ({}) },
     maxBodyBytes: () => 1_000,
     onForwarded: () => {},
     onHandlerFailed: (failure) => failures.push(failure),
--- a/packages/sidecar/src/settings.ts
+++ b/packages/sidecar/src/settings.ts
@@ -26,6 +26,8 @@
   /** IP of this VM. */
   readonly address: string;
   readonly zone: string;
+  /** Bandwidth of this VM's link. */
+  readonly linkMbps: number;
   /** Service of this VM's upstream. */
   readonly service: string;
   readonly upstream: Endpoint;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -21,6 +21,7 @@
   higherRankedReaders,
   parseEndpoint,
   peerAddresses,
+  zoneAddresses,
 } from "./daemon_addresses.ts";
 import {
   decideStopPhase,
@@ -39,6 +40,7 @@
 import { createRequestServer } from "./serve_request.ts";
 import type { RequestHeaderNames, SidecarSettings } from "./settings.ts";
 import { UpstreamIdentity } from "./upstream_identity.ts";
+import { ZoneLinks } from "./zone_links.ts";
 
 /** Idle times after which connections to daemons and to the upstream are closed, before the other end may drop them. */
 const PEER_IDLE_MS = 8_000;
@@ -129,6 +131,14 @@
     maxAnswerBytes: MAX_ANSWER_BYTES,
     identity,
   });
+  const peerPort = settings.peer.port;
+  const links = new ZoneLinks({
+    ownAddress: settings.address,
+    ownLinkMbps: settings.linkMbps,
+    zoneAddresses: () => zoneAddresses(catalog, settings),
+    exchange: (address) =>
+      peers.exchangeLinks({ address, port: peerPort }, settings.linkMbps),
+  });
   const sync = new CatalogSync({
     catalog,
     source,
@@ -138,7 +148,12 @@
       peers.fetchConfiguration(parseEndpoint(peer), heldVersion),
     followPeer: (peer, request) => peers.follow(parseEndpoint(peer), request),
     peers: () => peerAddresses(catalog, { ...settings, seeds }),
-    higherRankedReaders: () => higherRankedReaders(catalog, settings),
+    higherRankedReaders: () =>
+      higherRankedReaders({
+        ownAddress: settings.address,
+        zoneAddresses: zoneAddresses(catalog, settings),
+        linkMbpsOf: (address) => links.linkMbpsOf(address),
+      }).map((address) => `${address}:${peerPort}`),
     onEvent: (event) => observer.onSync(event),
     onTransfer: (transfer) => observer.onTransfer(transfer),
   });
@@ -167,6 +182,7 @@
 
   function onCatalogEvent(event: CatalogEvent): void {
     if (event.kind === "configuration_taken") return applyLimits();
+    if (event.kind === "upstream_taken") links.refresh();
     if (event.kind === "upstream_taken" && isOwnUpstream(event.entry)) {
       const { entry } = event;
       // The entry of an earlier start of the upstream may arrive after the current entry.
@@ -305,6 +321,7 @@
         state: ownerState,
         accepts,
         isLeaving: () => !stopPhase().acceptsForwarded,
+        links,
         maxBodyBytes: () => PEER_MAX_BODY_BYTES,
         onForwarded: (result) => observer.onForwarded(result),
         onHandlerFailed: (error) =>
@@ -343,6 +360,7 @@
   }
 
   sync.start();
+  links.start();
   registerGauges();
 
   function registerGauges(): void {
@@ -405,7 +423,7 @@
     });
     await closeListeners();
     // The sync waits for its requests in flight; closing the connections ends those that get no answer.
-    const syncClosed = sync.close();
+    const syncClosed = Promise.all([sync.close(), links.close()]);
     peerAgents.close();
     upstreamAgents.close();
     await source.close();
