Treat an infinite time left of a caller as missing

After one request with the time left Infinity or 1e999, all later requests of its route that a daemon forwarded failed with 502: CallerWaits took the value as the longest time left of the route, so that the latency objective of every other request was minus infinity, and the owner daemon refused its ticket as malformed. Only a finite number is used now.

--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -18,7 +18,7 @@
 import { DEFAULT_RETRY_AFTER_MS, type ServeRequest } from "./serve_request.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 
-/** Time left of a request whose `timeLeftMs` header is missing, 0 or not a number. */
+/** Time left of a request whose `timeLeftMs` header is missing, 0 or not a finite number. */
 const DEFAULT_DEADLINE_MS = 10_000;
 
 /** Largest random share added to Retry-After, so that refused callers do not retry at the same time. */
@@ -110,8 +110,7 @@
     const host = request.headers.host ?? "";
     const route = matchRoute(index, { host, path: request.url! });
     if (route === undefined) return refuse(caller, "no_route");
-    const deadlineMs = Number(request.headers[names.timeLeftMs]) ||
-      DEFAULT_DEADLINE_MS;
+    const deadlineMs = decodeTimeLeft(request.headers[names.timeLeftMs]);
     const waitedBeforeMs = callerWaits.waitedMs(route.name, deadlineMs);
     const isNested = options.owner.runsParentOf(caller.requestId);
     const service = options.shares.nextService(route);
@@ -216,3 +215,10 @@
     },
   };
 }
+
+function decodeTimeLeft(value: string | string[] | undefined): number {
+  const timeLeftMs = Number(value);
+  return Number.isFinite(timeLeftMs) && timeLeftMs !== 0
+    ? timeLeftMs
+    : DEFAULT_DEADLINE_MS;
+}
