Log a failed fetch of the upstream's id in place of ending the process

With a health path that Node refuses, such as one with a space, the first 421 of the upstream ended the daemon's process: the id is fetched in the background, and nothing handled the rejection. No further id would have been fetched either. The new test, with such a path in the configuration and an upstream that answers 421, ended with ERR_UNESCAPED_CHARACTERS before. The fetch now logs the error as operation_failed and gives no id.

--- a/packages/sidecar/src/malformed_messages_test.ts
+++ b/packages/sidecar/src/malformed_messages_test.ts
@@ -232,3 +232,26 @@
   const response = await fetch(`http://${ADDRESS}:${METRICS_PORT}/dump`);
   return await response.json() as Dump;
 }
+
+// Guards against a rejected promise, which ended the process: the id is fetched in the background after a 421.
+t.test("should log a fetch of the upstream's id that throws, such as for an invalid health path", async (t) => {
+  const changes = CHANGES.map((change) =>
+    change.kind === "configuration"
+      ? {
+        ...change,
+        configuration: {
+          ...change.configuration,
+          services: [{ name: "shop", healthPath: "/a b", maxConnections: 1 }],
+        },
+      }
+      : change
+  );
+  const { upstream, lines } = await setUp(t, changes);
+  upstream.answer = answerHead("421", "X-Other: 1");
+  t.equal(await sendRaw(SOUND_REQUEST), 503);
+  const isLogged = () =>
+    lines.some((line) => line.includes('"operation":"fetch_upstream_id"'));
+  await waitFor(isLogged);
+  upstream.answer = SOUND_ANSWER;
+  t.equal(await sendRaw(SOUND_REQUEST), 200, "still serving");
+});
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -197,6 +197,9 @@
       localAddress: settings.address,
       healthPath: definition.healthPath,
       idHeader: names.answeringUpstreamId,
+    }).catch((error) => {
+      failures.onOperationFailed("fetch_upstream_id", error);
+      return undefined;
     });
   }
 
