Choose an upstream also for a route with a latency objective of 0

All requests of a route with target_latency_s 0, which the decoder accepts, were refused with 503 no_upstream: the expected loss of each candidate was infinite, and choosePlacement took only one with a loss below infinity. The new test got undefined before. The first candidate is now taken in any case.

--- a/packages/placement/src/choose_placement.ts
+++ b/packages/placement/src/choose_placement.ts
@@ -61,7 +61,7 @@
   for (const candidate of options.candidates) {
     const loss = expectedLoss(candidate, options.latencyObjectiveMs) +
       options.random() * 1e-3;
-    if (loss >= bestLoss) continue;
+    if (best !== undefined && loss >= bestLoss) continue;
     best = candidate;
     bestLoss = loss;
   }
--- a/packages/placement/src/placement_test.ts
+++ b/packages/placement/src/placement_test.ts
@@ -30,6 +30,18 @@
   t.end();
 });
 
+// Guards against 503 for all requests of such a route, for which the expected loss is infinite.
+t.test("should choose an upstream even if the route's latency objective is 0", (t) => {
+  const candidates = [candidate("a"), candidate("b")];
+  const chosen = choosePlacement({
+    candidates,
+    latencyObjectiveMs: 0,
+    random: () => 0,
+  });
+  t.equal(chosen?.id, "a");
+  t.end();
+});
+
 t.test("should leave an overloaded zone for one with free slots", (t) => {
   const own = candidate("own", { isOwnZone: true, waitMs: 500 });
   t.equal(choose(own, candidate("other")), "other");
