Share one serialized catalog between all daemons that read it

What callers may see: a daemon whose process ends, and with it all of its callers' connections, while many daemons read its catalog at once.

Cause: each answer to a read of the catalog was a string of its own, about 1 MB with 3,000 routes, which stays in the heap until it has been sent. The heap is limited to 48 MB (deploy/system.toml). A daemon that has a new version first is asked by all that are behind, and links of 3.5 Mbit/s take over 2 s for 1 MB.

Why this works: all readers of one state of the catalog get the same buffer, outside of the heap, and Node sends it without a copy. It also saves the time to serialize the catalog for each of them.

--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -14,6 +14,7 @@
   type OwnerState,
   type OwnerVerdict,
 } from "./forwarding.ts";
+import { createCatalogAnswers } from "./catalog_answers.ts";
 import type { OwnedResult, Owner } from "./owner.ts";
 import { endToEndHeaders } from "./passed_headers.ts";
 import { CATALOG_PATH, FEED_PATH } from "./peer_client.ts";
@@ -75,6 +76,7 @@
 export async function startPeerServer(
   options: StartPeerServerOptions,
 ): Promise<HttpListener> {
+  const serializeCatalog = createCatalogAnswers(options.catalog);
   const server = createServer({
     maxHeaderSize: PEER_MAX_HEADER_BYTES,
     keepAliveTimeout: PEER_KEEP_ALIVE_MS,
@@ -109,8 +111,11 @@
       response.writeHead(204).end();
       return;
     }
-    const body = JSON.stringify(catalog.snapshot(version));
-    response.writeHead(200, { "content-type": "application/json" });
+    const body = serializeCatalog(version);
+    response.writeHead(200, {
+      "content-type": "application/json",
+      "content-length": body.length,
+    });
     response.end(body);
   }
 
