Count forwarded requests whose answers are being sent in a drain

Cause: the drain of the upstream's daemon counted a forwarded request until the upstream had answered it, not until the answer was sent to the other daemon. At the end of the drain the connection was closed within the answer.

Ruled out: a reset by a later request on that connection. The agent of the other daemon sends none before it has the answer.

Why this works: the drain is busy until the answers to forwarded requests have been handed over to the kernel, and ends at its limit as before.

--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -72,10 +72,17 @@
   readonly onForwarded: (result: ForwardedResult) => void;
 }
 
+/** The server for other daemons. */
+export interface PeerServer extends HttpListener {
+  /** Forwarded requests whose answers have not been sent completely. */
+  readonly inFlight: number;
+}
+
 /** Serves other daemons: forwarded requests and the catalog. */
 export async function startPeerServer(
   options: StartPeerServerOptions,
-): Promise<HttpListener> {
+): Promise<PeerServer> {
+  let inFlight = 0;
   const serializeCatalog = createCatalogAnswers(options.catalog);
   const server = createServer({
     maxHeaderSize: PEER_MAX_HEADER_BYTES,
@@ -147,6 +154,8 @@
     ticket: ForwardTicket | undefined,
   ): Promise<void> {
     const startedMs = performance.now();
+    inFlight += 1;
+    response.once("close", () => inFlight -= 1);
     const requestId = request.headers[options.names.requestId];
     const body = await readBody(request, options.maxBodyBytes());
     if (body.isErr) {
@@ -226,5 +235,11 @@
     response.end(answer.body);
   }
 
-  return await listenHttp(server, options);
+  const listener = await listenHttp(server, options);
+  return {
+    ...listener,
+    get inFlight() {
+      return inFlight;
+    },
+  };
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -34,7 +34,7 @@
 import { startOperatorsListener } from "./operators_listener.ts";
 import { createOwner } from "./owner.ts";
 import { createPeerClient } from "./peer_client.ts";
-import { startPeerServer } from "./peer_server.ts";
+import { type PeerServer, startPeerServer } from "./peer_server.ts";
 import { createRequestServer } from "./serve_request.ts";
 import type { RequestHeaderNames, SidecarSettings } from "./settings.ts";
 import { UpstreamIdentity } from "./upstream_identity.ts";
@@ -272,6 +272,7 @@
 
   const isReady = () => !isStopping() && catalog.index !== undefined;
   const listeners: HttpListener[] = [];
+  let peerServer: PeerServer | undefined;
   await openListeners().catch(async (error) => {
     await closeListeners();
     await source.close();
@@ -279,26 +280,25 @@
   });
 
   async function openListeners(): Promise<void> {
-    listeners.push(
-      await startPeerServer({
-        address: settings.peer.address,
-        ports: settings.control === undefined
-          ? [settings.peer.port]
-          : [settings.peer.port, settings.control.port],
-        names,
-        owner,
-        catalog,
-        feedId: randomBytes(6).toString("hex"),
-        isInContact: () =>
-          catalog.revision > 0 && sync.platformLostAtMs === undefined &&
-          !isStopping(),
-        state: ownerState,
-        accepts,
-        isLeaving: () => !stopPhase().acceptsForwarded,
-        maxBodyBytes: () => PEER_MAX_BODY_BYTES,
-        onForwarded: (result) => observer.onForwarded(result),
-      }),
-    );
+    peerServer = await startPeerServer({
+      address: settings.peer.address,
+      ports: settings.control === undefined
+        ? [settings.peer.port]
+        : [settings.peer.port, settings.control.port],
+      names,
+      owner,
+      catalog,
+      feedId: randomBytes(6).toString("hex"),
+      isInContact: () =>
+        catalog.revision > 0 && sync.platformLostAtMs === undefined &&
+        !isStopping(),
+      state: ownerState,
+      accepts,
+      isLeaving: () => !stopPhase().acceptsForwarded,
+      maxBodyBytes: () => PEER_MAX_BODY_BYTES,
+      onForwarded: (result) => observer.onForwarded(result),
+    });
+    listeners.push(peerServer);
     listeners.push(
       await listenHttp(callerServer, {
         address: settings.caller.address,
@@ -381,7 +381,8 @@
     );
     await whenDrained({
       drainTimeoutMs,
-      isBusy: () => callers.inFlight > 0 || owner.running > 0,
+      isBusy: () =>
+        callers.inFlight > 0 || owner.running > 0 || peerServer!.inFlight > 0,
     });
     clearTimeout(refuseNewTimer);
     isDrained = true;
