--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -85,11 +85,18 @@
   readonly onHandlerFailed: (error: unknown) => void;
 }
 
+/** The server for other daemons. */
+export interface PeerServer extends HttpListener {
+  /** Forwarded requests whose answers have not been sent completely. */
+  readonly inFlight: number;
+}
+
 /** Serves other daemons: forwarded requests and the catalog. */
 export async function startPeerServer(
   options: StartPeerServerOptions,
-): Promise<HttpListener> {
+): Promise<PeerServer> {
   const configurations = new ConfigurationResponses(options.catalog);
+  let inFlight = 0;
   const server = createServer({
     maxHeaderSize: PEER_MAX_HEAD_BYTES,
     keepAliveTimeout: PEER_KEEP_ALIVE_MS,
@@ -183,6 +190,8 @@
     ticket: ForwardTicket | undefined,
   ): Promise<void> {
     const startedMs = performance.now();
+    inFlight += 1;
+    response.once("close", () => inFlight -= 1);
     const requestId = request.headers[options.names.requestId];
     const body = await readBody(request, options.maxBodyBytes());
     if (body.isErr) {
@@ -266,7 +275,13 @@
     response.end(answer.body);
   }
 
-  return await listenHttp(server, options);
+  const listener = await listenHttp(server, options);
+  return {
+    ...listener,
+    get inFlight() {
+      return inFlight;
+    },
+  };
 }
 
 /** Sends JSON, or 204 if there is nothing to send. */
--- a/packages/sidecar/src/peer_server_test.ts
+++ b/packages/sidecar/src/peer_server_test.ts
@@ -1,6 +1,7 @@
 import { connect } from "node:net";
 import t, { type Test } from "tap";
 import { Catalog } from "@tanagercove/catalog";
+import { ConfigurationResponses } from "./configuration_responses.ts";
 import { encodeTicket, type ForwardTicket } from "./forwarding.ts";
 import type { OwnedRequest, Owner } from "./owner.ts";
 import { startPeerServer } from "./peer_server.ts";
@@ -131,3 +132,37 @@
   failWith(undefined);
   t.equal(await sendRaw(port, text), 200, "still serving");
 });
+
+// Guards against the end of the process when many daemons on narrow links read a version at once: each unsent answer
+// was a string of its own in a heap of 48 MB, and the close of all connections lost requests.
+t.test("should encode a version once for all daemons that hold the same older one", (t) => {
+  const catalog = new Catalog();
+  const take = (version: number) =>
+    catalog.apply([{
+      kind: "configuration",
+      revision: version,
+      configuration: {
+        version,
+        limits: {
+          maxHeaderBytes: 1,
+          maxBodyBytes: 1,
+          headerTimeoutMs: 1,
+          idleTimeoutMs: 1,
+        },
+        services: [],
+        routes: [],
+      },
+    }]);
+  for (const version of [3, 4, 5, 6, 7]) take(version);
+  const responses = new ConfigurationResponses(catalog);
+  const whole = responses.bodyFor(0);
+  const delta = responses.bodyFor(6);
+  t.equal(responses.bodyFor(0), whole, "the same buffer");
+  t.equal(responses.bodyFor(1), whole, "also for a version that is not kept");
+  t.equal(responses.bodyFor(6), delta);
+  t.not(delta, whole);
+  t.equal(responses.bodyFor(7), undefined);
+  take(8);
+  t.not(responses.bodyFor(0), whole, "a later version is encoded anew");
+  t.end();
+});
