Bound the memory of buffered answers by the memory of the process

Seen by callers: while an upstream sent a valid head and then a body without end, or the digits of a chunk's size without end, their requests waited for the deadline (504), held a slot, and idempotent ones were not tried elsewhere.

Cause: each answer could buffer 64 MiB, with no limit on all of them together, in a process that the platform kills above 178 MB on some VMs. Bytes that frame chunks were not counted at all, and a body in chunks of one byte took over 100 bytes of the heap for each (106 measured).

Change: buffered answers take an eighth of the memory limit in the settings together, and one answer half of that. Above the limit on all, the largest that is being received ends, so that small answers are not lost. Answers that are being sent to callers or daemons count too. A body is one buffer that grows. A declared length above the limit ends the exchange at once, and so does framing above 128 KB and an eighth of the body: Node takes about 2 microseconds for each chunk.

A failed answer that is kept while a request is retried is not counted.

--- a/packages/sidecar/src/caller_connections.ts
+++ b/packages/sidecar/src/caller_connections.ts
@@ -72,6 +72,7 @@
   #settle({ pending }: CallerConnection, caller: CallerRequest): void {
     if (!pending.delete(caller)) return;
     this.#inFlight -= 1;
+    caller.releaseAnswer?.();
     if (caller.response.writableFinished) return;
     caller.isDisconnected = true;
     caller.cancel?.();
--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -3,6 +3,7 @@
 import type { Catalog } from "@tanagercove/catalog";
 import type { ServiceBudgets } from "@tanagercove/retries";
 import { matchRoute, type TargetShares } from "@tanagercove/routing";
+import type { AnswerMemory } from "./answer_memory.ts";
 import { CallerConnections } from "./caller_connections.ts";
 import type {
   CallerRequest,
@@ -40,6 +41,7 @@
   readonly catalog: Catalog;
   readonly owner: Pick<Owner, "runsParentOf">;
   readonly serve: ServeRequest;
+  readonly answerMemory: AnswerMemory;
   readonly shares: TargetShares;
   readonly budgets: ServiceBudgets;
   readonly isStopping: () => boolean;
@@ -139,6 +141,9 @@
     const length = status === 204 || status === 304
       ? []
       : ["content-length", String(body.length)];
+    if (!routed.isDisconnected) {
+      routed.releaseAnswer = options.answerMemory.hold(body.length);
+    }
     response.writeHead(status, [...headers, ...length]);
     response.end(body);
     reportResult(routed, "answered", status);
--- a/packages/sidecar/src/caller_request.ts
+++ b/packages/sidecar/src/caller_request.ts
@@ -38,6 +38,8 @@
   readonly attempts: AttemptRecord[];
   isDisconnected: boolean;
   cancel: (() => void) | undefined;
+  /** Called when the answer has been sent or its connection has closed. */
+  releaseAnswer?: () => void;
 }
 
 /** A caller's request with its route. */
--- a/packages/sidecar/src/exchange.ts
+++ b/packages/sidecar/src/exchange.ts
@@ -5,6 +5,8 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { Endpoint } from "@tanagercove/types";
+import type { AnswerMemory, ReceivedAnswer } from "./answer_memory.ts";
+import { BodyBuffer } from "./body_buffer.ts";
 import type { UnknownReason } from "./forwarding.ts";
 import { UPSTREAM_MAX_HEAD_BYTES } from "./header_limits.ts";
 
@@ -56,6 +58,8 @@
   /** Time within which a new connection must be open. */
   readonly connectTimeoutMs: number;
   readonly maxAnswerBytes: number;
+  /** Memory that this answer shares with the others of the process; it may end the exchange as `too_large`. */
+  readonly answerMemory?: AnswerMemory;
   /** Limit on the bytes that arrive before the end of the answer's head, with all interim answers. */
   readonly maxHeadBytes?: number;
   /**
@@ -75,6 +79,15 @@
   cancel(): void;
 }
 
+/**
+ * Share of a body that the framing of its chunks may take beyond the slack. Below about 48 bytes, chunks cost so much
+ * processor time that an answer without end would not reach the limit on its size before its deadline.
+ */
+const MAX_FRAMING_SHARE = 1 / 8;
+
+/** Framing that any answer may have; more than one read of a socket, by which the size of the body may lag behind. */
+const FRAMING_SLACK_BYTES = 64 * 1024;
+
 /** Sends one request with a deadline; the answer is buffered until it is complete. */
 export function startExchange(options: ExchangeOptions): Exchange {
   const { maxHeadBytes = UPSTREAM_MAX_HEAD_BYTES } = options;
@@ -83,6 +96,8 @@
   let isSettled = false;
   let hasHead = false;
   let receivedBytes = 0;
+  let body: BodyBuffer | undefined;
+  let received: ReceivedAnswer | undefined;
   let wasReset = false;
   let resolveEnded!: (end: ExchangeEnd) => void;
   const ended = new Promise<ExchangeEnd>((resolve) => resolveEnded = resolve);
@@ -94,10 +109,17 @@
   function detectReset(this: Socket): void {
     wasReset = this.remoteAddress === undefined;
   }
-  /** Node's own limit starts anew with each interim answer, and leaves out blank lines and leading spaces of a value. */
+  /**
+   * Node's own limit on heads starts anew with each interim answer, and leaves out blank lines and leading spaces of a
+   * value. In a body, it limits neither the digits of a chunk's size nor the number of chunks.
+   */
   function countBytes(chunk: Buffer): void {
     receivedBytes += chunk.length;
-    if (!hasHead && receivedBytes > maxHeadBytes) fail("too_large");
+    const limitBytes = body === undefined
+      ? maxHeadBytes
+      : maxHeadBytes + FRAMING_SLACK_BYTES +
+        body.sizeBytes * (1 + MAX_FRAMING_SHARE);
+    if (!isSettled && receivedBytes > limitBytes) fail("too_large");
   }
   function settle(end: ExchangeEnd): void {
     if (isSettled) return;
@@ -105,6 +127,7 @@
     clearTimeout(deadlineTimer);
     clearTimeout(connectTimer);
     clearInterval(silenceTimer);
+    received?.close();
     resolveEnded(end);
   }
   function fail(failure: ExchangeFailure): void {
@@ -158,11 +181,20 @@
   });
   request.on("response", (response) => {
     hasHead = true;
+    if (isSettled) return;
     clearInterval(silenceTimer);
     const head = { status: response.statusCode!, headers: response.headers };
     if (options.acceptsHead?.(head) === false) return fail("malformed");
-    void readAnswerBody(response, options.maxAnswerBytes).then((body) => {
-      if (typeof body === "string") return fail(body);
+    received = options.answerMemory?.receive(() => fail("too_large"));
+    const declaredBytes = declaredBodyBytes(options.method, response);
+    if (declaredBytes > options.maxAnswerBytes) return fail("too_large");
+    body = new BodyBuffer({
+      maxBytes: options.maxAnswerBytes,
+      declaredBytes,
+      onResize: (capacityBytes) => received?.resize(capacityBytes),
+    });
+    void readAnswerBody(response, body).then((end) => {
+      if (typeof end === "string") return fail(end);
       if (wasReset && !isDelimited(options.method, response)) {
         return fail("cut");
       }
@@ -170,7 +202,7 @@
         kind: "answered",
         ...head,
         rawHeaders: response.rawHeaders,
-        body,
+        body: end,
         durationMs: performance.now() - startedMs,
       });
     });
@@ -193,21 +225,23 @@
     headers["transfer-encoding"] !== undefined;
 }
 
+/** Length of the body that an answer declares; 0 if it declares none or has no body. */
+function declaredBodyBytes(method: string, response: IncomingMessage): number {
+  if (method === "HEAD" || response.statusCode === 304) return 0;
+  return Number(response.headers["content-length"] ?? 0);
+}
+
 function readAnswerBody(
   response: IncomingMessage,
-  maxBytes: number,
+  body: BodyBuffer,
 ): Promise<Buffer | "cut" | "too_large"> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
     response.on("data", (chunk: Buffer) => {
-      chunks.push(chunk);
-      sizeBytes += chunk.length;
-      if (sizeBytes > maxBytes) resolve("too_large");
+      if (!body.append(chunk)) resolve("too_large");
     });
     response.on("end", () => {
       if (!response.complete) return resolve("cut");
-      resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+      resolve(body.bytes());
     });
     response.on("error", () => resolve("cut"));
     response.on("close", () => resolve("cut"));
--- a/packages/sidecar/src/exchange_test.ts
+++ b/packages/sidecar/src/exchange_test.ts
@@ -1,5 +1,7 @@
 import { createServer, type Server, type Socket } from "node:net";
 import t from "tap";
+import { startEndlessServer } from "@tanagercove/test_helpers";
+import { AnswerMemory } from "./answer_memory.ts";
 import { ConnectionAgent } from "./connection_agent.ts";
 import { type ExchangeEnd, startExchange } from "./exchange.ts";
 
@@ -20,7 +22,10 @@
 const agent = new ConnectionAgent({ maxIdleMs: 1_000 });
 t.teardown(() => agent.destroy());
 
-function exchange(port: number): Promise<ExchangeEnd> {
+function exchange(
+  port: number,
+  answerMemory?: AnswerMemory,
+): Promise<ExchangeEnd> {
   return startExchange({
     agent,
     destination: { address: "127.0.0.1", port },
@@ -32,6 +37,7 @@
     timeoutMs: 1_000,
     connectTimeoutMs: 500,
     maxAnswerBytes: 1_000_000,
+    answerMemory: answerMemory ?? new AnswerMemory({ maxBufferedBytes: 1e9 }),
   }).ended;
 }
 
@@ -91,6 +97,64 @@
   t.equal(connections, 1);
 });
 
+// Guards against an answer that keeps the processor busy until the deadline: Node takes about 2 microseconds for each
+// chunk, however small it is.
+t.test("should end an answer without end in tiny chunks long before its deadline", async (t) => {
+  const server = await startEndlessServer({
+    address: "127.0.0.1",
+    answer: () => ({
+      start: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+      filler: "1\r\nx\r\n",
+    }),
+    blockIntervalMs: 1,
+  });
+  t.teardown(() => server.close());
+  const end = await exchange(server.port);
+  t.match(end, { kind: "failed", failure: "too_large" });
+  t.ok(end.durationMs < 500, `ended after ${end.durationMs} ms`);
+});
+
+// Guards against a limit on the framing of chunks that a slow writer reaches.
+t.test("should accept an answer of tens of kilobytes in chunks of one byte", async (t) => {
+  const bodyBytes = 20_000;
+  const chunks = "1\r\nx\r\n".repeat(bodyBytes);
+  const { port } = await listen((socket) =>
+    socket.write(
+      `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`,
+    )
+  );
+  const end = await exchange(port);
+  t.equal(end.kind === "answered" && end.body.length, bodyBytes);
+});
+
+t.test("should end an answer as soon as it declares a length above the limit", async (t) => {
+  const { port } = await listen((socket) =>
+    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 1000001\r\n\r\n")
+  );
+  t.match(await exchange(port), { kind: "failed", failure: "too_large" });
+});
+
+// Guards against a count of bytes that is carried over to the next answer on the connection.
+t.test("should share the memory for answers and give it back", async (t) => {
+  const answerMemory = new AnswerMemory({ maxBufferedBytes: 150_000 });
+  const body = "x".repeat(100_000);
+  const head = `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n`;
+  const answer = (socket: Socket) => socket.write(head + body);
+  const { port } = await listen(
+    ...Array(5).fill(answer),
+    (socket) => socket.write(head + body.slice(1)),
+  );
+  for (let i = 0; i < 5; i += 1) {
+    t.match(await exchange(port, answerMemory), { kind: "answered" });
+    t.equal(answerMemory.usedBytes, 0);
+  }
+  const release = answerMemory.hold(100_000);
+  const end = await exchange(port, answerMemory);
+  t.match(end, { kind: "failed", failure: "too_large" });
+  release();
+  t.equal(answerMemory.usedBytes, 0);
+});
+
 t.test("should not reuse a connection on which bytes arrived that belong to no request", async (t) => {
   const answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
   const { port } = await listen(
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -1,3 +1,4 @@
+import type { AnswerMemory } from "./answer_memory.ts";
 import type { ConnectionAgents } from "./connection_agent.ts";
 import { RankedAdmission, type RankedRequest } from "@tanagercove/admission";
 import type { ReportedLoad } from "@tanagercove/placement";
@@ -55,6 +56,7 @@
   readonly agents: ConnectionAgents;
   readonly names: RequestHeaderNames;
   readonly maxAnswerBytes: number;
+  readonly answerMemory: AnswerMemory;
   readonly identity: UpstreamIdentity;
 }
 
@@ -133,6 +135,7 @@
         timeoutMs: timeLeftMs + UPSTREAM_GRACE_MS,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         maxAnswerBytes: options.maxAnswerBytes,
+        answerMemory: options.answerMemory,
         acceptsHead: (head) =>
           classifyUpstreamHead({ head, requestId, names }).kind !== "unknown",
       });
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -1,3 +1,4 @@
+import type { AnswerMemory } from "./answer_memory.ts";
 import type { ConnectionAgents } from "./connection_agent.ts";
 import type {
   CatalogUpdate,
@@ -70,6 +71,7 @@
   readonly agents: ConnectionAgents;
   readonly localAddress: string;
   readonly maxAnswerBytes: number;
+  readonly answerMemory: AnswerMemory;
 }
 
 /** Options of `PeerClient.forward`. */
@@ -95,7 +97,8 @@
 
 /** Creates the client for calls to other daemons. */
 export function createPeerClient(
-  { agents, localAddress, maxAnswerBytes }: CreatePeerClientOptions,
+  { agents, localAddress, maxAnswerBytes, answerMemory }:
+    CreatePeerClientOptions,
 ): PeerClient {
   return {
     forward({ destination, request, onSilent }) {
@@ -116,6 +119,7 @@
         timeoutMs: ticket.timeLeftMs + VERDICT_GRACE_MS,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         maxAnswerBytes,
+        answerMemory,
         maxHeadBytes: PEER_MAX_HEAD_BYTES,
         acceptsHead: (head) => decodeOutcome(head) !== undefined,
         onSilent,
@@ -153,6 +157,7 @@
       timeoutMs,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxAnswerBytes: MAX_CATALOG_BYTES,
+      answerMemory,
       acceptsHead: isCatalogHead,
     });
     const end = await ended;
--- a/packages/sidecar/src/peer_client_test.ts
+++ b/packages/sidecar/src/peer_client_test.ts
@@ -1,5 +1,6 @@
 import t, { type Test } from "tap";
 import { startEndlessServer, waitFor } from "@tanagercove/test_helpers";
+import { AnswerMemory } from "./answer_memory.ts";
 import { ConnectionAgents } from "./connection_agent.ts";
 import { createPeerClient } from "./peer_client.ts";
 
@@ -23,6 +24,7 @@
     agents,
     localAddress: "127.0.0.1",
     maxAnswerBytes: 1_000_000,
+    answerMemory: new AnswerMemory({ maxBufferedBytes: 1_000_000 }),
   });
   return { server, peers };
 }
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -5,6 +5,7 @@
 } from "node:http";
 import { answerFeedRequest, type Catalog } from "@tanagercove/catalog";
 import type { ReportedLoad } from "@tanagercove/placement";
+import type { AnswerMemory } from "./answer_memory.ts";
 import {
   decodeTicket,
   encodeVerdict,
@@ -52,6 +53,7 @@
   readonly ports: readonly number[];
   readonly names: RequestHeaderNames;
   readonly owner: Owner;
+  readonly answerMemory: AnswerMemory;
   readonly catalog: Catalog;
   /** Identifies this run of the daemon; positions in the feed are valid only within one run. */
   readonly feedId: string;
@@ -209,6 +211,7 @@
       response.end();
       return;
     }
+    response.once("close", options.answerMemory.hold(answer.body.length));
     response.writeHead(answer.status, [
       ...answer.headers,
       OUTCOME_HEADER,
--- a/packages/sidecar/src/settings.ts
+++ b/packages/sidecar/src/settings.ts
@@ -50,4 +50,6 @@
   readonly retryBudgetRatio: number;
   readonly retryBudgetWindowMs: number;
   readonly retryBudgetSlack: number;
+  /** Memory above which the process is killed, if there is such a limit. */
+  readonly memoryLimitBytes?: number | undefined;
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -12,6 +12,7 @@
 import { ServiceBudgets } from "@tanagercove/retries";
 import { TargetShares } from "@tanagercove/routing";
 import type { Endpoint, UpstreamEntry } from "@tanagercove/types";
+import { answerLimits, AnswerMemory } from "./answer_memory.ts";
 import { fetchUpstreamId } from "./fetch_upstream_id.ts";
 import { createCallerHandler } from "./caller_handler.ts";
 import { ConnectionAgents } from "./connection_agent.ts";
@@ -41,9 +42,6 @@
 const PEER_IDLE_MS = 8_000;
 const UPSTREAM_IDLE_MS = 4_000;
 
-/** Limit on answers, which are buffered completely before they are passed on. */
-const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
-
 /** Limit on callers' headers; the limit in the configuration is not applied. */
 const CALLER_MAX_HEADER_BYTES = 64 * 1024;
 
@@ -107,10 +105,15 @@
   const reports = new UpstreamReports({
     onEjected: (ejection) => observer.onEjected(ejection),
   });
+  const { maxAnswerBytes, maxBufferedBytes } = answerLimits(
+    settings.memoryLimitBytes,
+  );
+  const answerMemory = new AnswerMemory({ maxBufferedBytes });
   const peers = createPeerClient({
     agents: peerAgents,
     localAddress: settings.address,
-    maxAnswerBytes: MAX_ANSWER_BYTES,
+    maxAnswerBytes,
+    answerMemory,
   });
   const identity = new UpstreamIdentity({
     service: settings.service,
@@ -123,7 +126,8 @@
     localAddress: settings.address,
     agents: upstreamAgents,
     names,
-    maxAnswerBytes: MAX_ANSWER_BYTES,
+    maxAnswerBytes,
+    answerMemory,
     identity,
   });
   const sync = new CatalogSync({
@@ -242,6 +246,7 @@
     catalog,
     owner,
     serve,
+    answerMemory,
     shares: new TargetShares(),
     budgets,
     isStopping,
@@ -281,6 +286,7 @@
           : [settings.peer.port, settings.control.port],
         names,
         owner,
+        answerMemory,
         catalog,
         feedId: randomBytes(6).toString("hex"),
         isInContact: () =>
@@ -336,6 +342,7 @@
           ? 0
           : performance.now() - sync.platformLostAtMs,
       slots_running: () => owner.running,
+      answer_bytes_buffered: () => answerMemory.usedBytes,
       slots_waiting: () => owner.waiting,
       callers_in_flight: () => callers.inFlight,
       connections_opened_to_upstream: () => upstreamAgents.opened,
