--- a/packages/sidecar/src/caller_handler_test.ts
+++ b/packages/sidecar/src/caller_handler_test.ts
@@ -5,6 +5,7 @@
 import { ServiceBudgets } from "@tanagercove/retries";
 import { TargetShares } from "@tanagercove/routing";
 import { waitFor } from "@tanagercove/test_helpers";
+import { AnswerMemory } from "./answer_memory.ts";
 import { createCallerHandler } from "./caller_handler.ts";
 import type { RoutedRequest } from "./caller_request.ts";
 
@@ -50,6 +51,7 @@
   const served: RoutedRequest[] = [];
   const handler = createCallerHandler({
     names: NAMES,
+    answerMemory: new AnswerMemory({ maxBufferedBytes: 1_000_000 }),
     catalog,
     owner: { runsParentOf: () => false },
     serve(routed) {
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -1,3 +1,4 @@
+import type { AnswerMemory } from "./answer_memory.ts";
 import type { ConnectionAgents } from "./connection_agent.ts";
 import type {
   CatalogTransfer,
@@ -97,6 +98,7 @@
   /** Called at the end of each response of another daemon with routes or upstreams. */
   readonly onTransfer?: (transfer: CatalogTransfer) => void;
   readonly onUnreadable: (answer: UnreadableAnswer) => void;
+  readonly answerMemory: AnswerMemory;
 }
 
 /** Options of `PeerClient.forward`. */
@@ -131,8 +133,14 @@
 
 /** Creates the client for calls to other daemons. */
 export function createPeerClient(
-  { agents, localAddress, maxAnswerBytes, onTransfer, onUnreadable }:
-    CreatePeerClientOptions,
+  {
+    agents,
+    localAddress,
+    maxAnswerBytes,
+    answerMemory,
+    onTransfer,
+    onUnreadable,
+  }: CreatePeerClientOptions,
 ): PeerClient {
   return {
     forward({ destination, request, onSilent }) {
@@ -153,6 +161,7 @@
         timeoutMs: ticket.timeLeftMs + VERDICT_GRACE_MS,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         maxAnswerBytes,
+        answerMemory,
         maxHeadBytes: PEER_MAX_HEAD_BYTES,
         acceptsHead: (head) => decodeOutcome(head) !== undefined,
         onSilent,
--- a/packages/sidecar/src/peer_client_test.ts
+++ b/packages/sidecar/src/peer_client_test.ts
@@ -2,6 +2,7 @@
 import t, { type Test } from "tap";
 import { Catalog } from "@tanagercove/catalog";
 import { startEndlessServer, waitFor } from "@tanagercove/test_helpers";
+import { AnswerMemory } from "./answer_memory.ts";
 import { ConnectionAgents } from "./connection_agent.ts";
 import { createPeerClient } from "./peer_client.ts";
 
@@ -110,6 +111,7 @@
     localAddress: "127.0.0.1",
     maxAnswerBytes: 1_000_000,
     onUnreadable: ({ problem }) => problems.push(problem),
+    answerMemory: new AnswerMemory({ maxBufferedBytes: 1_000_000 }),
   });
   const destination = { address: "127.0.0.1", port };
   return { answer, client, destination, problems };
--- a/packages/sidecar/src/peer_server_test.ts
+++ b/packages/sidecar/src/peer_server_test.ts
@@ -1,6 +1,7 @@
 import { connect } from "node:net";
 import t, { type Test } from "tap";
 import { Catalog } from "@tanagercove/catalog";
+import { AnswerMemory } from "./answer_memory.ts";
 import { ConfigurationResponses } from "./configuration_responses.ts";
 import { encodeTicket, type ForwardTicket } from "./forwarding.ts";
 import type { OwnedRequest, Owner } from "./owner.ts";
@@ -57,6 +58,7 @@
     address: "127.0.0.1",
     ports: [0],
     names: NAMES,
+    answerMemory: new AnswerMemory({ maxBufferedBytes: 1_000_000 }),
     owner,
     catalog: new Catalog(),
     feedId: "f",
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -13,6 +13,7 @@
 import { TargetShares } from "@tanagercove/routing";
 import type { Endpoint, UpstreamEntry } from "@tanagercove/types";
 import { createFailureLog } from "./failure_log.ts";
+import { answerLimits, AnswerMemory } from "./answer_memory.ts";
 import { fetchUpstreamId } from "./fetch_upstream_id.ts";
 import { createCallerHandler } from "./caller_handler.ts";
 import { closeInStages } from "./close_in_stages.ts";
@@ -46,9 +47,6 @@
 const PEER_IDLE_MS = 8_000;
 const UPSTREAM_IDLE_MS = 4_000;
 
-/** Limit on answers, which are buffered completely before they are passed on. */
-const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
-
 /** Limit on callers' headers; the limit in the configuration is not applied. */
 const CALLER_MAX_HEADER_BYTES = 64 * 1024;
 
@@ -110,11 +108,16 @@
   const reports = new UpstreamReports({
     onEjected: (ejection) => observer.onEjected(ejection),
   });
+  const { maxAnswerBytes, maxBufferedBytes } = answerLimits(
+    settings.memoryLimitBytes,
+  );
+  const answerMemory = new AnswerMemory({ maxBufferedBytes });
   const peers = createPeerClient({
     onTransfer: (transfer) => observer.onTransfer(transfer),
     agents: peerAgents,
     localAddress: settings.address,
-    maxAnswerBytes: MAX_ANSWER_BYTES,
+    maxAnswerBytes,
+    answerMemory,
     onUnreadable: failures.onUnreadableAnswer,
   });
   const identity = new UpstreamIdentity({
@@ -128,7 +131,8 @@
     localAddress: settings.address,
     agents: upstreamAgents,
     names,
-    maxAnswerBytes: MAX_ANSWER_BYTES,
+    maxAnswerBytes,
+    answerMemory,
     identity,
   });
   const peerPort = settings.peer.port;
@@ -271,6 +275,7 @@
     catalog,
     owner,
     serve,
+    answerMemory,
     shares: new TargetShares(),
     budgets,
     isStopping,
@@ -316,6 +321,7 @@
         : [settings.peer.port, settings.control.port],
       names,
       owner,
+      answerMemory,
       catalog,
       feedId: randomBytes(6).toString("hex"),
       isInContact: () =>
@@ -375,6 +381,7 @@
           ? 0
           : performance.now() - sync.platformLostAtMs,
       slots_running: () => owner.running,
+      answer_bytes_buffered: () => answerMemory.usedBytes,
       slots_waiting: () => owner.waiting,
       callers_in_flight: () => callers.inFlight,
       connections_opened_to_upstream: () => upstreamAgents.opened,
