Skip versions that a narrow link delivers too slowly

Callers on fleets with links of 3.5 to 5 Mbit/s saw late requests and routing by old versions: after 20 versions in 5 s, a daemon that reads the platform took the last one at second 37, although it was written by second 25.4, and its link was full in between.

Cause: a watch answers with each write since a revision, with its whole value. While one version is transferred, the next ones are written, so a reader that is behind transfers all of them, although only the newest one matters.

chooseNextRead now decides on the next read of the platform. If a read brought a newer version, and its bodies took 250 ms or more to arrive, the next one is a full read instead of a watch, until such a read brings no newer version or is fast. It leaves the configuration out if it cannot have changed since the revision that the caller knows: each change has its own revision, and all later ones are those of listed upstreams. So a single version over a narrow link is transferred once, even while upstreams are written. Full reads for other reasons always read the configuration, and only they clear the mark that one is due. A reader whose versions arrive quickly makes the same calls as before.

--- a/packages/catalog/src/catalog_sync.ts
+++ b/packages/catalog/src/catalog_sync.ts
@@ -5,6 +5,11 @@
 import type { FeedRequest, FeedResponse } from "./catalog_feed.ts";
 import type { CatalogTransfer } from "./catalog_transfer.ts";
 import { chooseReader } from "./choose_reader.ts";
+import {
+  chooseNextRead,
+  type FinishedRead,
+  type PlatformRead,
+} from "./choose_next_read.ts";
 import {
   applyConfigurationUpdate,
   type ConfigurationUpdate,
@@ -104,6 +109,17 @@
   readonly #closing = new AbortController();
   #watchAbort = new AbortController();
   #needsFullRead = true;
+  /** The last read of the platform; undefined if it failed, or if another daemon was followed since. */
+  #lastRead: FinishedRead | undefined;
+  /** Newest version that a read of the platform delivered; other daemons may have delivered a newer one. */
+  #readVersion = 0;
+  readonly #reads: Readonly<
+    Record<PlatformRead, () => Promise<"ok" | "failed">>
+  > = {
+    watch: () => this.#watch(),
+    full_read: () => this.#readAll(),
+    catch_up_read: () => this.#catchUp(),
+  };
   #platformLostAtMs: number | undefined;
   #settleUntilMs = 0;
   #settleTimer: NodeJS.Timeout | undefined;
@@ -191,8 +207,11 @@
       this.#needsFullRead ||= reader === undefined;
       this.#options.onEvent({ kind: "guide_changed", reader });
     }
+    const lastRead = this.#lastRead;
+    this.#lastRead = undefined;
     if (reader !== undefined) return await this.#followReader(reader);
-    return this.#needsFullRead ? await this.#readAll() : await this.#watch();
+    const needsFullRead = this.#needsFullRead;
+    return await this.#reads[chooseNextRead({ needsFullRead, lastRead })]();
   }
 
   #chooseReader(): string | undefined {
@@ -240,12 +259,34 @@
   }
 
   async #readAll(): Promise<"ok" | "failed"> {
-    const { source, onTransfer } = this.#options;
-    const result = await source.readAll({ onTransfer });
+    const outcome = await this.#readUpdate();
+    if (outcome === "ok") this.#needsFullRead = false;
+    return outcome;
+  }
+
+  /**
+   * Reads all upstreams, and the newest version unless it is known. Leaves `#needsFullRead` as it is: if another daemon
+   * reported a version meanwhile, this read may have left it out.
+   */
+  async #catchUp(): Promise<"ok" | "failed"> {
+    const { revision, configurationRevision } = this.#options.catalog;
+    return await this.#readUpdate(Math.max(revision, configurationRevision));
+  }
+
+  async #readUpdate(
+    knownConfigurationRevision?: number,
+  ): Promise<"ok" | "failed"> {
+    const { source } = this.#options;
+    const timer = this.#timeTransfers();
+    const { onTransfer } = timer;
+    const result = await source.readAll({
+      onTransfer,
+      knownConfigurationRevision,
+    });
     if (result.isErr) return this.#recordFailure(result.error);
     this.#recordContact();
     this.#options.catalog.replace(result.value, this.#removalOptions());
-    this.#needsFullRead = false;
+    this.#recordRead(result.value, timer.transferMs());
     return "ok";
   }
 
@@ -253,11 +294,12 @@
     const { catalog, source } = this.#options;
     this.#watchAbort = new AbortController();
     const { signal } = this.#watchAbort;
+    const timer = this.#timeTransfers();
     const result: Result<CatalogUpdate, PlatformError> = await source.watch({
       afterRevision: catalog.revision,
       waitMs: this.#options.watchWaitMs ?? WATCH_WAIT_MS,
       signal,
-      onTransfer: this.#options.onTransfer,
+      onTransfer: timer.onTransfer,
     });
     if (signal.aborted) return "ok";
     if (result.isErr) {
@@ -272,9 +314,31 @@
     this.#recordContact();
     catalog.apply(result.value.changes, this.#removalOptions());
     catalog.advance(result.value.revision);
+    this.#recordRead(result.value, timer.transferMs());
     return "ok";
   }
 
+  /** Adds up the times in which the bodies of a read's responses arrive. */
+  #timeTransfers() {
+    let transferMs = 0;
+    const onTransfer = (transfer: CatalogTransfer) => {
+      const { headMs, durationMs } = transfer;
+      transferMs += durationMs - (headMs ?? durationMs);
+      this.#options.onTransfer?.(transfer);
+    };
+    return { onTransfer, transferMs: () => transferMs };
+  }
+
+  #recordRead({ changes }: CatalogUpdate, transferMs: number): void {
+    const versions = changes.flatMap((change) =>
+      change.kind === "configuration" ? [change.configuration.version] : []
+    );
+    const newest = Math.max(0, ...versions);
+    const hasNewerVersion = newest > this.#readVersion;
+    this.#readVersion = Math.max(this.#readVersion, newest);
+    this.#lastRead = { hasNewerVersion, transferMs };
+  }
+
   #recordFailure(error: PlatformError): "failed" {
     if (this.#platformLostAtMs === undefined) {
       this.#platformLostAtMs = performance.now();
--- a/packages/catalog/src/catalog_sync_test.ts
+++ b/packages/catalog/src/catalog_sync_test.ts
@@ -12,7 +12,10 @@
   type CatalogUpdate,
   type ConfigurationUpdate,
   type FeedResponse,
+  type ReadCatalogOptions,
+  type TransferOptions,
   type UpstreamsSnapshot,
+  type WatchCatalogOptions,
 } from "./index.ts";
 
 type Answer = Result<CatalogUpdate, PlatformError>;
@@ -25,18 +28,35 @@
   watchAnswer: Answer | undefined;
   /** While true, every watch gets the answer last passed to `publish`; otherwise only one watch does. */
   isDown = false;
-  reads = 0;
+  /** Time that each answer reports for its transfer. */
+  transferMs = 0;
+  readonly knownRevisions: (number | undefined)[] = [];
   watches = 0;
   #wake: (() => void) | undefined;
 
-  readAll(): Promise<Answer> {
-    this.reads += 1;
+  get reads(): number {
+    return this.knownRevisions.length;
+  }
+
+  readAll(options: ReadCatalogOptions = {}): Promise<Answer> {
+    this.knownRevisions.push(options.knownConfigurationRevision);
+    this.#reportTransfer(options);
     return Promise.resolve(this.readAnswer);
   }
 
-  async watch(
-    { afterRevision, signal }: { afterRevision: number; signal?: AbortSignal },
-  ): Promise<Answer> {
+  #reportTransfer({ onTransfer }: TransferOptions): void {
+    onTransfer?.({
+      source: "platform",
+      content: "changes",
+      outcome: "complete",
+      sizeBytes: 1,
+      headMs: 0,
+      durationMs: this.transferMs,
+    });
+  }
+
+  async watch(options: WatchCatalogOptions): Promise<Answer> {
+    const { afterRevision, signal } = options;
     this.watches += 1;
     if (this.watchAnswer === undefined) {
       await new Promise<void>((resolve) => {
@@ -47,6 +67,7 @@
     const answer = this.watchAnswer ??
       Result.ok({ revision: afterRevision, changes: [] });
     if (!this.isDown) this.watchAnswer = undefined;
+    this.#reportTransfer(options);
     return answer;
   }
 
@@ -100,6 +121,12 @@
   ...options,
 });
 
+const configurationChange = (version: number, revision: number) => ({
+  kind: "configuration" as const,
+  revision,
+  configuration: configurationAt(version),
+});
+
 function setUp(options: {
   readonly higherRankedReaders?: () => readonly string[];
   readonly followPeer?: () => Promise<FeedResponse | undefined>;
@@ -270,3 +297,78 @@
   await waitFor(() => source.reads > readsBefore);
   t.equal(catalog.version, 0);
 });
+
+/** Transfer of a version in which the operator may write the next one. */
+const SLOW_TRANSFER_MS = 500;
+
+// Guards against a reader that downloads each version that was written while it was behind.
+t.test("should read the newest version after a slow watch, until there is no newer one", async (t) => {
+  const { source, catalog, sync } = setUp();
+  sync.start();
+  await waitFor(() => source.watches === 1);
+  source.transferMs = SLOW_TRANSFER_MS;
+  source.readAnswer = Result.ok({
+    revision: 8,
+    changes: [configurationChange(5, 9)],
+  });
+  const change = configurationChange(2, 4);
+  source.publish(Result.ok({ revision: 4, changes: [change] }));
+  await waitFor(() => source.watches === 2);
+  t.equal(catalog.version, 5);
+  t.equal(catalog.revision, 8, "the next watch continues from the read");
+  t.same(source.knownRevisions, [undefined, 4, 9]);
+});
+
+// Guards against the loss of upstreams that come back after an outage: a read right after it does not list them yet.
+t.test("should defer removals that a read after a slow watch finds right after an outage", async (t) => {
+  const { source, catalog, sync } = setUp();
+  source.readAnswer = Result.ok({
+    revision: 2,
+    changes: [upstreamAt("u1", 2), upstreamAt("u2", 2)],
+  });
+  sync.start();
+  await waitFor(() => source.watches === 1);
+  source.isDown = true;
+  source.publish(UNAVAILABLE);
+  await waitFor(() => sync.platformLostAtMs !== undefined);
+  source.isDown = false;
+  source.transferMs = SLOW_TRANSFER_MS;
+  source.readAnswer = Result.ok({ revision: 7, changes: [] });
+  const { reads, watches } = source;
+  const removal = { kind: "upstream_removed" as const, revision: 6, id: "u1" };
+  source.publish(
+    Result.ok({ revision: 7, changes: [removal, configurationChange(2, 7)] }),
+  );
+  await waitFor(() => source.reads > reads && source.watches > watches);
+  await waitFor(() => catalog.version === 2);
+  t.same([...catalog.upstreams.keys()], ["u1", "u2"]);
+  t.equal(catalog.deferredRemovals, 2);
+  await waitFor(() => catalog.upstreams.size === 0, { timeoutMs: 4_000 });
+});
+
+// Guards against a version that is never read: the read that follows a slow watch may leave the configuration out.
+t.test("should read everything if a missed version becomes known during a read after a slow watch", async (t) => {
+  const { source, catalog, sync } = setUp({
+    fetchUpstreams: () =>
+      Promise.resolve({ revision: 9, version: 4, changes: [] }),
+  });
+  sync.start();
+  await waitFor(() => source.watches === 1);
+  source.transferMs = SLOW_TRANSFER_MS;
+  let endRead = () => {};
+  const readEnd = new Promise<void>((resolve) => endRead = resolve);
+  const readAll = source.readAll.bind(source);
+  source.readAll = async (options) => {
+    const answer = await readAll(options);
+    if (options?.knownConfigurationRevision !== undefined) await readEnd;
+    return answer;
+  };
+  const change = configurationChange(2, 4);
+  source.publish(Result.ok({ revision: 4, changes: [change] }));
+  await waitFor(() => source.reads === 2);
+  await sync.catchUpIfBehind("peer:1", { version: 4, revision: 9 });
+  t.equal(catalog.revision, 9);
+  endRead();
+  await waitFor(() => source.reads === 3);
+  t.same(source.knownRevisions, [undefined, 4, undefined]);
+});
--- a/packages/catalog/src/source_port.ts
+++ b/packages/catalog/src/source_port.ts
@@ -38,14 +38,23 @@
   readonly changes: readonly CatalogChange[];
 }
 
-/** Options of `CatalogSource.readAll`. */
-export interface ReadCatalogOptions {
+/** Options of both kinds of reads of a `CatalogSource`. */
+export interface TransferOptions {
   /** Called at the end of each response that the read needs. */
   readonly onTransfer?: (transfer: CatalogTransfer) => void;
 }
 
+/** Options of `CatalogSource.readAll`. */
+export interface ReadCatalogOptions extends TransferOptions {
+  /**
+   * Revision up to which the caller knows the configuration. The read leaves the configuration out if it has certainly
+   * not changed since. Without a revision, the configuration is always read.
+   */
+  readonly knownConfigurationRevision?: number;
+}
+
 /** Options of `CatalogSource.watch`. */
-export interface WatchCatalogOptions extends ReadCatalogOptions {
+export interface WatchCatalogOptions extends TransferOptions {
   readonly afterRevision: number;
   /** Timeout of a watch without changes. */
   readonly waitMs: number;
@@ -55,7 +64,7 @@
 
 /** Read-only access to the routes and upstreams that the platform publishes. */
 export interface CatalogSource {
-  /** Reads all entries; an entry that is missing from the result does not exist. */
+  /** Reads all entries; an upstream that is missing from the result does not exist. */
   readAll(
     options?: ReadCatalogOptions,
   ): Promise<Result<CatalogUpdate, PlatformError>>;
