Leave a connection alone after the end of its exchange

Callers could get 502 for a request that was well: its connection was reset by the cancellation of an earlier request that had used the connection before.

Cause: the reset of a connection whose request is given up was also made by a cancel after the end of the exchange. An owner daemon cancels a run when the other daemon closes while the answer is being sent, and the kept connection to the upstream may then serve the next request.

The new test failed before (the second request ended as cut).

--- a/packages/sidecar/src/exchange.ts
+++ b/packages/sidecar/src/exchange.ts
@@ -131,6 +131,8 @@
     resolveEnded(end);
   }
   function fail(failure: ExchangeFailure): void {
+    // After the end of the exchange, its connection may serve another one.
+    if (isSettled) return;
     const durationMs = performance.now() - startedMs;
     settle({ kind: "failed", failure, mayHaveBeenSent, durationMs });
     // Without a reset, bytes that a broken path holds up would be delivered after it is mended.
--- a/packages/sidecar/src/exchange_test.ts
+++ b/packages/sidecar/src/exchange_test.ts
@@ -205,3 +205,36 @@
   await waitFor(() => ends.length > 0);
   t.same(ends, ["read ECONNRESET"]);
 });
+
+// Guards against a request that is cut because another one, which used the connection before it, is cancelled.
+t.test("should not touch a connection after the end of its exchange", async (t) => {
+  const { port } = await listen(
+    (socket) => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+    (socket) =>
+      setTimeout(
+        () => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+        50,
+      ),
+  );
+  const openedBefore = agent.opened;
+  const start = () =>
+    startExchange({
+      agent,
+      destination: { address: "127.0.0.1", port },
+      localAddress: "127.0.0.1",
+      method: "GET",
+      path: "/",
+      headers: ["host", "x"],
+      body: undefined,
+      timeoutMs: 1_000,
+      connectTimeoutMs: 500,
+      maxAnswerBytes: 1_000_000,
+    });
+  const first = start();
+  t.match(await first.ended, { kind: "answered" });
+  await new Promise((resolve) => setImmediate(resolve));
+  const second = start();
+  first.cancel();
+  t.match(await second.ended, { kind: "answered" });
+  t.equal(agent.opened, openedBefore + 1, "both used one connection");
+});
