Count a revision as known only with its configuration

A daemon could stay on an old version for good.

Cause: the upstreams of another daemon advanced the catalog's revision before the configuration of that revision had arrived. If it did not arrive, a watch continued behind it; the flag that asked for a full read could be cleared by a read that had begun earlier, and the state was handed on to other daemons.

Found by review, which showed it with a scripted source. The revision now advances once the version is held, so the watch itself delivers what is missing and no flag is needed.

--- a/packages/catalog/src/catalog.ts
+++ b/packages/catalog/src/catalog.ts
@@ -47,6 +47,14 @@
 /** Number of configuration versions kept, so that followers that hold one of them get a delta. */
 const MAX_KEPT_VERSIONS = 4;
 
+/** Options of `Catalog.replace`. */
+export interface ReplaceOptions {
+  /** Keeps removed entries until `applyDeferredRemovals`. */
+  readonly deferRemovals?: boolean;
+  /** Whether the update holds all changes up to its revision, those of the configuration included. */
+  readonly advances?: boolean;
+}
+
 /** All upstreams that a daemon holds, and the version of the configuration that it held at the same time. */
 export interface UpstreamsSnapshot extends CatalogUpdate {
   readonly version: number;
@@ -171,23 +179,26 @@
     }
   }
 
-  /** Applies a full update; upstreams that are missing from it are removed unless a later revision changed them. */
+  /**
+   * Applies a full update; upstreams that are missing from it are removed unless a later revision changed them. The
+   * catalog's own revision is advanced to that of the update, unless `advances` is false.
+   */
   replace(
     update: CatalogUpdate,
-    options: { readonly deferRemovals?: boolean } = {},
+    { deferRemovals = false, advances = true }: ReplaceOptions = {},
   ): void {
     const listed = new Set(
       update.changes.flatMap((change) =>
         change.kind === "upstream" ? [change.entry.id] : []
       ),
     );
-    this.apply(update.changes, options);
+    this.apply(update.changes, { deferRemovals });
     for (const [id, held] of [...this.#upstreams]) {
       if (listed.has(id) || held.revision > update.revision) continue;
-      this.#remove(id, update.revision, options.deferRemovals ?? false);
+      this.#remove(id, update.revision, deferRemovals);
     }
     this.#recordUpstreamRevision(update.upstreamRevision ?? 0);
-    this.advance(update.revision);
+    if (advances) this.advance(update.revision);
   }
 
   /** Records that all changes up to a revision are known. */
--- a/packages/catalog/src/catalog_sync.ts
+++ b/packages/catalog/src/catalog_sync.ts
@@ -145,6 +145,11 @@
     return this.#platformLostAtMs;
   }
 
+  /** Daemon that this one follows; undefined if it reads the platform. */
+  get reader(): string | undefined {
+    return this.#reader;
+  }
+
   start(): void {
     this.#loops = Promise.all([
       this.#followPlatform(),
@@ -241,7 +246,9 @@
       position: response.position,
     });
     this.#recordContact();
-    if (response.whole !== undefined) catalog.replace(response.whole);
+    if (response.whole !== undefined) {
+      catalog.replace(response.whole, { advances: false });
+    }
     catalog.apply(response.changes);
     await this.#fetchConfiguration(reader, response.version);
     if (catalog.version < response.version) return await this.#readAll();
@@ -264,10 +271,7 @@
     return outcome;
   }
 
-  /**
-   * Reads all upstreams, and the newest version unless it is known. Leaves `#needsFullRead` as it is: if another daemon
-   * reported a version meanwhile, this read may have left it out.
-   */
+  /** Reads all upstreams, and the newest version unless it is known. */
   async #catchUp(): Promise<"ok" | "failed"> {
     const { revision, configurationRevision } = this.#options.catalog;
     return await this.#readUpdate(Math.max(revision, configurationRevision));
@@ -383,10 +387,14 @@
     const { version, changeRevision } = catalog;
     const upstreams = await fetchUpstreams(peer, catalog.upstreamRevision);
     if (this.#closing.signal.aborted) return;
-    if (upstreams !== undefined) catalog.replace(upstreams);
+    if (upstreams !== undefined) {
+      catalog.replace(upstreams, { advances: false });
+    }
     await this.#fetchConfiguration(peer, Infinity);
-    // A watch continues after the revision of the upstreams, so it does not deliver a configuration missed here.
-    this.#needsFullRead ||= catalog.version < (upstreams?.version ?? 0);
+    // A watch continues after the catalog's revision, so it would not deliver a configuration from before it.
+    if (upstreams !== undefined && catalog.version >= upstreams.version) {
+      catalog.advance(upstreams.revision);
+    }
     if (
       catalog.version === version && catalog.changeRevision === changeRevision
     ) return;
--- a/packages/catalog/src/choose_next_read.ts
+++ b/packages/catalog/src/choose_next_read.ts
@@ -20,10 +20,7 @@
   readonly lastRead: FinishedRead | undefined;
 }
 
-/**
- * Transfer time of a version from which on the next one may have been written meanwhile. The operator writes up to four
- * versions a second; a faster transfer keeps up with that.
- */
+/** Transfer time of a version from which on later ones may have been written meanwhile. */
 const SLOW_TRANSFER_MS = 250;
 
 /**
