Forget the links of removed VMs, and ask for missing ones less and less often

An address can be used again by a VM with another link, and a listed VM whose daemon is down never tells its own: all daemons of its zone asked for it four times a second. A table of another daemon no longer replaces what a VM has told itself.

--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -138,9 +138,11 @@
     response: ServerResponse,
   ): void {
     const { searchParams } = new URL(request.url!, "http://daemon");
-    const linkMbps = Number(searchParams.get("link_mbps"));
-    const address = searchParams.get("address") ?? "";
-    if (Number.isFinite(linkMbps)) options.links.record(address, linkMbps);
+    const linkMbps = Number(searchParams.get("link_mbps") ?? NaN);
+    const address = searchParams.get("address");
+    if (address !== null && linkMbps >= 0 && linkMbps < Infinity) {
+      options.links.record(address, linkMbps);
+    }
     respondJson(response, encodeJson(options.links.table()));
   }
 
--- a/packages/sidecar/src/zone_links.ts
+++ b/packages/sidecar/src/zone_links.ts
@@ -12,8 +12,9 @@
   readonly exchange: (address: string) => Promise<LinkTable | undefined>;
 }
 
-/** Pause between exchanges while the bandwidth of a VM of this zone is unknown, and once all are known. */
-const PAUSE_MS = { incomplete: 250, complete: 10_000 };
+/** First pause between exchanges while the bandwidth of a VM of this zone is unknown; doubles up to `MAX_PAUSE_MS`. */
+const MIN_PAUSE_MS = 250;
+const MAX_PAUSE_MS = 10_000;
 
 /** Number of daemons that are asked in turn, so that one that does not answer is passed over. */
 const KEEPERS = 3;
@@ -27,6 +28,7 @@
   readonly #options: ZoneLinksOptions;
   readonly #linkMbps: Map<string, number>;
   #isClosed = false;
+  #retryPauseMs = MIN_PAUSE_MS;
   #wake: () => void = () => {};
   #loop: Promise<void> = Promise.resolve();
 
@@ -68,7 +70,9 @@
 
   /** Starts an exchange soon if the bandwidth of a VM of this zone is unknown. */
   refresh(): void {
-    if (!this.#isComplete()) this.#wake();
+    if (this.#isComplete()) return;
+    this.#retryPauseMs = MIN_PAUSE_MS;
+    this.#wake();
   }
 
   #isComplete(): boolean {
@@ -85,17 +89,29 @@
       if (keeper !== undefined && keeper !== ownAddress) {
         const table = await exchange(keeper) ?? {};
         for (const [address, linkMbps] of Object.entries(table)) {
-          this.record(address, linkMbps);
+          // What a VM has told itself is newer than what another one remembers.
+          if (!this.#linkMbps.has(address)) this.record(address, linkMbps);
         }
       }
-      await this.#pause(this.#isComplete() ? "complete" : "incomplete");
+      this.#forgetRemoved();
+      await this.#pause(this.#isComplete() ? MAX_PAUSE_MS : this.#retryPauseMs);
+      this.#retryPauseMs = Math.min(MAX_PAUSE_MS, 2 * this.#retryPauseMs);
+    }
+  }
+
+  /** The address of a removed VM may be used again by one with another link. */
+  #forgetRemoved(): void {
+    const addresses = new Set(this.#options.zoneAddresses());
+    for (const address of this.#linkMbps.keys()) {
+      const isOwn = address === this.#options.ownAddress;
+      if (!isOwn && !addresses.has(address)) this.#linkMbps.delete(address);
     }
   }
 
   /** Waits until the next exchange is due, is asked for, or will never be made. */
-  async #pause(kind: keyof typeof PAUSE_MS): Promise<void> {
+  async #pause(pauseMs: number): Promise<void> {
     if (this.#isClosed) return;
-    const durationMs = PAUSE_MS[kind] * (0.75 + Math.random() / 2);
+    const durationMs = pauseMs * (0.75 + Math.random() / 2);
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, durationMs);
       this.#wake = () => {
