--- a/packages/sidecar/src/exchange_test.ts
+++ b/packages/sidecar/src/exchange_test.ts
@@ -3,7 +3,7 @@
 import { startEndlessServer, waitFor } from "@tanagercove/test_helpers";
 import { AnswerMemory } from "./answer_memory.ts";
 import { ConnectionAgent } from "./connection_agent.ts";
-import { type ExchangeEnd, startExchange } from "./exchange.ts";
+import { type Exchange, type ExchangeEnd, startExchange } from "./exchange.ts";
 
 /** Starts a server that calls the next of these actions for each request, on whichever connection it arrives. */
 async function listen(
@@ -22,10 +22,18 @@
 const agent = new ConnectionAgent({ maxIdleMs: 1_000 });
 t.teardown(() => agent.destroy());
 
-function exchange(
+interface StartOptions {
+  readonly timeoutMs?: number;
+  readonly answerMemory?: AnswerMemory;
+}
+
+function start(
   port: number,
-  answerMemory?: AnswerMemory,
-): Promise<ExchangeEnd> {
+  {
+    timeoutMs = 1_000,
+    answerMemory = new AnswerMemory({ maxBufferedBytes: 1e9 }),
+  }: StartOptions = {},
+): Exchange {
   return startExchange({
     agent,
     destination: { address: "127.0.0.1", port },
@@ -34,11 +42,18 @@
     path: "/",
     headers: ["host", "x"],
     body: undefined,
-    timeoutMs: 1_000,
+    timeoutMs,
     connectTimeoutMs: 500,
     maxAnswerBytes: 1_000_000,
-    answerMemory: answerMemory ?? new AnswerMemory({ maxBufferedBytes: 1e9 }),
-  }).ended;
+    answerMemory,
+  });
+}
+
+function exchange(
+  port: number,
+  answerMemory?: AnswerMemory,
+): Promise<ExchangeEnd> {
+  return start(port, { answerMemory }).ended;
 }
 
 const UNFRAMED = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of the";
@@ -189,18 +204,7 @@
     socket.on("error", ({ message }) => ends.push(message));
     socket.on("end", () => ends.push("end"));
   });
-  const started = startExchange({
-    agent,
-    destination: { address: "127.0.0.1", port },
-    localAddress: "127.0.0.1",
-    method: "GET",
-    path: "/",
-    headers: ["host", "x"],
-    body: undefined,
-    timeoutMs: 100,
-    connectTimeoutMs: 500,
-    maxAnswerBytes: 1_000_000,
-  });
+  const started = start(port, { timeoutMs: 100 });
   t.match(await started.ended, { kind: "failed", failure: "deadline" });
   await waitFor(() => ends.length > 0);
   t.same(ends, ["read ECONNRESET"]);
@@ -217,23 +221,10 @@
       ),
   );
   const openedBefore = agent.opened;
-  const start = () =>
-    startExchange({
-      agent,
-      destination: { address: "127.0.0.1", port },
-      localAddress: "127.0.0.1",
-      method: "GET",
-      path: "/",
-      headers: ["host", "x"],
-      body: undefined,
-      timeoutMs: 1_000,
-      connectTimeoutMs: 500,
-      maxAnswerBytes: 1_000_000,
-    });
-  const first = start();
+  const first = start(port);
   t.match(await first.ended, { kind: "answered" });
   await new Promise((resolve) => setImmediate(resolve));
-  const second = start();
+  const second = start(port);
   first.cancel();
   t.match(await second.ended, { kind: "answered" });
   t.equal(agent.opened, openedBefore + 1, "both used one connection");
