--- /dev/null
+++ b/packages/sidecar/src/caller_handler_fixture.ts
@@ -0,0 +1,72 @@
+import { Catalog } from "@tanagercove/catalog";
+import { ServiceBudgets } from "@tanagercove/retries";
+import { TargetShares } from "@tanagercove/routing";
+import { AnswerMemory } from "./answer_memory.ts";
+import { createCallerHandler } from "./caller_handler.ts";
+import type { RoutedRequest } from "./caller_request.ts";
+
+const NAMES = {
+  requestId: "x-id",
+  timeLeftMs: "x-left",
+  signature: "x-signature",
+  upstreamId: "x-upstream",
+  answeringUpstreamId: "x-answering",
+  load: "x-load",
+  notRun: "x-not-run",
+  callerService: "x-caller",
+};
+
+/** Creates a handler for one route; `served` lists the requests that it passes on. */
+export function setUpCallerHandler() {
+  const catalog = new Catalog();
+  catalog.apply([{
+    kind: "configuration",
+    revision: 1,
+    configuration: {
+      version: 1,
+      routes: [{
+        name: "browse",
+        host: "shop.example",
+        prefix: "/browse/",
+        requestClass: "idempotent",
+        latencyObjectiveMs: 500,
+        priority: 1,
+        targets: [{ service: "shop", weight: 1 }],
+        timeoutMs: 4_000,
+        maxAttempts: 2,
+      }],
+      services: [],
+      limits: {
+        maxHeaderBytes: 1_000,
+        maxBodyBytes: 1_000,
+        headerTimeoutMs: 1_000,
+        idleTimeoutMs: 1_000,
+      },
+    },
+  }]);
+  const served: RoutedRequest[] = [];
+  const handler = createCallerHandler({
+    names: NAMES,
+    answerMemory: new AnswerMemory({ maxBufferedBytes: 1_000_000 }),
+    catalog,
+    owner: { runsParentOf: () => false },
+    serve(routed) {
+      served.push(routed);
+      return Promise.resolve({ kind: "gone" });
+    },
+    shares: new TargetShares(),
+    budgets: new ServiceBudgets({
+      ratio: 0,
+      slack: 0,
+      windowMs: 10_000,
+      daemons: () => 1,
+    }),
+    isStopping: () => false,
+    refusesNew: () => false,
+    onResult: () => {},
+    onHandlerFailed(error) {
+      throw error;
+    },
+  });
+  return { handler, served };
+}
--- /dev/null
+++ b/packages/sidecar/src/peer_server_fixture.ts
@@ -0,0 +1,104 @@
+import { connect, type Socket } from "node:net";
+import type { Test } from "tap";
+import { Catalog } from "@tanagercove/catalog";
+import { AnswerMemory } from "./answer_memory.ts";
+import type { ForwardTicket } from "./forwarding.ts";
+import type { OwnedRequest, Owner } from "./owner.ts";
+import { startPeerServer } from "./peer_server.ts";
+
+const NAMES = {
+  requestId: "x-id",
+  timeLeftMs: "x-left",
+  signature: "x-signature",
+  upstreamId: "x-upstream",
+  answeringUpstreamId: "x-answering",
+  load: "x-load",
+  notRun: "x-not-run",
+  callerService: "x-caller",
+};
+
+const LOAD = { running: 0, slots: 4, waitingByRank: [0], serviceTimeMs: 50 };
+
+/** A ticket for `forwardedRequest`. */
+export const TICKET: ForwardTicket = {
+  upstreamId: "u1",
+  service: "shop",
+  route: "browse",
+  requestClass: "idempotent",
+  rank: 1,
+  timeLeftMs: 900,
+  objectiveLeftMs: 400,
+  isNested: false,
+  callerService: "web",
+  version: 1,
+};
+
+/** Starts a peer server whose upstream answers each request with 200. */
+export async function setUpPeerServer(t: Test) {
+  const runs: OwnedRequest[] = [];
+  const failures: unknown[] = [];
+  let error: Error | undefined;
+  let afterRun = () => {};
+  const owner: Owner = {
+    run(request) {
+      if (error !== undefined) throw error;
+      runs.push(request);
+      afterRun();
+      const answer = { status: 200, headers: [], body: Buffer.from("whole") };
+      const verdict = { kind: "answered" as const, serviceMs: 1 };
+      return { ended: Promise.resolve({ verdict, answer }), cancel() {} };
+    },
+    runsParentOf: () => false,
+    load: () => LOAD,
+    running: 0,
+    waiting: 0,
+    setSlots() {},
+    setLeaving() {},
+    close() {},
+  };
+  const listener = await startPeerServer({
+    address: "127.0.0.1",
+    ports: [0],
+    names: NAMES,
+    answerMemory: new AnswerMemory({ maxBufferedBytes: 1_000_000 }),
+    owner,
+    catalog: new Catalog(),
+    feedId: "f",
+    isInContact: () => true,
+    state: () => ({ load: LOAD, version: 1, revision: 1 }),
+    accepts: () => true,
+    isLeaving: () => false,
+    links: { record: () => {}, table: () => ({}) },
+    maxBodyBytes: () => 1_000,
+    onForwarded: () => {},
+    onHandlerFailed: (failure) => failures.push(failure),
+  });
+  t.teardown(() => listener.close());
+  const { port } = listener.server.address() as { port: number };
+  const failWith = (next: Error | undefined) => error = next;
+  const onRun = (callback: () => void) => afterRun = callback;
+  return { port, runs, failures, failWith, onRun };
+}
+
+/** Opens connections to a server on the loopback address. */
+export function openConnections(
+  port: number,
+  count: number,
+): Promise<Socket[]> {
+  return Promise.all(
+    Array.from(
+      { length: count },
+      () =>
+        new Promise<Socket>((resolve, reject) => {
+          const socket = connect(port, "127.0.0.1", () => resolve(socket));
+          socket.on("error", reject);
+        }),
+    ),
+  );
+}
+
+/** Bytes of a request that another daemon forwards. */
+export function forwardedRequest(ticket: string, path = "/browse/x"): string {
+  return `GET ${path} HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\n` +
+    `Tanagercove-Forward: ${ticket}\r\n\r\n`;
+}
