Report when a daemon handles its events late

In the users' record of requests that were sent on after their callers had left, all answers turn late at the same time, and nothing in the output of the daemons tells whether they were behind. A timer that fires every 250 ms now measures it: as the histogram timer_delay_us, and above 200 ms as the event daemon_behind.

--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -381,6 +381,14 @@
     action:
       "if transfers stay incomplete, compare `size_bytes` per time with the bandwidth of the VM's link",
   },
+  daemon_behind: {
+    level: "warn",
+    fields: { delay_ms: "number" },
+    meaning:
+      "Timers fired late by this time, and all other events waited as long: the process was busy, short of processor time or suspended",
+    action:
+      "if it lasts, give the VM more processor time; compare with `configuration_taken` and the load at that time",
+  },
   configuration_taken: {
     level: "info",
     fields: { configuration_version: "number", routes: "number" },
--- a/packages/sidecar/src/observer.ts
+++ b/packages/sidecar/src/observer.ts
@@ -28,6 +28,9 @@
 /** Complete transfers of less than this are counted and not logged. */
 const LOGGED_TRANSFER_BYTES = 16 * 1024;
 
+/** Timer delay from which a daemon logs that it is behind. */
+const LOGGED_DELAY_MS = 200;
+
 /** Logs and counts the decisions of a sidecar. */
 export interface SidecarObserver {
   onCatalog(event: CatalogEvent): void;
@@ -37,6 +40,7 @@
   onIdentityLearnt(learnt: LearntIdentity): void;
   onResult(result: CallerResult): void;
   onForwarded(result: ForwardedResult): void;
+  onTimerDelay(delayMs: number): void;
 }
 
 /** Options of `createObserver`. */
@@ -66,6 +70,8 @@
   const requestDurations = metrics.histogram("request_duration_us");
   const forwardedDurations = metrics.histogram("forwarded_duration_us");
 
+  const timerDelays = metrics.histogram("timer_delay_us");
+
   function logChange(
     record: (unlogged_changes: number) => LogRecord,
   ): void {
@@ -127,6 +133,11 @@
       const unlogged = requestLimit.take();
       if (unlogged !== undefined) logEvent(log, requestLine(result, unlogged));
     },
+    onTimerDelay(delayMs) {
+      timerDelays.record(delayMs * 1_000);
+      if (delayMs < LOGGED_DELAY_MS) return;
+      logEvent(log, { event: "daemon_behind", delay_ms: Math.round(delayMs) });
+    },
     onForwarded(result) {
       const { verdict } = result;
       const reason = verdict.kind === "answered" ? "" : verdict.reason;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -40,6 +40,7 @@
 import { type PeerServer, startPeerServer } from "./peer_server.ts";
 import { createRequestServer } from "./serve_request.ts";
 import type { RequestHeaderNames, SidecarSettings } from "./settings.ts";
+import { watchTimerDelay } from "./timer_delay.ts";
 import { UpstreamIdentity } from "./upstream_identity.ts";
 import { ZoneLinks } from "./zone_links.ts";
 
@@ -370,6 +371,9 @@
 
   sync.start();
   links.start();
+  const timerDelayWatch = watchTimerDelay({
+    onDelay: (delayMs) => observer.onTimerDelay(delayMs),
+  });
   registerGauges();
 
   function registerGauges(): void {
@@ -432,6 +436,7 @@
       timeLeftMs: stoppingSinceMs + drainTimeoutMs - performance.now(),
       isSending: () => callers.isSending,
     });
+    timerDelayWatch.close();
     await closeListeners();
     // The sync waits for its requests in flight; closing the connections ends those that get no answer.
     const syncClosed = Promise.all([sync.close(), links.close()]);
