Show also that waiting and retried requests are sent on after a close

The tests of departed callers watched the call of the owner. They now watch what reaches the upstream or is sent to another daemon, which is what callers see, with the owner and the request server in place of stand-ins, and under the same checks and bounds.

Two further moments have the same fault: a waiting request whose slot becomes free, and a refused request that is tried at another upstream, are sent although the close of their caller has arrived with the answer that lets them go on.

--- a/packages/sidecar/src/caller_handler_fixture.ts
+++ b/packages/sidecar/src/caller_handler_fixture.ts
@@ -3,22 +3,20 @@
 import { TargetShares } from "@tanagercove/routing";
 import { AnswerMemory } from "./answer_memory.ts";
 import { createCallerHandler } from "./caller_handler.ts";
+import { NAMES } from "./peer_server_fixture.ts";
 import type { RoutedRequest } from "./caller_request.ts";
+import type { ServeRequest } from "./serve_request.ts";
 
-const NAMES = {
-  requestId: "x-id",
-  timeLeftMs: "x-left",
-  signature: "x-signature",
-  upstreamId: "x-upstream",
-  answeringUpstreamId: "x-answering",
-  load: "x-load",
-  notRun: "x-not-run",
-  callerService: "x-caller",
-};
+/** Options of `setUpCallerHandler`. */
+export interface SetUpCallerHandlerOptions {
+  readonly catalog?: Catalog;
+  readonly serve?: ServeRequest;
+}
 
-/** Creates a handler for one route; `served` lists the requests that it passes on. */
-export function setUpCallerHandler() {
-  const catalog = new Catalog();
+/** Creates a handler for one route; `served` lists the requests that it serves if there is no other `serve`. */
+export function setUpCallerHandler(
+  { catalog = new Catalog(), serve }: SetUpCallerHandlerOptions = {},
+) {
   catalog.apply([{
     kind: "configuration",
     revision: 1,
@@ -50,10 +48,10 @@
     answerMemory: new AnswerMemory({ maxBufferedBytes: 1_000_000 }),
     catalog,
     owner: { runsParentOf: () => false },
-    serve(routed) {
+    serve: serve ?? ((routed) => {
       served.push(routed);
       return Promise.resolve({ kind: "gone" });
-    },
+    }),
     shares: new TargetShares(),
     budgets: new ServiceBudgets({
       ratio: 0,
--- a/packages/sidecar/src/peer_server_fixture.ts
+++ b/packages/sidecar/src/peer_server_fixture.ts
@@ -5,8 +5,10 @@
 import type { ForwardTicket } from "./forwarding.ts";
 import type { OwnedRequest, Owner } from "./owner.ts";
 import { startPeerServer } from "./peer_server.ts";
+import type { RequestHeaderNames } from "./settings.ts";
 
-const NAMES = {
+/** Header names of the fixture. */
+export const NAMES: RequestHeaderNames = {
   requestId: "x-id",
   timeLeftMs: "x-left",
   signature: "x-signature",
@@ -33,17 +35,15 @@
   version: 1,
 };
 
-/** Starts a peer server whose upstream answers each request with 200. */
-export async function setUpPeerServer(t: Test) {
+/** Starts a peer server; by default its owner answers each request with 200. */
+export async function setUpPeerServer(t: Test, owner?: Owner) {
   const runs: OwnedRequest[] = [];
   const failures: unknown[] = [];
   let error: Error | undefined;
-  let afterRun = () => {};
-  const owner: Owner = {
+  const answeringOwner: Owner = {
     run(request) {
       if (error !== undefined) throw error;
       runs.push(request);
-      afterRun();
       const answer = { status: 200, headers: [], body: Buffer.from("whole") };
       const verdict = { kind: "answered" as const, serviceMs: 1 };
       return { ended: Promise.resolve({ verdict, answer }), cancel() {} };
@@ -61,7 +61,7 @@
     ports: [0],
     names: NAMES,
     answerMemory: new AnswerMemory({ maxBufferedBytes: 1_000_000 }),
-    owner,
+    owner: owner ?? answeringOwner,
     catalog: new Catalog(),
     feedId: "f",
     isInContact: () => true,
@@ -76,8 +76,7 @@
   t.teardown(() => listener.close());
   const { port } = listener.server.address() as { port: number };
   const failWith = (next: Error | undefined) => error = next;
-  const onRun = (callback: () => void) => afterRun = callback;
-  return { port, runs, failures, failWith, onRun };
+  return { port, runs, failures, failWith };
 }
 
 /** Opens connections to a server on the loopback address. */
