Read the closes of callers before sending their requests on

Callers saw upstreams work on requests that nobody waited for any more (GONE): in the users' record, one reaches its upstream 695 ms after its caller left.

Cause: a daemon that is short of processor time finds a request and the close of its connection in the same backlog. Node reads the request in one turn of the event loop and an orderly close in the next, and the request was sent within the turn that read it. The same held for a waiting request that got a slot, for a retry after a refusal, and for a backlog of many requests, all of which were sent in one turn.

Now a request joins a queue before each send, to an upstream or to another daemon. The end of a connection counts as the close of its requests at once; Node's event 'close' comes some turns later, after its own half is shut down. Work whose time has passed meanwhile is refused as not run.

Ruled out: a cancel that does not reach a waiting request (the admission queue refuses it at once).

Four tests of the request server now give it one turn before they look at what was sent; their checks are unchanged.

--- a/packages/sidecar/src/caller_connections.ts
+++ b/packages/sidecar/src/caller_connections.ts
@@ -92,9 +92,14 @@
       isClosing: false,
     };
     this.#connections.set(socket, connection);
+    const settleAll = () => {
+      for (const caller of connection.pending) this.#settle(connection, caller);
+    };
+    // Node ends its side of the connection then, and the event `close` follows some turns of the event loop later.
+    socket.once("end", settleAll);
     socket.once("close", () => {
       this.#connections.delete(socket);
-      for (const caller of connection.pending) this.#settle(connection, caller);
+      settleAll();
     });
     return connection;
   }
--- a/packages/sidecar/src/departed_callers_test.ts
+++ b/packages/sidecar/src/departed_callers_test.ts
@@ -23,6 +23,7 @@
   setUpPeerServer,
   TICKET,
 } from "./peer_server_fixture.ts";
+import { SendQueue } from "./send_queue.ts";
 import { createRequestServer } from "./serve_request.ts";
 import { UpstreamIdentity } from "./upstream_identity.ts";
 
@@ -66,6 +67,7 @@
       fetchId: () => Promise.resolve(undefined),
       isUsable: () => true,
     }),
+    sendQueue: new SendQueue(),
   });
   owner.setSlots(slots);
   t.teardown(() => owner.close());
@@ -119,6 +121,7 @@
       windowMs: 10_000,
       daemons: () => 1,
     }),
+    sendQueue: new SendQueue(),
     isStopping: () => false,
     onPeerState: () => {},
   });
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -11,6 +11,7 @@
 } from "./forwarding.ts";
 import { deliveredHeaders, requestHeaders } from "./passed_headers.ts";
 import { RouteTimes } from "./route_times.ts";
+import type { SendQueue } from "./send_queue.ts";
 import { isSendableAnswer } from "./sendable_heads.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 import {
@@ -59,6 +60,7 @@
   readonly maxAnswerBytes: number;
   readonly answerMemory: AnswerMemory;
   readonly identity: UpstreamIdentity;
+  readonly sendQueue: Pick<SendQueue, "wait">;
 }
 
 /** Runs requests on the upstream of this VM. */
@@ -114,15 +116,14 @@
       const granted = await admitted.granted;
       if (granted.isErr) return refusedResult(granted.error, ranked);
       const grant = granted.value;
-      if (cancelled) {
-        grant.release({ serviceTimeMs: undefined });
-        return refusedResult("cancelled", ranked);
-      }
       let serviceTimeMs: number | undefined;
       try {
+        await options.sendQueue.wait();
+        if (cancelled) return refusedResult("cancelled", ranked);
+        const timeLeftMs = deadlineAtMs - performance.now();
+        if (timeLeftMs <= 0) return refusedResult("deadline", ranked);
         const { requestId } = request;
         const { names } = options;
-        const timeLeftMs = deadlineAtMs - performance.now();
         exchange = startExchange({
           agent: options.agents.forClass(ticket.requestClass),
           destination: options.upstream,
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -244,8 +244,11 @@
     const confirmTimer = setTimeout(() => {
       if (!response.headersSent) response.writeProcessing();
     }, CONFIRM_AFTER_MS);
+    // The event `close` of the response follows some turns of the event loop after the end of its connection.
+    request.socket.once("end", run.cancel);
     response.on("close", () => {
       clearTimeout(confirmTimer);
+      request.socket.off("end", run.cancel);
       if (!response.writableFinished) run.cancel();
     });
     const result = await run.ended.finally(() => clearTimeout(confirmTimer));
--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -18,6 +18,7 @@
 import type { ForwardResult, ForwardRun, PeerClient } from "./peer_client.ts";
 import { placementCandidates } from "./placement_candidates.ts";
 import { type RefusalReason, REFUSALS } from "./refusals.ts";
+import type { SendQueue } from "./send_queue.ts";
 
 /**
  * Maximum number of upstreams to which one request is sent. A refusal by an owner
@@ -49,6 +50,7 @@
   readonly peers: Pick<PeerClient, "forward">;
   readonly reports: UpstreamReports;
   readonly budgets: ServiceBudgets;
+  readonly sendQueue: Pick<SendQueue, "wait">;
   readonly isStopping: () => boolean;
   readonly onPeerState: (peer: Endpoint, state: OwnerState) => void;
 }
@@ -97,6 +99,8 @@
       triedCount < MAX_UPSTREAMS_TRIED;
       triedCount += 1
     ) {
+      await options.sendQueue.wait();
+      if (routed.isDisconnected) return { kind: "gone" };
       const chosen = choosePlacement({
         candidates: candidatesOf(routed, progress),
         latencyObjectiveMs: route.latencyObjectiveMs,
--- a/packages/sidecar/src/serve_request_test.ts
+++ b/packages/sidecar/src/serve_request_test.ts
@@ -103,6 +103,7 @@
       windowMs: 10_000,
       daemons: () => 1,
     }),
+    sendQueue: { wait: () => Promise.resolve() },
     isStopping: () => isStopping,
     onPeerState: () => {},
   });
@@ -142,6 +143,7 @@
 t.test("should try another upstream if the owner daemon of an idempotent request is silent", async (t) => {
   const { serve, sent, reports } = setUp();
   const served = serve(routed());
+  await eventLoopTurn();
   sent[0]!.onSilent(450);
   await eventLoopTurn();
   t.ok(sent[0]!.isCancelled());
@@ -163,6 +165,7 @@
   } as const;
   for (const [name, [{ serve, sent }, request]] of Object.entries(cases)) {
     const served = serve(request);
+    await eventLoopTurn();
     sent[0]!.onSilent(450);
     await eventLoopTurn();
     t.notOk(sent[0]!.isCancelled(), name);
@@ -175,12 +178,14 @@
 t.test("should fail an idempotent request after a long silence, but not in a stopping daemon", async (t) => {
   const { serve, sent } = setUp({ upstreams: 1 });
   const served = serve(routed());
+  await eventLoopTurn();
   sent[0]!.onSilent(1_350);
   t.match(await served, { kind: "refused", reason: "cut" });
 
   // Guards against 502 for callers of a stopping daemon while their requests are still running.
   const stopping = setUp({ upstreams: 1, isStopping: true });
   const servedWhileStopping = stopping.serve(routed());
+  await eventLoopTurn();
   stopping.sent[0]!.onSilent(1_350);
   await eventLoopTurn();
   t.notOk(stopping.sent[0]!.isCancelled());
@@ -192,6 +197,7 @@
 t.test("should report a busy upstream rather than one that is leaving", async (t) => {
   const { serve, sent } = setUp();
   const served = serve(routed());
+  await eventLoopTurn();
   const refused = (reason: "busy" | "leaving"): ForwardResult => ({
     verdict: {
       kind: "not_run",
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -39,6 +39,7 @@
 import { createPeerClient } from "./peer_client.ts";
 import { type PeerServer, startPeerServer } from "./peer_server.ts";
 import { createRequestServer } from "./serve_request.ts";
+import { SendQueue } from "./send_queue.ts";
 import type { RequestHeaderNames, SidecarSettings } from "./settings.ts";
 import { watchTimerDelay } from "./timer_delay.ts";
 import { UpstreamIdentity } from "./upstream_identity.ts";
@@ -127,6 +128,7 @@
     isUsable: isOwnServiceId,
     onLearnt: (learnt) => observer.onIdentityLearnt(learnt),
   });
+  const sendQueue = new SendQueue();
   const owner = createOwner({
     upstream: settings.upstream,
     localAddress: settings.address,
@@ -135,6 +137,7 @@
     maxAnswerBytes,
     answerMemory,
     identity,
+    sendQueue,
   });
   const peerPort = settings.peer.port;
   const links = new ZoneLinks({
@@ -268,6 +271,7 @@
     peers,
     reports,
     budgets,
+    sendQueue,
     isStopping,
     onPeerState: handlePeerState,
   });
@@ -386,6 +390,7 @@
           : performance.now() - sync.platformLostAtMs,
       slots_running: () => owner.running,
       answer_bytes_buffered: () => answerMemory.usedBytes,
+      requests_before_send: () => sendQueue.length,
       slots_waiting: () => owner.waiting,
       callers_in_flight: () => callers.inFlight,
       connections_opened_to_upstream: () => upstreamAgents.opened,
