Compare routes by field where a daemon passes a version on

What callers saw: in a series of versions, answers of all classes turn late. Each version made a daemon that passes it on to others encode all routes as JSON twice, to find those that changed, within one turn of the event loop.

--- a/packages/catalog/src/configuration_delta.ts
+++ b/packages/catalog/src/configuration_delta.ts
@@ -4,6 +4,7 @@
   RouteConfiguration,
   ServiceDefinition,
 } from "@tanagercove/types";
+import { isSameRoute } from "./is_same_route.ts";
 
 /** Difference between a version of the configuration and a later one. */
 export interface ConfigurationDelta {
@@ -28,12 +29,15 @@
   { from, to }: DiffConfigurationsOptions,
 ): ConfigurationDelta {
   const previous = new Map(
-    from.routes.map((route) => [routeKeyOf(route), JSON.stringify(route)]),
+    from.routes.map((route) => [routeKeyOf(route), route]),
   );
   const changed: Route[] = [];
   for (const route of to.routes) {
     const key = routeKeyOf(route);
-    if (previous.get(key) !== JSON.stringify(route)) changed.push(route);
+    const former = previous.get(key);
+    if (former === undefined || !isSameRoute(former, route)) {
+      changed.push(route);
+    }
     previous.delete(key);
   }
   return {
