Keep to the limit that an upstream in need names in its answers

What callers saw: an upstream that names the requests per second it takes from all VMs together (Server-Limit) gets several times as many (LIMIT), and answers turn late or are refused by the upstream itself.

Cause: no part of the system read the field. Admission counted slots only, and a free slot says nothing about a limit.

Every request for an upstream passes the daemon on its VM, nested calls and retries too, so that daemon keeps the limit exactly: a token bucket with a burst of a quarter of a second holds back the start of requests, in the order of their ranks. The predicted wait and Retry-After take the rate into account, so a request that cannot be served in time is refused at once. Other daemons get the limit and the time until the next start with each verdict, in a header of its own, which daemons of earlier versions ignore; they place requests elsewhere. A start that was not sent is taken back. The limit ends with the first answer that does not name it, once none has named it for 250 ms, since answers written before its beginning may still arrive.

--- a/packages/admission/src/ranked_admission.ts
+++ b/packages/admission/src/ranked_admission.ts
@@ -9,6 +9,7 @@
   isServedBefore,
   type RankedRequest,
 } from "./ranked_order.ts";
+import { StartRate } from "./start_rate.ts";
 
 /** Why the owner daemon, the one on the upstream's VM, did not start a request. The request has not run. */
 export type RankedRefusal =
@@ -17,10 +18,18 @@
   | "leaving"
   | "cancelled";
 
-/** A slot that a request holds; release it with the time that the upstream took, or undefined if it did not answer. */
+/** A slot that a request holds. */
 export interface Grant {
   readonly waitedMs: number;
-  release(result: { readonly serviceTimeMs: number | undefined }): void;
+  release(result: GrantResult): void;
+}
+
+/** How a request that held a slot ended. */
+export interface GrantResult {
+  /** Time that the upstream took; undefined if it did not answer. */
+  readonly serviceTimeMs: number | undefined;
+  /** Whether the request was sent to the upstream, so that it counts towards the upstream's limit. */
+  readonly wasSent: boolean;
 }
 
 /** Load of an upstream, measured by its owner daemon. */
@@ -31,6 +40,10 @@
   readonly waitingByRank: readonly number[];
   /** Average of the service times with which slots were released. */
   readonly serviceTimeMs: number;
+  /** Requests per second that the upstream takes; undefined without a limit. */
+  readonly limitPerSecond?: number | undefined;
+  /** Time until another request may start within that limit. */
+  readonly startDelayMs?: number | undefined;
 }
 
 /** Options of `RankedAdmission`. */
@@ -64,6 +77,8 @@
   #leaving = false;
   #serviceTimeMs = INITIAL_SERVICE_TIME_MS;
   readonly #waiting = new Set<Waiter>();
+  readonly #startRate = new StartRate();
+  #startTimer: NodeJS.Timeout | undefined;
 
   constructor(options: RankedAdmissionOptions) {
     this.#slots = options.slots;
@@ -89,6 +104,8 @@
       slots: this.#slots,
       waitingByRank,
       serviceTimeMs: this.#serviceTimeMs,
+      limitPerSecond: this.#startRate.limitPerSecond,
+      startDelayMs: this.#startRate.delayMs(1, this.#nowMs()),
     };
   }
 
@@ -97,6 +114,13 @@
     this.#startNext();
   }
 
+  /** Sets the number of requests per second that the upstream takes; undefined for no limit. */
+  setLimit(limitPerSecond: number | undefined): void {
+    if (limitPerSecond === this.#startRate.limitPerSecond) return;
+    this.#startRate.setLimit(limitPerSecond, this.#nowMs());
+    this.#startNext();
+  }
+
   /** With true, refuses waiting and new requests; with false, accepts new requests again. */
   setLeaving(leaving: boolean): void {
     this.#leaving = leaving;
@@ -114,7 +138,7 @@
     const nowMs = this.#nowMs();
     const verdict = decideRankedAdmission({
       isLeaving: this.#leaving,
-      freeSlots: this.#slots - this.#running,
+      freeSlots: this.#startable(nowMs),
       waitMs: this.#predictWaitMs(request),
       neededMs: request.neededMs,
       objectiveLeftMs: request.objectiveAtMs - nowMs,
@@ -145,12 +169,22 @@
 
   /** Refuses all waiting and new requests. */
   close(): void {
+    clearTimeout(this.#startTimer);
     this.setLeaving(true);
   }
 
+  /** Number of requests that may start now. */
+  #startable(nowMs: number): number {
+    const freeSlots = this.#slots - this.#running;
+    return Math.min(freeSlots, this.#startRate.available(nowMs));
+  }
+
   #predictWaitMs(request: RankedRequest): number {
     const ahead = countWaitingAhead([...this.#waiting], request) + 1;
-    return ahead * this.#serviceTimeMs / this.#slots;
+    return Math.max(
+      ahead * this.#serviceTimeMs / this.#slots,
+      this.#startRate.delayMs(ahead, this.#nowMs()),
+    );
   }
 
   #countLateWaiting(nowMs: number): number {
@@ -177,6 +211,7 @@
       Math.max(0, maxWaitMs),
     );
     this.#waiting.add(waiter);
+    this.#startLater(nowMs);
     return { granted, cancel: () => this.#refuse(waiter, "cancelled") };
   }
 
@@ -188,13 +223,15 @@
 
   #grant(requestedAtMs: number): Grant {
     this.#running += 1;
+    this.#startRate.take(this.#nowMs());
     let released = false;
     return {
       waitedMs: this.#nowMs() - requestedAtMs,
-      release: ({ serviceTimeMs }) => {
+      release: ({ serviceTimeMs, wasSent }) => {
         if (released) return;
         released = true;
         this.#running -= 1;
+        if (!wasSent) this.#startRate.giveBack();
         if (serviceTimeMs !== undefined) {
           this.#serviceTimeMs += SERVICE_TIME_WEIGHT *
             (serviceTimeMs - this.#serviceTimeMs);
@@ -205,8 +242,9 @@
   }
 
   #startNext(): void {
-    while (this.#running < this.#slots && this.#waiting.size > 0) {
+    while (this.#waiting.size > 0) {
       const nowMs = this.#nowMs();
+      if (this.#startable(nowMs) < 1) return this.#startLater(nowMs);
       let next: Waiter | undefined;
       for (const waiter of this.#waiting) {
         if (next === undefined || isServedBefore(waiter, next, nowMs)) {
@@ -227,6 +265,15 @@
       waiter.settle(Result.ok(this.#grant(waiter.requestedAtMs)));
     }
   }
+
+  /** Continues once the limit allows another request to start; a free slot continues at once. */
+  #startLater(nowMs: number): void {
+    if (this.#running >= this.#slots || this.#startTimer !== undefined) return;
+    this.#startTimer = setTimeout(() => {
+      this.#startTimer = undefined;
+      this.#startNext();
+    }, this.#startRate.delayMs(1, nowMs));
+  }
 }
 
 /** A request for a slot. */
--- a/packages/admission/src/ranked_admission_test.ts
+++ b/packages/admission/src/ranked_admission_test.ts
@@ -33,7 +33,7 @@
   }
   async function release(): Promise<void> {
     await sleep(0);
-    grants.shift()?.release({ serviceTimeMs: 100 });
+    grants.shift()?.release({ serviceTimeMs: 100, wasSent: true });
     await sleep(0);
   }
   t.teardown(() => admission.close());
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -465,6 +465,13 @@
       "The upstream of this VM has started again under another id, and its entry is not known yet",
     action: NOTHING,
   },
+  upstream_limit_changed: {
+    level: "warn",
+    fields: { limit_per_second: "optional_number", unlogged_changes: "number" },
+    meaning:
+      "The upstream of this VM names another limit on its requests in its answers, or none any more (without `limit_per_second`)",
+    action: "if it lasts, add upstreams to the service",
+  },
   upstream_avoided: {
     level: "warn",
     fields: {
--- a/packages/placement/src/upstream_reports.ts
+++ b/packages/placement/src/upstream_reports.ts
@@ -6,6 +6,10 @@
   readonly waitingByRank: readonly number[];
   /** Average time that a request holds a slot. */
   readonly serviceTimeMs: number;
+  /** Requests per second that the upstream takes from all daemons together; undefined without a limit. */
+  readonly limitPerSecond?: number | undefined;
+  /** Time until the owner daemon may send another request within that limit. */
+  readonly startDelayMs?: number | undefined;
 }
 
 /** How an attempt at an upstream ended, as far as it matters to placement. */
@@ -134,13 +138,18 @@
     const ageMs = this.#nowMs() - record.reportedAtMs;
     if (ageMs > REPORT_MAX_AGE_MS && record.inFlight === 0) return 0;
     const { running, slots, waitingByRank, serviceTimeMs } = record.load;
-    let ahead = running + record.sentSinceReport;
+    let waitingAhead = record.sentSinceReport;
     for (const [waitingRank, count] of waitingByRank.entries()) {
-      if (waitingRank <= rank) ahead += count;
+      if (waitingRank <= rank) waitingAhead += count;
     }
+    const ahead = running + waitingAhead;
     const drained = ageMs * slots / serviceTimeMs;
     const mustFinishFirst = ahead - Math.min(drained, ahead) + 1 - slots;
-    return Math.max(0, mustFinishFirst) * serviceTimeMs / slots;
+    return Math.max(
+      mustFinishFirst * serviceTimeMs / slots,
+      limitWaitMs(record.load, { waitingAhead, ageMs }),
+      0,
+    );
   }
 
   /** Average service time of an upstream on a route; undefined if there was no answer yet. */
@@ -220,3 +229,15 @@
     return record;
   }
 }
+
+/** Predicted wait behind the requests that an upstream's limit lets start first; 0 without a limit. */
+function limitWaitMs(
+  { limitPerSecond, startDelayMs = 0 }: ReportedLoad,
+  { waitingAhead, ageMs }: {
+    readonly waitingAhead: number;
+    readonly ageMs: number;
+  },
+): number {
+  if (limitPerSecond === undefined) return 0;
+  return startDelayMs + waitingAhead * 1_000 / limitPerSecond - ageMs;
+}
--- a/packages/sidecar/src/departed_callers_test.ts
+++ b/packages/sidecar/src/departed_callers_test.ts
@@ -68,6 +68,7 @@
       isUsable: () => true,
     }),
     sendQueue: new SendQueue(),
+    onLimit: () => {},
   });
   owner.setSlots(slots);
   t.teardown(() => owner.close());
--- a/packages/sidecar/src/forwarding.ts
+++ b/packages/sidecar/src/forwarding.ts
@@ -60,6 +60,9 @@
   }
   | { readonly kind: "unknown"; readonly reason: UnknownReason };
 
+/** Header of the same answer, if there is something to tell; holds the encoded limit of the upstream. */
+export const UPSTREAM_HEADER = "tanagercove-upstream";
+
 /** State of the owner daemon, sent with each verdict. */
 export interface OwnerState {
   readonly load: ReportedLoad;
@@ -173,6 +176,31 @@
   };
 }
 
+/**
+ * Encodes what the upstream says of itself as the value of `UPSTREAM_HEADER`; undefined if it names no limit. It has a header of its own because daemons of earlier versions read a verdict only with the fields they know.
+ */
+export function encodeUpstreamState(
+  { load }: OwnerState,
+): string | undefined {
+  const { limitPerSecond, startDelayMs = 0 } = load;
+  return limitPerSecond === undefined
+    ? undefined
+    : [limitPerSecond, Math.round(startDelayMs)].join(",");
+}
+
+/** Adds the value of `UPSTREAM_HEADER` to a decoded state; a malformed value counts as none. */
+export function addUpstreamState(
+  state: OwnerState,
+  text: string,
+): OwnerState {
+  const [limitPerSecond, startDelayMs] = text.split(",").map(Number);
+  if (limitPerSecond === undefined || startDelayMs === undefined) return state;
+  const isValid = limitPerSecond > 0 && limitPerSecond < Infinity &&
+    Number.isFinite(startDelayMs);
+  if (!isValid) return state;
+  return { ...state, load: { ...state.load, limitPerSecond, startDelayMs } };
+}
+
 type DecodeVerdict = (
   reason: string,
   reachedUpstream: boolean,
--- a/packages/sidecar/src/malformed_messages_test.ts
+++ b/packages/sidecar/src/malformed_messages_test.ts
@@ -21,6 +21,7 @@
   answeringUpstreamId: "x-answering",
   load: "x-load",
   notRun: "x-not-run",
+  limitPerSecond: "x-limit",
   callerService: "x-caller",
 };
 
--- a/packages/sidecar/src/observer.ts
+++ b/packages/sidecar/src/observer.ts
@@ -41,6 +41,8 @@
   onResult(result: CallerResult): void;
   onForwarded(result: ForwardedResult): void;
   onTimerDelay(delayMs: number): void;
+  /** Called with the limit that the upstream of this VM names now; undefined for none. */
+  onLimit(limitPerSecond: number | undefined): void;
 }
 
 /** Options of `createObserver`. */
@@ -138,6 +140,13 @@
       if (delayMs < LOGGED_DELAY_MS) return;
       logEvent(log, { event: "daemon_behind", delay_ms: Math.round(delayMs) });
     },
+    onLimit(limitPerSecond) {
+      logChange((unlogged_changes) => ({
+        event: "upstream_limit_changed",
+        limit_per_second: limitPerSecond,
+        unlogged_changes,
+      }));
+    },
     onForwarded(result) {
       const { verdict } = result;
       const reason = verdict.kind === "answered" ? "" : verdict.reason;
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -18,6 +18,7 @@
   classifyUpstreamAnswer,
   classifyUpstreamHead,
 } from "./upstream_answer.ts";
+import { UpstreamLimit } from "./upstream_limit.ts";
 import type { UpstreamIdentity } from "./upstream_identity.ts";
 
 /** A request for an upstream, with its ticket for the upstream's owner daemon. */
@@ -61,6 +62,8 @@
   readonly answerMemory: AnswerMemory;
   readonly identity: UpstreamIdentity;
   readonly sendQueue: Pick<SendQueue, "wait">;
+  /** Called with the limit on its requests that the upstream names now; undefined for none. */
+  readonly onLimit: (limitPerSecond: number | undefined) => void;
 }
 
 /** Runs requests on the upstream of this VM. */
@@ -93,6 +96,12 @@
 export function createOwner(options: CreateOwnerOptions): Owner {
   const admission = new RankedAdmission({ slots: INITIAL_SLOTS });
   const routeTimes = new RouteTimes();
+  const limit = new UpstreamLimit({
+    onChange(limitPerSecond) {
+      admission.setLimit(limitPerSecond);
+      options.onLimit(limitPerSecond);
+    },
+  });
   const runningIds = new Set<string>();
 
   function run(request: OwnedRequest): OwnedRun {
@@ -117,6 +126,7 @@
       if (granted.isErr) return refusedResult(granted.error, ranked);
       const grant = granted.value;
       let serviceTimeMs: number | undefined;
+      let wasSent = false;
       try {
         await options.sendQueue.wait();
         if (cancelled) return refusedResult("cancelled", ranked);
@@ -143,6 +153,7 @@
           acceptsHead: (head) =>
             classifyUpstreamHead({ head, requestId, names }).kind !== "unknown",
         });
+        wasSent = true;
         runningIds.add(requestId);
         const end = await exchange.ended;
         const ownedResult = resultOfExchange(request, end, ranked);
@@ -153,7 +164,7 @@
         return ownedResult;
       } finally {
         runningIds.delete(request.requestId);
-        grant.release({ serviceTimeMs });
+        grant.release({ serviceTimeMs, wasSent });
       }
     }
 
@@ -190,6 +201,9 @@
       requestId,
       names: options.names,
     });
+    if (end.kind === "answered" && verdict.kind !== "unknown") {
+      recordNotices(request, end.headers);
+    }
     if (verdict.kind === "not_run") {
       if (verdict.reason === "upstream_changed") {
         void options.identity.refetchAfterRefusal(request.ticket.upstreamId);
@@ -214,6 +228,16 @@
     };
   }
 
+  /** Records what the upstream says of itself in an answer. */
+  function recordNotices(
+    { requestId }: OwnedRequest,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ): void {
+    // Any process at this address may refuse a request for another upstream without its id.
+    if (headers[options.names.requestId] !== requestId) return;
+    limit.record(headers[options.names.limitPerSecond]);
+  }
+
   return {
     run,
     runsParentOf(requestId) {
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -24,12 +24,14 @@
   unknownReasonOf,
 } from "./exchange.ts";
 import {
+  addUpstreamState,
   decodeVerdict,
   encodeTicket,
   FORWARD_HEADER,
   OUTCOME_HEADER,
   type OwnerState,
   type OwnerVerdict,
+  UPSTREAM_HEADER,
 } from "./forwarding.ts";
 import { PEER_MAX_HEAD_BYTES } from "./header_limits.ts";
 import type { OwnedAnswer, OwnedRequest } from "./owner.ts";
@@ -270,7 +272,14 @@
   { headers }: AnswerHead,
 ): ReturnType<typeof decodeVerdict> {
   const outcome = headers[OUTCOME_HEADER];
-  return typeof outcome === "string" ? decodeVerdict(outcome) : undefined;
+  const decoded = typeof outcome === "string"
+    ? decodeVerdict(outcome)
+    : undefined;
+  if (decoded === undefined) return undefined;
+  const upstreamState = headers[UPSTREAM_HEADER];
+  return typeof upstreamState === "string"
+    ? { ...decoded, state: addUpstreamState(decoded.state, upstreamState) }
+    : decoded;
 }
 
 /** Whether a daemon may have sent this head as the answer to a fetch: JSON, or 204 if there is nothing newer. */
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -8,12 +8,14 @@
 import type { AnswerMemory } from "./answer_memory.ts";
 import {
   decodeTicket,
+  encodeUpstreamState,
   encodeVerdict,
   FORWARD_HEADER,
   type ForwardTicket,
   OUTCOME_HEADER,
   type OwnerState,
   type OwnerVerdict,
+  UPSTREAM_HEADER,
 } from "./forwarding.ts";
 import { answerFailedRequest } from "./failed_request.ts";
 import type { OwnedResult, Owner } from "./owner.ts";
@@ -258,14 +260,19 @@
   function respond(response: ServerResponse, result: OwnedResult): void {
     if (response.destroyed) return;
     const { verdict, answer } = result;
-    const outcome = encodeVerdict(verdict, options.state());
+    const state = options.state();
+    const upstreamState = encodeUpstreamState(state);
+    const ownFields = [
+      OUTCOME_HEADER,
+      encodeVerdict(verdict, state),
+      ...(upstreamState === undefined ? [] : [UPSTREAM_HEADER, upstreamState]),
+    ];
     if (answer === undefined) {
       const status = verdict.kind === "answered"
         ? 502
         : STATUS_BY_KIND[verdict.kind];
       response.writeHead(status, [
-        OUTCOME_HEADER,
-        outcome,
+        ...ownFields,
         "content-length",
         "0",
       ]);
@@ -275,8 +282,7 @@
     response.once("close", options.answerMemory.hold(answer.body.length));
     response.writeHead(answer.status, [
       ...answer.headers,
-      OUTCOME_HEADER,
-      outcome,
+      ...ownFields,
       "content-length",
       String(answer.body.length),
     ]);
--- a/packages/sidecar/src/peer_server_fixture.ts
+++ b/packages/sidecar/src/peer_server_fixture.ts
@@ -16,6 +16,7 @@
   answeringUpstreamId: "x-answering",
   load: "x-load",
   notRun: "x-not-run",
+  limitPerSecond: "x-limit",
   callerService: "x-caller",
 };
 
--- a/packages/sidecar/src/settings.ts
+++ b/packages/sidecar/src/settings.ts
@@ -16,6 +16,8 @@
   readonly load: string;
   /** Present if the upstream did not run the request. */
   readonly notRun: string;
+  /** Requests per second that an upstream in need takes from all daemons together. */
+  readonly limitPerSecond: string;
   /** Service of the VM that the request comes from. */
   readonly callerService: string;
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -138,6 +138,7 @@
     answerMemory,
     identity,
     sendQueue,
+    onLimit: (limitPerSecond) => observer.onLimit(limitPerSecond),
   });
   const peerPort = settings.peer.port;
   const links = new ZoneLinks({
