Send nothing more to an upstream that says in its answers that it leaves

What callers saw: requests reach an upstream longer than the drain time after a VM has passed on an answer with Server-Leaving (DRAIN), while the upstream's entry, or the entry as a daemon knows it, still says that it is ready.

Cause: no part of the system read the field; an upstream left only by its entry.

The daemon on the upstream's VM now refuses requests for it from the first such answer on, as it does for a draining entry, and tells the caller's daemon with each verdict, which leaves the upstream out of its candidates. Both remember the start of the upstream (its entry's born), so that a later start under the same id is used again.

--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -465,6 +465,13 @@
       "The upstream of this VM has started again under another id, and its entry is not known yet",
     action: NOTHING,
   },
+  upstream_leaving: {
+    level: "info",
+    fields: { upstream_id: "text" },
+    meaning:
+      "The upstream of this VM says in its answers that it is leaving; it gets no new requests, whatever its entry says",
+    action: NOTHING,
+  },
   upstream_limit_changed: {
     level: "warn",
     fields: { limit_per_second: "optional_number", unlogged_changes: "number" },
--- a/packages/sidecar/src/departed_callers_test.ts
+++ b/packages/sidecar/src/departed_callers_test.ts
@@ -14,6 +14,7 @@
 import { setUpCallerHandler } from "./caller_handler_fixture.ts";
 import { ConnectionAgents } from "./connection_agent.ts";
 import { encodeTicket } from "./forwarding.ts";
+import { LeavingUpstreams } from "./leaving_upstreams.ts";
 import { createOwner } from "./owner.ts";
 import type { ForwardResult } from "./peer_client.ts";
 import {
@@ -68,6 +69,7 @@
       isUsable: () => true,
     }),
     sendQueue: new SendQueue(),
+    onUpstreamLeaving: () => {},
     onLimit: () => {},
   });
   owner.setSlots(slots);
@@ -109,6 +111,7 @@
     catalog,
     owner: { run: () => t.fail("the upstream is on another VM") as never },
     ownerState: () => ANSWERED.state!,
+    leaving: new LeavingUpstreams(catalog),
     peers: {
       forward({ request: { path } }) {
         sent.push(path);
--- a/packages/sidecar/src/forwarding.ts
+++ b/packages/sidecar/src/forwarding.ts
@@ -60,12 +60,14 @@
   }
   | { readonly kind: "unknown"; readonly reason: UnknownReason };
 
-/** Header of the same answer, if there is something to tell; holds the encoded limit of the upstream. */
+/** Header of the same answer, if there is something to tell; holds the encoded limit and leaving of the upstream. */
 export const UPSTREAM_HEADER = "tanagercove-upstream";
 
 /** State of the owner daemon, sent with each verdict. */
 export interface OwnerState {
   readonly load: ReportedLoad;
+  /** Whether the upstream that the request was for says that it is leaving. */
+  readonly isUpstreamLeaving?: boolean;
   /** Configuration version that the daemon holds. */
   readonly version: number;
   /** Platform revision of the newest change that the daemon holds. */
@@ -177,15 +179,21 @@
 }
 
 /**
- * Encodes what the upstream says of itself as the value of `UPSTREAM_HEADER`; undefined if it names no limit. It has a header of its own because daemons of earlier versions read a verdict only with the fields they know.
+ * Encodes what the upstream says of itself as the value of `UPSTREAM_HEADER`; undefined if it names no limit and is not
+ * leaving. It has a header of its own because daemons of earlier versions read a verdict only with the fields they know.
  */
 export function encodeUpstreamState(
-  { load }: OwnerState,
+  { load, isUpstreamLeaving }: OwnerState,
 ): string | undefined {
   const { limitPerSecond, startDelayMs = 0 } = load;
-  return limitPerSecond === undefined
-    ? undefined
-    : [limitPerSecond, Math.round(startDelayMs)].join(",");
+  if (limitPerSecond === undefined && isUpstreamLeaving !== true) {
+    return undefined;
+  }
+  return [
+    limitPerSecond ?? "",
+    Math.round(startDelayMs),
+    isUpstreamLeaving === true ? 1 : 0,
+  ].join(",");
 }
 
 /** Adds the value of `UPSTREAM_HEADER` to a decoded state; a malformed value counts as none. */
@@ -193,12 +201,18 @@
   state: OwnerState,
   text: string,
 ): OwnerState {
-  const [limitPerSecond, startDelayMs] = text.split(",").map(Number);
-  if (limitPerSecond === undefined || startDelayMs === undefined) return state;
-  const isValid = limitPerSecond > 0 && limitPerSecond < Infinity &&
-    Number.isFinite(startDelayMs);
-  if (!isValid) return state;
-  return { ...state, load: { ...state.load, limitPerSecond, startDelayMs } };
+  const [limit, delay, leaving, ...rest] = text.split(",");
+  if (leaving === undefined || rest.length > 0) return state;
+  const limitPerSecond = limit === "" ? undefined : Number(limit);
+  const startDelayMs = Number(delay);
+  const isValidLimit = limitPerSecond === undefined ||
+    limitPerSecond > 0 && limitPerSecond < Infinity;
+  if (!isValidLimit || !Number.isFinite(startDelayMs)) return state;
+  return {
+    ...state,
+    load: { ...state.load, limitPerSecond, startDelayMs },
+    isUpstreamLeaving: leaving === "1",
+  };
 }
 
 type DecodeVerdict = (
--- a/packages/sidecar/src/malformed_messages_test.ts
+++ b/packages/sidecar/src/malformed_messages_test.ts
@@ -22,6 +22,7 @@
   load: "x-load",
   notRun: "x-not-run",
   limitPerSecond: "x-limit",
+  leaving: "x-leaving",
   callerService: "x-caller",
 };
 
--- a/packages/sidecar/src/observer.ts
+++ b/packages/sidecar/src/observer.ts
@@ -41,6 +41,7 @@
   onResult(result: CallerResult): void;
   onForwarded(result: ForwardedResult): void;
   onTimerDelay(delayMs: number): void;
+  onUpstreamLeaving(upstreamId: string): void;
   /** Called with the limit that the upstream of this VM names now; undefined for none. */
   onLimit(limitPerSecond: number | undefined): void;
 }
@@ -140,6 +141,10 @@
       if (delayMs < LOGGED_DELAY_MS) return;
       logEvent(log, { event: "daemon_behind", delay_ms: Math.round(delayMs) });
     },
+    onUpstreamLeaving(upstreamId) {
+      metrics.counter("upstreams_leaving").add();
+      logEvent(log, { event: "upstream_leaving", upstream_id: upstreamId });
+    },
     onLimit(limitPerSecond) {
       logChange((unlogged_changes) => ({
         event: "upstream_limit_changed",
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -62,6 +62,8 @@
   readonly answerMemory: AnswerMemory;
   readonly identity: UpstreamIdentity;
   readonly sendQueue: Pick<SendQueue, "wait">;
+  /** Called with the id of the upstream that a request was for, when the upstream says that it is leaving. */
+  readonly onUpstreamLeaving: (upstreamId: string) => void;
   /** Called with the limit on its requests that the upstream names now; undefined for none. */
   readonly onLimit: (limitPerSecond: number | undefined) => void;
 }
@@ -230,12 +232,14 @@
 
   /** Records what the upstream says of itself in an answer. */
   function recordNotices(
-    { requestId }: OwnedRequest,
+    { ticket, requestId }: OwnedRequest,
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): void {
     // Any process at this address may refuse a request for another upstream without its id.
     if (headers[options.names.requestId] !== requestId) return;
     limit.record(headers[options.names.limitPerSecond]);
+    if (headers[options.names.leaving] === undefined) return;
+    options.onUpstreamLeaving(ticket.upstreamId);
   }
 
   return {
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -74,7 +74,8 @@
   readonly feedId: string;
   /** Whether other daemons may follow this one: it has a catalog and contact to the platform, and is not stopping. */
   readonly isInContact: () => boolean;
-  readonly state: () => OwnerState;
+  /** State of this daemon and of the upstream with an id, which is that of this VM or was. */
+  readonly state: (upstreamId: string) => OwnerState;
   /** Whether a request with this ticket may still run on this VM's upstream. */
   readonly accepts: (ticket: ForwardTicket) => boolean;
   /**
@@ -222,7 +223,7 @@
         load: options.owner.load(),
         durationMs: performance.now() - startedMs,
       });
-      respond(response, result);
+      respond(response, ticket, result);
     };
     if (!options.accepts(ticket)) {
       return finish({
@@ -257,10 +258,13 @@
     finish(result);
   }
 
-  function respond(response: ServerResponse, result: OwnedResult): void {
+  function respond(
+    response: ServerResponse,
+    { upstreamId }: ForwardTicket,
+    { verdict, answer }: OwnedResult,
+  ): void {
     if (response.destroyed) return;
-    const { verdict, answer } = result;
-    const state = options.state();
+    const state = options.state(upstreamId);
     const upstreamState = encodeUpstreamState(state);
     const ownFields = [
       OUTCOME_HEADER,
--- a/packages/sidecar/src/peer_server_fixture.ts
+++ b/packages/sidecar/src/peer_server_fixture.ts
@@ -17,6 +17,7 @@
   load: "x-load",
   notRun: "x-not-run",
   limitPerSecond: "x-limit",
+  leaving: "x-leaving",
   callerService: "x-caller",
 };
 
--- a/packages/sidecar/src/placement_candidates.ts
+++ b/packages/sidecar/src/placement_candidates.ts
@@ -3,6 +3,7 @@
   PlacementCandidate,
   UpstreamReports,
 } from "@tanagercove/placement";
+import type { LeavingUpstreams } from "./leaving_upstreams.ts";
 import type { Route } from "@tanagercove/types";
 
 /**
@@ -18,6 +19,7 @@
 export interface PlacementCandidatesOptions {
   readonly catalog: Catalog;
   readonly reports: UpstreamReports;
+  readonly leaving: Pick<LeavingUpstreams, "has">;
   readonly ownZone: string;
   readonly route: Route;
   readonly service: string;
@@ -30,11 +32,13 @@
 export function placementCandidates(
   options: PlacementCandidatesOptions,
 ): PlacementCandidate[] {
-  const { catalog, reports, route, tried } = options;
+  const { catalog, reports, leaving, route, tried } = options;
   const upstreams = catalog.upstreamsOf(options.service);
   const defaultServiceMs = averageServiceMs(upstreams, options);
   return upstreams
-    .filter(({ entry }) => entry.state === "ready" && !tried.has(entry.id))
+    .filter(({ entry }) =>
+      entry.state === "ready" && !leaving.has(entry) && !tried.has(entry.id)
+    )
     .map((held) => {
       const { id, zone } = held.entry;
       const averageMs = reports.serviceMs(id, route.name) ?? defaultServiceMs;
--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -14,6 +14,7 @@
   refusalReasonOf,
 } from "./decide_next_step.ts";
 import type { ForwardTicket, OwnerState, OwnerVerdict } from "./forwarding.ts";
+import type { LeavingUpstreams } from "./leaving_upstreams.ts";
 import type { OwnedAnswer, OwnedRequest, Owner } from "./owner.ts";
 import type { ForwardResult, ForwardRun, PeerClient } from "./peer_client.ts";
 import { placementCandidates } from "./placement_candidates.ts";
@@ -46,7 +47,8 @@
   readonly peerPort: number;
   readonly catalog: Catalog;
   readonly owner: Pick<Owner, "run">;
-  readonly ownerState: () => OwnerState;
+  readonly ownerState: (upstreamId: string) => OwnerState;
+  readonly leaving: Pick<LeavingUpstreams, "add" | "has">;
   readonly peers: Pick<PeerClient, "forward">;
   readonly reports: UpstreamReports;
   readonly budgets: ServiceBudgets;
@@ -147,6 +149,7 @@
       rank,
       catalog,
       reports,
+      leaving: options.leaving,
       ownZone: options.zone,
       tried,
     });
@@ -219,6 +222,7 @@
     }
     if (result.state !== undefined) {
       reports.recordLoad(chosen.id, result.state.load);
+      if (result.state.isUpstreamLeaving) options.leaving.add(chosen.id);
     }
     const { verdict, answer } = result;
     reports.end(chosen.id, {
@@ -294,7 +298,7 @@
       const run = options.owner.run(request);
       const ended = run.ended.then((result) => ({
         ...result,
-        state: options.ownerState(),
+        state: options.ownerState(request.ticket.upstreamId),
       }));
       return { ended, cancel: run.cancel };
     }
--- a/packages/sidecar/src/serve_request_test.ts
+++ b/packages/sidecar/src/serve_request_test.ts
@@ -7,6 +7,7 @@
 import { ServiceBudgets } from "@tanagercove/retries";
 import type { Route } from "@tanagercove/types";
 import type { RoutedRequest } from "./caller_request.ts";
+import { LeavingUpstreams } from "./leaving_upstreams.ts";
 import type { ForwardOptions, ForwardResult } from "./peer_client.ts";
 import { createRequestServer } from "./serve_request.ts";
 
@@ -78,6 +79,7 @@
     catalog,
     owner: { run: () => t.fail("the upstream is on another VM") as never },
     ownerState: () => ANSWERED.state!,
+    leaving: new LeavingUpstreams(catalog),
     peers: {
       forward({ destination, onSilent }: ForwardOptions) {
         let isCancelled = false;
--- a/packages/sidecar/src/settings.ts
+++ b/packages/sidecar/src/settings.ts
@@ -18,6 +18,8 @@
   readonly notRun: string;
   /** Requests per second that an upstream in need takes from all daemons together. */
   readonly limitPerSecond: string;
+  /** Present in the answers of an upstream that is leaving. */
+  readonly leaving: string;
   /** Service of the VM that the request comes from. */
   readonly callerService: string;
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -33,6 +33,7 @@
 } from "./drain.ts";
 import type { ForwardTicket, OwnerState } from "./forwarding.ts";
 import { type HttpListener, listenHttp } from "./http_listener.ts";
+import { LeavingUpstreams } from "./leaving_upstreams.ts";
 import { createObserver } from "./observer.ts";
 import { startOperatorsListener } from "./operators_listener.ts";
 import { createOwner } from "./owner.ts";
@@ -129,6 +130,7 @@
     onLearnt: (learnt) => observer.onIdentityLearnt(learnt),
   });
   const sendQueue = new SendQueue();
+  const leaving = new LeavingUpstreams(catalog);
   const owner = createOwner({
     upstream: settings.upstream,
     localAddress: settings.address,
@@ -138,6 +140,7 @@
     answerMemory,
     identity,
     sendQueue,
+    onUpstreamLeaving,
     onLimit: (limitPerSecond) => observer.onLimit(limitPerSecond),
   });
   const peerPort = settings.peer.port;
@@ -171,8 +174,9 @@
   let ownEntry: UpstreamEntry | undefined;
   let isUpstreamLeaving = false;
 
-  const ownerState = (): OwnerState => ({
+  const ownerState = (upstreamId: string): OwnerState => ({
     load: owner.load(),
+    isUpstreamLeaving: isLeaving(upstreamId),
     version: catalog.version,
     revision: catalog.changeRevision,
   });
@@ -198,7 +202,7 @@
       if ((entry.bornMs ?? 0) < (ownEntry?.bornMs ?? 0)) return;
       ownEntry = entry;
       owner.setSlots(entry.slots);
-      isUpstreamLeaving = entry.state === "draining";
+      isUpstreamLeaving = entry.state === "draining" || leaving.has(entry);
       applyLeaving();
     }
     if (event.kind === "upstream_removed") {
@@ -207,9 +211,24 @@
         applyLeaving();
       }
       reports.retain((id) => catalog.upstreams.has(id));
+      leaving.forgetRemoved();
     }
   }
 
+  function isLeaving(upstreamId: string): boolean {
+    const entry = catalog.upstreams.get(upstreamId)?.entry;
+    return entry !== undefined && leaving.has(entry);
+  }
+
+  /** Called when the upstream of this VM says that it leaves; its entry may say so later. */
+  function onUpstreamLeaving(upstreamId: string): void {
+    if (!leaving.add(upstreamId)) return;
+    observer.onUpstreamLeaving(upstreamId);
+    if (upstreamId !== ownEntry?.id) return;
+    isUpstreamLeaving = true;
+    applyLeaving();
+  }
+
   /**
    * Tells the owner whether to refuse waiting and new requests. They are refused while the upstream is leaving. In a
    * stop, they are refused from the time when callers' new requests are refused, since they would run too late.
@@ -252,7 +271,8 @@
 
   function accepts(ticket: ForwardTicket): boolean {
     if (!stopPhase().acceptsForwarded) return false;
-    return catalog.upstreams.get(ticket.upstreamId)?.entry.state !== "draining";
+    const entry = catalog.upstreams.get(ticket.upstreamId)?.entry;
+    return entry?.state !== "draining" && !isLeaving(ticket.upstreamId);
   }
 
   const budgets = new ServiceBudgets({
@@ -269,6 +289,7 @@
     catalog,
     owner,
     ownerState,
+    leaving,
     peers,
     reports,
     budgets,
--- a/packages/sidecar/src/upstream_limit_test.ts
+++ b/packages/sidecar/src/upstream_limit_test.ts
@@ -40,7 +40,7 @@
 });
 
 // Guards against an exception or an endless wait for a malformed value of another daemon.
-t.test("should pass a limit on to other daemons, which ignore malformed ones", (t) => {
+t.test("should pass a limit and a leaving on to other daemons, which ignore malformed ones", (t) => {
   const load = { running: 1, slots: 4, waitingByRank: [0], serviceTimeMs: 50 };
   const state = { load, version: 1, revision: 1 };
   t.equal(encodeUpstreamState(state), undefined);
@@ -49,7 +49,23 @@
     load: { ...load, limitPerSecond: 15.5, startDelayMs: 65 },
   };
   t.match(addUpstreamState(state, encodeUpstreamState(limited)!), limited);
-  for (const text of ["", "15.5", "x,1", "0,1", "-1,1", "5,x", "1e999,1"]) {
+  const leaving = { ...limited, isUpstreamLeaving: true };
+  t.match(addUpstreamState(state, encodeUpstreamState(leaving)!), leaving);
+  const leavingOnly = { ...state, isUpstreamLeaving: true };
+  const decoded = addUpstreamState(state, encodeUpstreamState(leavingOnly)!);
+  t.equal(decoded.isUpstreamLeaving, true);
+  t.equal(decoded.load.limitPerSecond, undefined);
+  for (
+    const text of [
+      "",
+      "15.5,1",
+      "x,1,0",
+      "0,1,0",
+      "-1,1,0",
+      "5,x,0",
+      "1e999,1,0",
+    ]
+  ) {
     t.equal(addUpstreamState(state, text), state, text);
   }
   t.end();
