Show that an answer that ends within its head is not complete

Other operators of systems like this one saw a 200 with an empty or short body when an instance stopped in the middle of the head of its answer. It does not happen here: Node reports no response before the whole head has arrived. The test ends or resets the connection after each byte of a head; it passes on the code as landed.

--- a/packages/sidecar/src/exchange_test.ts
+++ b/packages/sidecar/src/exchange_test.ts
@@ -229,3 +229,22 @@
   t.match(await second.ended, { kind: "answered" });
   t.equal(agent.opened, openedBefore + 1, "both used one connection");
 });
+
+// Guards against a success with an empty or short body for an upstream that breaks off in the head of its answer.
+t.test("should not take an answer that ends within its head as complete", async (t) => {
+  const head = "HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 5\r\n\r\n";
+  for (const ending of ["end", "resetAndDestroy"] as const) {
+    for (let length = 0; length < head.length; length += 1) {
+      const { port } = await listen((socket) => {
+        socket.write(head.slice(0, length));
+        socket[ending]();
+      });
+      const end = await exchange(port);
+      t.match(
+        end,
+        { kind: "failed", failure: "cut", mayHaveBeenSent: true },
+        `${ending} after ${JSON.stringify(head.slice(0, length).slice(-12))}`,
+      );
+    }
+  }
+});
