Close a connection after a refusal without an id

Reported by operators of systems like this one: an instance wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that had run (REFUSED), or these ran twice (TWICE).

It can happen here with a 421, which an upstream may write without the id of the request. All other answers count only with the id of their own request, and one with another id leaves the outcome unknown. For a 421, the code assumed that one to an earlier request holds for the next one as well. But once the daemon has learnt the new id of its upstream, the next request on the connection is for that id, and runs.

Now a connection is closed after an answer without an id, so nothing that the upstream writes on it later meets a request. The cost is one connection for each 421.

--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -154,6 +154,8 @@
           answerMemory: options.answerMemory,
           acceptsHead: (head) =>
             classifyUpstreamHead({ head, requestId, names }).kind !== "unknown",
+          // Without an id, a repetition could not be told from the answer to the next request on the connection.
+          closesAfter: ({ headers }) => headers[names.requestId] === undefined,
         });
         wasSent = true;
         runningIds.add(requestId);
--- /dev/null
+++ b/packages/sidecar/src/repeated_refusal_test.ts
@@ -0,0 +1,96 @@
+import { createServer, type Socket } from "node:net";
+import t, { type Test } from "tap";
+import { AnswerMemory } from "./answer_memory.ts";
+import { ConnectionAgents } from "./connection_agent.ts";
+import { createOwner, type OwnedRequest } from "./owner.ts";
+import { NAMES, TICKET } from "./peer_server_fixture.ts";
+import { SendQueue } from "./send_queue.ts";
+import { UpstreamIdentity } from "./upstream_identity.ts";
+
+const MISDIRECTED =
+  "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+
+/** Starts an owner for an upstream that `onRequest` plays; it is called for each request with its number, from 0. */
+async function setUp(
+  t: Test,
+  onRequest: (socket: Socket, requestId: string) => void,
+) {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("data", (bytes) => {
+      const requestId = /x-id: (\S+)/i.exec(bytes.toString())![1]!;
+      onRequest(socket, requestId);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as { port: number };
+  const agents = new ConnectionAgents({ maxIdleMs: 1_000 });
+  t.teardown(() => agents.close());
+  const owner = createOwner({
+    upstream: { address: "127.0.0.1", port },
+    localAddress: "127.0.0.1",
+    agents,
+    names: NAMES,
+    maxAnswerBytes: 1_000,
+    answerMemory: new AnswerMemory({ maxBufferedBytes: 1_000_000 }),
+    identity: new UpstreamIdentity({
+      service: "shop",
+      fetchId: () => Promise.resolve(undefined),
+      isUsable: () => true,
+    }),
+    sendQueue: new SendQueue(),
+    onUpstreamLeaving: () => {},
+    onLimit: () => {},
+  });
+  t.teardown(() => owner.close());
+  return owner;
+}
+
+function owned(requestId: string): OwnedRequest {
+  return {
+    ticket: { ...TICKET, requestClass: "non_idempotent" },
+    requestId,
+    method: "GET",
+    path: "/browse/x",
+    headers: ["Host", "shop.example", NAMES.requestId, requestId],
+    body: undefined,
+  };
+}
+
+function answerTo(requestId: string): string {
+  return `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${requestId}\r\n` +
+    `${NAMES.signature}: s\r\nContent-Length: 2\r\n\r\nok`;
+}
+
+// Guards against "not run" for a request that has run: an upstream writes an earlier refusal without an id once more,
+// where the answer to the next request on the connection is due.
+t.test("should not take an earlier refusal that is repeated as the answer to the next request", async (t) => {
+  const refusedOn = new Set<Socket>();
+  const ran: string[] = [];
+  const owner = await setUp(t, (socket, requestId) => {
+    if (requestId === "first") {
+      refusedOn.add(socket);
+      socket.write(MISDIRECTED);
+      return;
+    }
+    ran.push(requestId);
+    socket.write(refusedOn.has(socket) ? MISDIRECTED : answerTo(requestId));
+  });
+  const first = await owner.run(owned("first")).ended;
+  t.match(first.verdict, { kind: "not_run", reason: "upstream_changed" });
+  const second = await owner.run(owned("second")).ended;
+  t.match(second.verdict, { kind: "answered" });
+  t.same(ran, ["second"]);
+});
+
+// Guards against "not run" for a request that has run, as above, with a refusal that has the id of its own request.
+t.test("should not take the refusal of another request as the answer", async (t) => {
+  const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n" +
+    `${NAMES.notRun}: 1\r\n${NAMES.requestId}: first\r\n\r\n`;
+  const owner = await setUp(t, (socket) => socket.write(refusal));
+  const first = await owner.run(owned("first")).ended;
+  t.match(first.verdict, { kind: "not_run", reason: "upstream_refused" });
+  const second = await owner.run(owned("second")).ended;
+  t.match(second.verdict, { kind: "unknown", reason: "malformed" });
+});
--- a/packages/sidecar/src/upstream_answer.ts
+++ b/packages/sidecar/src/upstream_answer.ts
@@ -63,8 +63,8 @@
   { head: { status, headers }, requestId, names }: ClassifyUpstreamHeadOptions,
 ): UpstreamVerdict {
   if (headers[names.requestId] !== requestId) {
-    // A 421 needs no id: it says that another upstream now has the address. All answers on a connection come from one
-    // process, so even a late 421 to an earlier request means that this one is refused as well.
+    // A 421 needs no id: it says that another upstream now has the address. It can't belong to an earlier request, since
+    // a connection is closed after an answer without an id.
     if (
       status === MISDIRECTED_STATUS && headers[names.requestId] === undefined
     ) {
