Compute the mean of a histogram as its values are recorded

What callers saw: answers that wait while a daemon stops for a moment, every few seconds. Reading the metrics of a daemon took 13 ms of processor time, 53 ms the first time, nearly all of it in the mean of three histograms, which the library computes from all counts. On a VM with 0.27 cores that is a stop of 50 to 200 ms, in which neither requests nor closes of their connections are read.

Now 0.5 ms (medians of 6 reads of three histograms with 2,000 values each, with the options of node of deploy/system.toml; trial outside the repository). The mean is exact now; the new test fails before, as the library's is rounded.

--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -136,15 +136,18 @@
     numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
   });
 
+  /** The library computes the mean from all counts, which takes several times as long as a percentile. */
+  #sum = 0;
+
   constructor(name: string) {
     this.name = name;
   }
 
   record(value: number): void {
     if (Number.isNaN(value)) return;
-    this.#values.recordValue(
-      Math.min(Math.max(Math.round(value), 0), HIGHEST_VALUE),
-    );
+    const bounded = Math.min(Math.max(Math.round(value), 0), HIGHEST_VALUE);
+    this.#values.recordValue(bounded);
+    this.#sum += bounded;
   }
 
   summary(): HistogramSummary {
@@ -153,7 +156,7 @@
     const at = (percentile: number) => values.getValueAtPercentile(percentile);
     return {
       count: values.totalCount,
-      mean: empty ? 0 : values.mean,
+      mean: empty ? 0 : this.#sum / values.totalCount,
       min: empty ? 0 : at(0),
       p50: at(50),
       p90: at(90),
--- a/packages/metrics/src/metrics_test.ts
+++ b/packages/metrics/src/metrics_test.ts
@@ -24,6 +24,15 @@
   t.end();
 });
 
+// Guards against a daemon that stops for tens of milliseconds at each read of its metrics, which answers then wait for.
+t.test("should compute the mean as values are recorded", (t) => {
+  const metrics = new Metrics();
+  const histogram = metrics.histogram("latency_us");
+  for (const value of [1, 1_000_000, 2_000_003]) histogram.record(value);
+  t.equal(metrics.read().histograms[0]!.summary.mean, 1_000_001.3333333334);
+  t.end();
+});
+
 t.test("should take any number without throwing, since a clock can step back", (t) => {
   const metrics = new Metrics();
   const histogram = metrics.histogram("latency_us");
