Send a ready answer also to a caller that sends nothing more

A caller that closes its own side and still reads would have been cut off by a stop, and the memory of the answer was counted as free while it was being sent. Now only requests without an answer end with the caller's side of the connection; the others end when they are sent or the connection closes, as before. The new test fails before and passes now.

--- a/packages/sidecar/src/caller_connections.ts
+++ b/packages/sidecar/src/caller_connections.ts
@@ -92,14 +92,16 @@
       isClosing: false,
     };
     this.#connections.set(socket, connection);
-    const settleAll = () => {
-      for (const caller of connection.pending) this.#settle(connection, caller);
-    };
-    // Node ends its side of the connection then, and the event `close` follows some turns of the event loop later.
-    socket.once("end", settleAll);
+    // Node ends its side of the connection then, and the event `close` follows some turns of the event loop later. Until
+    // that, answers that have been written are still sent.
+    socket.once("end", () => {
+      for (const caller of connection.pending) {
+        if (!caller.response.writableEnded) this.#settle(connection, caller);
+      }
+    });
     socket.once("close", () => {
       this.#connections.delete(socket);
-      settleAll();
+      for (const caller of connection.pending) this.#settle(connection, caller);
     });
     return connection;
   }
--- a/packages/sidecar/src/caller_connections_test.ts
+++ b/packages/sidecar/src/caller_connections_test.ts
@@ -93,3 +93,25 @@
   );
   await waitFor(() => connections.inFlight === 0);
 });
+
+// Guards against a stop that ends before a caller, which has closed its own side of the connection, has read an answer
+// that was ready.
+t.test("should count an answer as in flight until it is sent, although the caller sends nothing more", async (t) => {
+  const { connections, callers, socket, send, received } = await setUp(t);
+  const sizeBytes = 8 * 1024 * 1024;
+  send("/1");
+  await waitFor(() => callers.length === 1);
+  socket.pause();
+  callers[0]!.response.end("x".repeat(sizeBytes));
+  const isEnded = new Promise((resolve) =>
+    callers[0]!.request.socket.once("end", resolve)
+  );
+  socket.end();
+  await isEnded;
+  t.equal(connections.inFlight, 1);
+  t.notOk(callers[0]!.isDisconnected);
+  socket.resume();
+  await waitFor(() => connections.inFlight === 0);
+  t.notOk(callers[0]!.isDisconnected, "the whole answer was sent");
+  await waitFor(() => received().length > sizeBytes);
+});
