Refuse a request whose deadline has passed before it is sent

A daemon that is behind may come to a request after its deadline. It was sent to the upstream's daemon all the same, which refused it: a hop for nothing, and the caller's answer later by that time. Now it is refused at once, as not run. The new test fails before and passes now.

--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -103,6 +103,10 @@
     ) {
       await options.sendQueue.wait();
       if (routed.isDisconnected) return { kind: "gone" };
+      if (routed.deadlineAtMs <= performance.now()) {
+        reason = "deadline_before_start";
+        break;
+      }
       const chosen = choosePlacement({
         candidates: candidatesOf(routed, progress),
         latencyObjectiveMs: route.latencyObjectiveMs,
--- a/packages/sidecar/src/serve_request_test.ts
+++ b/packages/sidecar/src/serve_request_test.ts
@@ -243,3 +243,12 @@
     t.equal(new Set(addresses).size, triedCount, "each is tried once");
   }
 });
+
+// Guards against sending a request on that a daemon has started to handle too late to be answered in time.
+t.test("should refuse a request whose deadline has passed before it is sent", async (t) => {
+  const { serve, sent } = setUp();
+  const late = { ...routed(), deadlineAtMs: performance.now() - 1 };
+  const result = await serve(late);
+  t.match(result, { kind: "refused", reason: "deadline_before_start" });
+  t.equal(sent.length, 0);
+});
