Wait before a send only while the daemon is behind

The send queue costs two turns of the event loop before each send, also where nothing is late.

Requests now go at once unless a timer of 100 ms fired more than 50 ms late, or is overdue by as much; then events may have waited, and the queue applies. What waits unnoticed waits less than 150 ms, well below the half second in which a close must take effect.

--- a/packages/sidecar/src/send_queue.ts
+++ b/packages/sidecar/src/send_queue.ts
@@ -1,5 +1,7 @@
 /** Options of `SendQueue`. */
 export interface SendQueueOptions {
+  /** Whether the process handles events late. If not, requests are sent without a wait. */
+  readonly isBehind: () => boolean;
   /** Requests that may be sent in one turn of the event loop. */
   readonly sendsPerTurn?: number;
 }
@@ -12,18 +14,20 @@
 }
 
 /**
- * Order in which requests are sent to upstreams and other daemons. Each waits until the process has read what had
- * arrived on its connections when the request joined. A daemon that is behind reads a request and the close of its
+ * Order in which requests are sent to upstreams and other daemons while the process is behind. Each waits until the
+ * process has read what had arrived on its connections when the request joined. A daemon that is behind reads a request and the close of its
  * connection from the same backlog, in different turns of the event loop; a request that is sent at once would reach an
  * upstream although its caller has left. As few requests are sent in one turn, closes are also read between them.
  */
 export class SendQueue {
+  readonly #isBehind: () => boolean;
   readonly #sendsPerTurn: number;
   readonly #entries: Entry[] = [];
   #turn = 0;
   #isScheduled = false;
 
-  constructor({ sendsPerTurn = SENDS_PER_TURN }: SendQueueOptions = {}) {
+  constructor({ isBehind, sendsPerTurn = SENDS_PER_TURN }: SendQueueOptions) {
+    this.#isBehind = isBehind;
     this.#sendsPerTurn = sendsPerTurn;
   }
 
@@ -34,6 +38,9 @@
 
   /** Resolves when a request may be sent; the caller then checks whether it is still wanted. */
   wait(): Promise<void> {
+    if (this.#entries.length === 0 && !this.#isBehind()) {
+      return Promise.resolve();
+    }
     return new Promise((resolve) => {
       this.#entries.push({ turn: this.#turn, resolve });
       this.#schedule();
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -129,7 +129,10 @@
     isUsable: isOwnServiceId,
     onLearnt: (learnt) => observer.onIdentityLearnt(learnt),
   });
-  const sendQueue = new SendQueue();
+  const timerDelayWatch = watchTimerDelay({
+    onDelay: (delayMs) => observer.onTimerDelay(delayMs),
+  });
+  const sendQueue = new SendQueue({ isBehind: timerDelayWatch.isBehind });
   const leaving = new LeavingUpstreams(catalog);
   const owner = createOwner({
     upstream: settings.upstream,
@@ -335,6 +338,7 @@
   const listeners: HttpListener[] = [];
   let peerServer: PeerServer | undefined;
   await openListeners().catch(async (error) => {
+    timerDelayWatch.close();
     await closeListeners();
     await source.close();
     throw error;
@@ -397,9 +401,6 @@
 
   sync.start();
   links.start();
-  const timerDelayWatch = watchTimerDelay({
-    onDelay: (delayMs) => observer.onTimerDelay(delayMs),
-  });
   registerGauges();
 
   function registerGauges(): void {
