Count a daemon as behind from a delay of 100 ms on

Each wait of the send queue and each timer costs a turn of the event loop, and delays of 50 ms are common there. The timer fires every 250 ms again, and the queue applies from a delay of 100 ms on: what waits unnoticed waits less than 350 ms, within the half second in which a close must take effect.

--- a/packages/sidecar/src/timer_delay.ts
+++ b/packages/sidecar/src/timer_delay.ts
@@ -15,10 +15,10 @@
   close(): void;
 }
 
-const INTERVAL_MS = 100;
+const INTERVAL_MS = 250;
 
 /** Delay of a timer from which the process counts as behind. */
-const BEHIND_MS = 50;
+const BEHIND_MS = 100;
 
 /**
  * Measures how late timers fire. All events of a process wait that long while it handles others, is short of processor
