--- a/packages/sidecar/src/send_queue.ts
+++ b/packages/sidecar/src/send_queue.ts
@@ -15,9 +15,10 @@
 
 /**
  * Order in which requests are sent to upstreams and other daemons while the process is behind. Each waits until the
- * process has read what had arrived on its connections when the request joined. A daemon that is behind reads a request and the close of its
- * connection from the same backlog, in different turns of the event loop; a request that is sent at once would reach an
- * upstream although its caller has left. As few requests are sent in one turn, closes are also read between them.
+ * process has read what had arrived on its connections when the request joined. A daemon that is behind reads a request
+ * and the close of its connection from the same backlog, in different turns of the event loop; a request that is sent at
+ * once would reach an upstream although its caller has left. As few requests are sent in one turn, closes are also read
+ * between them.
  */
 export class SendQueue {
   readonly #isBehind: () => boolean;
