Let a listed failure excuse its file only if the file ran to its end

It did not: a file that crashed, hung or was killed after a listed test had failed was excused with it, and the tests after it never ran. Now the file must have run all its planned tests and ended by itself with exit code 1.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -99,26 +99,38 @@
 }
 
 /**
- * Lists the failed top-level tests of each file; the name is undefined if a file fails without one, such as by a
- * crash.
+ * Lists the failed top-level tests of each file. The name is undefined for a failure of the file itself: it failed
+ * without a failed test, did not run all its tests, or did not end by itself with exit code 1.
  */
 function listFailures(tapOutput) {
   const failures = [];
-  let namesInFile = [];
-  for (const line of tapOutput.split("\n")) {
+  let tests = [];
+  let plannedCount;
+  const lines = tapOutput.split("\n");
+  for (const [i, line] of lines.entries()) {
+    const plan = /^ {4}1\.\.(\d+)/.exec(line);
+    if (plan !== null) plannedCount = Number(plan[1]);
     const [, indent, status, text] =
       /^( {4})?(ok|not ok) \d+ - (.*?)(?: # time=.*)?$/.exec(line) ?? [];
     if (status === undefined) continue;
     if (indent !== undefined) {
-      if (status === "not ok") namesInFile.push(text);
+      tests.push({ status, name: text });
       continue;
     }
-    const path = text.replace(/^build\/tests\//, "").replace(/\.mjs$/, ".ts");
-    const names = namesInFile.length > 0 ? namesInFile : [undefined];
     if (status === "not ok") {
-      failures.push(...names.map((name) => ({ path, name })));
+      const path = text.replace(/^build\/tests\//, "").replace(/\.mjs$/, ".ts");
+      const failed = tests.filter((test) => test.status === "not ok");
+      const end = lines.indexOf("  ...", i);
+      const details = lines.slice(i, end < 0 ? undefined : end);
+      const endedByItself = details.includes("  exitCode: 1") &&
+        details.includes("  signal: null");
+      failures.push(...failed.map(({ name }) => ({ path, name })));
+      if (
+        failed.length === 0 || !endedByItself || plannedCount !== tests.length
+      ) failures.push({ path, name: undefined });
     }
-    namesInFile = [];
+    tests = [];
+    plannedCount = undefined;
   }
   return failures;
 }
