Prefer an upstream that answers to those beyond the bound of ejections

Cause, as a test shows: at most half of a service may be ejected. If five of six upstreams cannot be reached, two of them count as good, and a dead one in the local zone is chosen as often as the one that answers. Each such choice costs a retry, of which a daemon has few. Those beyond the bound are now chosen only when the upstreams that answer are saturated, so that the bound still keeps a daemon with a broken network from sending everything to the last one.

Evidence: the new test of chooseUpstream fails without the change (the upstream that answers gets less than all requests) and passes with it.

Ruled out: saturation as the only way into the fault, as was supposed by reading; the new test has no request in flight.

--- a/packages/balancing/src/balancing_test.ts
+++ b/packages/balancing/src/balancing_test.ts
@@ -253,6 +253,21 @@
   t.end();
 });
 
+// Guards against requests that keep going to dead upstreams because more than half of a service is dead.
+t.test("should choose an upstream that answers while more than half of the others are unreachable", (t) => {
+  const vms = [0, 1, 2, 3, 4, 5].map((i) => vm(i));
+  const { time, observations, call, shareOf } = setUp(vms);
+  const { id } = vm(3);
+  for (const dead of [0, 1, 2, 4, 5]) {
+    time.nowMs += 100;
+    call(vm(dead).id, "unreachable");
+  }
+  t.equal(shareOf(id), 1);
+  for (let i = 0; i < SATURATED_IN_FLIGHT; i += 1) observations.begin(id);
+  t.equal(shareOf(id), 0, "others are tried once it is saturated");
+  t.end();
+});
+
 // Guards against a cold upstream that gets its full share of requests at once.
 t.test("should slowly raise the share of a new upstream, and of one that becomes live again", (t) => {
   const vms = vmsInOwnZone(2);
--- a/packages/balancing/src/choose_upstream.ts
+++ b/packages/balancing/src/choose_upstream.ts
@@ -1,5 +1,5 @@
 import type { Vm } from "@tanagercove/types";
-import { ejectedUpstreams } from "./ejection.ts";
+import { ejectedUpstreams, ejectionEndMs } from "./ejection.ts";
 import { loadHint } from "./load_hint.ts";
 import { slowStartShare } from "./slow_start.ts";
 import {
@@ -44,9 +44,11 @@
  * Chooses the upstream for one request; undefined if all live ones are excluded.
  *
  * Unsaturated upstreams in the local zone are preferred, then unsaturated ones in
- * other zones, then saturated ones, those in the local zone first. An ejected
- * upstream is chosen only if no other is left, because an attempt is better than a
- * certain refusal. Within a group the better of two random upstreams is chosen.
+ * other zones, then saturated ones, those in the local zone first. If more than half
+ * of the service failed, some ejections do not apply; these upstreams are chosen once
+ * the others are saturated. An ejected upstream is chosen only if no other is left,
+ * because an attempt is better than a certain refusal. Within a group the better of
+ * two random upstreams is chosen.
  */
 export function chooseUpstream(options: ChooseUpstreamOptions): Vm | undefined {
   const live = options.candidates.filter((vm) => vm.state === "live");
@@ -54,8 +56,13 @@
   const ejected = ejectedUpstreams({ ...options, candidates: live });
   const serving = notExcluded.filter((vm) => !ejected.has(vm.id));
   const unsaturated = serving.filter((vm) => !isSaturated(vm, options));
+  const answering = unsaturated.filter((vm) =>
+    ejectionEndMs(options.observations.get(vm.id)) <= options.nowMs
+  );
   const isLocal = (vm: Vm) => vm.zone === options.ownZone;
   const groups = [
+    answering.filter(isLocal),
+    answering,
     unsaturated.filter(isLocal),
     unsaturated,
     serving.filter(isLocal),
