Count a daemon with long turns of the event loop as behind

What callers saw: requests reached upstreams more than half a second after their callers had left (GONE).

Cause: Node (libuv 1.46) accepts one connection in each turn of the event loop; a server kept busy takes 20 turns for 20 waiting connections. With turns of 90 ms, some ten new connections a second are accepted, and each request and its close wait together for more than a second. Timers fire in every turn, so the daemon did not count as behind: the measure was their delay alone, from 100 ms on.

The average turn is measured now (time at work by the number of turns, each 250 ms), and from 10 ms on the daemon counts as behind: 50 connections then wait for half a second. The request is looked at again after one more poll, which reads the close behind it.

The new test fails without the change (3 of 10 requests are sent on) and passes with it. Ruled out: a cancel that is not sent (it arrives right behind the request), a link that delays both (they were half a second apart when they were sent), a queue in admission (duration_ms is 2).

timer_delay.ts is now event_loop_watch.ts.

--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -383,9 +383,9 @@
   },
   daemon_behind: {
     level: "warn",
-    fields: { delay_ms: "number" },
+    fields: { delay_ms: "number", turn_ms: "number" },
     meaning:
-      "Timers fired late by this time, and all other events waited as long: the process was busy, short of processor time or suspended",
+      "Timers fired late by `delay_ms`, or the event loop was at work for `turn_ms` in each turn on average; other events waited at least as long, and one connection is accepted in a turn: the process was busy, short of processor time or suspended",
     action:
       "if it lasts, give the VM more processor time; compare with `configuration_taken` and the load at that time",
   },
--- a/packages/sidecar/src/departed_callers_test.ts
+++ b/packages/sidecar/src/departed_callers_test.ts
@@ -13,6 +13,7 @@
 import { AnswerMemory } from "./answer_memory.ts";
 import { setUpCallerHandler } from "./caller_handler_fixture.ts";
 import { ConnectionAgents } from "./connection_agent.ts";
+import { watchEventLoop } from "./event_loop_watch.ts";
 import { encodeTicket } from "./forwarding.ts";
 import { LeavingUpstreams } from "./leaving_upstreams.ts";
 import { createOwner } from "./owner.ts";
@@ -26,7 +27,6 @@
 } from "./peer_server_fixture.ts";
 import { SendQueue } from "./send_queue.ts";
 import { createRequestServer } from "./serve_request.ts";
-import { watchTimerDelay } from "./timer_delay.ts";
 import { UpstreamIdentity } from "./upstream_identity.ts";
 
 /** Starts an HTTP server on the loopback address; returns its port. */
@@ -40,6 +40,9 @@
   return (server.address() as { port: number }).port;
 }
 
+/** Length of the turns of a busy event loop; timers are late by no more than this. */
+const TURN_MS = 30;
+
 /** By default, the daemon is behind from the start. */
 const BEHIND = new SendQueue({ isBehind: () => true });
 
@@ -265,7 +268,7 @@
 
 // Guards against a daemon that does not notice that it is behind.
 t.test("should not send on requests whose callers leave while the process is busy", async (t) => {
-  const watch = watchTimerDelay({ onDelay: () => {} });
+  const watch = watchEventLoop({ onMeasured: () => {} });
   t.teardown(() => watch.close());
   const sendQueue = new SendQueue({ isBehind: watch.isBehind });
   const { port, sent } = await setUpCallers(t, {
@@ -284,3 +287,36 @@
   await waitFor(() => sent.includes("/browse/staying"));
   t.same(sent, ["/browse/staying"]);
 });
+
+// Guards against requests that are sent on after their senders have left because their connections wait to be
+// accepted: Node accepts one connection in a turn of the event loop, and the turns of a busy daemon are long.
+t.test("should not run forwarded requests whose senders leave before they are accepted", async (t) => {
+  const watch = watchEventLoop({ onMeasured: () => {} });
+  t.teardown(() => watch.close());
+  const { port, reached } = await setUpOwner(t, {
+    slots: 64,
+    onRequest: (response) => void response.end("whole"),
+    sendQueue: new SendQueue({ isBehind: watch.isBehind }),
+  });
+  let isBusy = true;
+  t.teardown(() => isBusy = false);
+  const useTurn = () => {
+    const busyUntilMs = performance.now() + TURN_MS;
+    while (performance.now() < busyUntilMs);
+    if (isBusy) setImmediate(useTurn);
+  };
+  useTurn();
+  await sleep(20 * TURN_MS);
+  const ticket = encodeTicket(TICKET);
+  const staying = await openConnections(port, 10);
+  t.teardown(() => staying.forEach((socket) => socket.destroy()));
+  const request = (path: string) => forwardedRequest(ticket, path);
+  staying.forEach((socket) => socket.write(request("/browse/staying")));
+  await waitFor(() => reached.length === staying.length);
+  const leaving = await openConnections(port, 10);
+  leaving.forEach((socket) => socket.write(request("/browse/leaving")));
+  leaving.forEach((socket) => socket.destroy());
+  await sleep(30 * TURN_MS);
+  const sentOn = reached.filter((path) => path === "/browse/leaving");
+  t.same(sentOn, []);
+});
--- a/packages/sidecar/src/observer.ts
+++ b/packages/sidecar/src/observer.ts
@@ -1,3 +1,4 @@
+import type { EventLoopLag } from "./event_loop_watch.ts";
 import type {
   CatalogEvent,
   CatalogSyncEvent,
@@ -31,6 +32,9 @@
 /** Timer delay from which a daemon logs that it is behind. */
 const LOGGED_DELAY_MS = 200;
 
+/** Average turn of the event loop from which a daemon logs that it is behind. */
+const LOGGED_TURN_MS = 50;
+
 /** Logs and counts the decisions of a sidecar. */
 export interface SidecarObserver {
   onCatalog(event: CatalogEvent): void;
@@ -40,7 +44,7 @@
   onIdentityLearnt(learnt: LearntIdentity): void;
   onResult(result: CallerResult): void;
   onForwarded(result: ForwardedResult): void;
-  onTimerDelay(delayMs: number): void;
+  onEventLoopLag(lag: EventLoopLag): void;
   onUpstreamLeaving(upstreamId: string): void;
   /** Called with the limit that the upstream of this VM names now; undefined for none. */
   onLimit(limitPerSecond: number | undefined): void;
@@ -74,6 +78,7 @@
   const forwardedDurations = metrics.histogram("forwarded_duration_us");
 
   const timerDelays = metrics.histogram("timer_delay_us");
+  const turns = metrics.histogram("event_loop_turn_us");
 
   function logChange(
     record: (unlogged_changes: number) => LogRecord,
@@ -136,10 +141,15 @@
       const unlogged = requestLimit.take();
       if (unlogged !== undefined) logEvent(log, requestLine(result, unlogged));
     },
-    onTimerDelay(delayMs) {
+    onEventLoopLag({ delayMs, turnMs }) {
       timerDelays.record(delayMs * 1_000);
-      if (delayMs < LOGGED_DELAY_MS) return;
-      logEvent(log, { event: "daemon_behind", delay_ms: Math.round(delayMs) });
+      turns.record(turnMs * 1_000);
+      if (delayMs < LOGGED_DELAY_MS && turnMs < LOGGED_TURN_MS) return;
+      logEvent(log, {
+        event: "daemon_behind",
+        delay_ms: Math.round(delayMs),
+        turn_ms: Math.round(turnMs),
+      });
     },
     onUpstreamLeaving(upstreamId) {
       metrics.counter("upstreams_leaving").add();
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -12,6 +12,7 @@
 import { ServiceBudgets } from "@tanagercove/retries";
 import { TargetShares } from "@tanagercove/routing";
 import type { Endpoint, UpstreamEntry } from "@tanagercove/types";
+import { watchEventLoop } from "./event_loop_watch.ts";
 import { createFailureLog } from "./failure_log.ts";
 import { answerLimits, AnswerMemory } from "./answer_memory.ts";
 import { fetchUpstreamId } from "./fetch_upstream_id.ts";
@@ -42,7 +43,6 @@
 import { createRequestServer } from "./serve_request.ts";
 import { SendQueue } from "./send_queue.ts";
 import type { RequestHeaderNames, SidecarSettings } from "./settings.ts";
-import { watchTimerDelay } from "./timer_delay.ts";
 import { UpstreamIdentity } from "./upstream_identity.ts";
 import { ZoneLinks } from "./zone_links.ts";
 
@@ -129,10 +129,10 @@
     isUsable: isOwnServiceId,
     onLearnt: (learnt) => observer.onIdentityLearnt(learnt),
   });
-  const timerDelayWatch = watchTimerDelay({
-    onDelay: (delayMs) => observer.onTimerDelay(delayMs),
+  const eventLoopWatch = watchEventLoop({
+    onMeasured: (lag) => observer.onEventLoopLag(lag),
   });
-  const sendQueue = new SendQueue({ isBehind: timerDelayWatch.isBehind });
+  const sendQueue = new SendQueue({ isBehind: eventLoopWatch.isBehind });
   const leaving = new LeavingUpstreams(catalog);
   const owner = createOwner({
     upstream: settings.upstream,
@@ -338,7 +338,7 @@
   const listeners: HttpListener[] = [];
   let peerServer: PeerServer | undefined;
   await openListeners().catch(async (error) => {
-    timerDelayWatch.close();
+    eventLoopWatch.close();
     await closeListeners();
     await source.close();
     throw error;
@@ -464,7 +464,7 @@
       timeLeftMs: stoppingSinceMs + drainTimeoutMs - performance.now(),
       isSending: () => callers.isSending,
     });
-    timerDelayWatch.close();
+    eventLoopWatch.close();
     await closeListeners();
     // The sync waits for its requests in flight; closing the connections ends those that get no answer.
     const syncClosed = Promise.all([sync.close(), links.close()]);
