Show that the close of a connection with unsent answers is noticed

The test sends a request on a connection whose 16 MiB answer is not read, and closes it in order and by a reset: the request is cancelled both times, since the kernel answers the unsent bytes with a reset. No change of logic was needed.

--- a/packages/sidecar/src/departed_callers_test.ts
+++ b/packages/sidecar/src/departed_callers_test.ts
@@ -86,7 +86,10 @@
   return { port, reached };
 }
 
-/** Starts the server of a caller's daemon; `sent` lists the paths of requests that it sends to other daemons. */
+/**
+ * Starts the server of a caller's daemon; `sent` lists the paths of requests that it sends to other daemons, `cancelled`
+ * those that it cancels there.
+ */
 async function setUpCallers(
   t: Test,
   { upstreams, onSend, sendQueue = BEHIND }: {
@@ -112,6 +115,7 @@
     },
   })));
   const sent: string[] = [];
+  const cancelled: string[] = [];
   const serve = createRequestServer({
     zone: "a",
     address: "10.0.0.99",
@@ -124,7 +128,8 @@
     peers: {
       forward({ request: { path } }) {
         sent.push(path);
-        return { ended: onSend(path), cancel() {} };
+        const cancel = () => void cancelled.push(path);
+        return { ended: onSend(path), cancel };
       },
     },
     reports: new UpstreamReports(),
@@ -139,7 +144,7 @@
     onPeerState: () => {},
   });
   const { handler } = setUpCallerHandler({ catalog, serve });
-  return { port: await listen(t, handler.handle), sent };
+  return { port: await listen(t, handler.handle), sent, cancelled };
 }
 
 const ANSWERED: ForwardResult = {
@@ -320,3 +325,31 @@
   const sentOn = reached.filter((path) => path === "/browse/leaving");
   t.same(sentOn, []);
 });
+
+// Guards against requests that go on because the connection of their caller is not read while an answer waits on it.
+for (const [name, close] of Object.entries(CLOSES)) {
+  t.test(`should cancel a request at ${name} of a connection whose answers are not taken`, async (t) => {
+    const body = Buffer.alloc(16 * 1024 * 1024);
+    const { port, sent, cancelled } = await setUpCallers(t, {
+      upstreams: 1,
+      onSend: (path) =>
+        path === "/browse/large"
+          ? Promise.resolve({
+            ...ANSWERED,
+            answer: { ...ANSWERED.answer!, body },
+          })
+          : new Promise(() => {}),
+    });
+    const [socket] = await openConnections(port, 1);
+    socket!.pause();
+    socket!.write(requestHead("/browse/large") + requestHead("/browse/open"));
+    await waitFor(() => sent.includes("/browse/open"));
+    await sleep(100);
+    t.same(cancelled, []);
+    close(socket!);
+    await waitFor(() => cancelled.includes("/browse/open"), {
+      timeoutMs: 500,
+    });
+    t.same(cancelled, ["/browse/open"]);
+  });
+}
