--- a/packages/sidecar/src/event_loop_watch.ts
+++ b/packages/sidecar/src/event_loop_watch.ts
@@ -42,14 +42,14 @@
 ): EventLoopWatch {
   let timer: NodeJS.Timeout;
   let dueMs = 0;
-  let isLate = false;
+  let wasLate = false;
   let usage = performance.eventLoopUtilization();
   let turns = countTurns();
   function schedule(): void {
     dueMs = performance.now() + intervalMs;
     timer = setTimeout(() => {
       const lag = measure();
-      isLate = isBehind(lag);
+      wasLate = isLate(lag);
       onMeasured(lag);
       schedule();
     }, intervalMs);
@@ -66,13 +66,12 @@
   }
   schedule();
   return {
-    isBehind: () => isLate || performance.now() - dueMs > BEHIND_MS,
+    isBehind: () => wasLate || performance.now() - dueMs > BEHIND_MS,
     close: () => clearTimeout(timer),
   };
 }
 
-/** Whether a measurement shows that the process handles events late. */
-export function isBehind({ delayMs, turnMs }: EventLoopLag): boolean {
+function isLate({ delayMs, turnMs }: EventLoopLag): boolean {
   return delayMs > BEHIND_MS || turnMs > BEHIND_TURN_MS;
 }
 
