Open a connection again if the keys changed during its handshake

Callers saw: while operators replace the CA, certificates and keys step by step, a request between two daemons could end as not run (connect_failed), although each step was taken by all daemons before the next one.

Cause: a handshake uses the keys that were in force when it began. If the other daemon accepts the connection late, as busy daemons do, it may have taken the last step (only the new CA) by then, and refuses the certificate of the first step. The caller has the new certificate by that time, but gave up instead of trying it.

Evidence: with a relay that holds the first connection back until both ends have taken the three steps, the request failed with 'Closed during the handshake', and the server logged SELF_SIGNED_CERT_IN_CHAIN. The new test in keys_test.ts failed before (2 checks) and passes now.

Why it works: before the end of the handshake nothing of the request has been sent, so another connection is free of risk. It has the rest of the same timeout, and is opened only if the keys differ from those of the failed handshake. A refusal by the other daemon is still counted there.

Ruled out by reading: a step that counts as taken by a daemon that has read the step before, since each step changes what makes up one valid set of files exactly once.

--- a/packages/keys/src/keys_test.ts
+++ b/packages/keys/src/keys_test.ts
@@ -1,7 +1,12 @@
 import { once } from "node:events";
 import { writeFileSync } from "node:fs";
 import { createServer } from "node:http";
-import { type AddressInfo, connect, createServer as listenTcp } from "node:net";
+import {
+  type AddressInfo,
+  connect,
+  createServer as listenTcp,
+  type Socket,
+} from "node:net";
 import {
   connect as connectTls,
   createServer as createTlsServer,
@@ -332,3 +337,50 @@
   await requestBothWays();
   t.equal(end!.transport.state()!.refused, 0);
 });
+
+/** Starts a relay to a port of `ADDRESS` that holds back its first connection until `release`. */
+async function startHoldingRelay(t: Test, targetPort: number) {
+  const accepted: Socket[] = [];
+  const relay = (socket: Socket) => {
+    const target = connect(targetPort, ADDRESS);
+    target.on("error", () => {});
+    socket.pipe(target).pipe(socket);
+  };
+  const server = listenTcp((socket) => {
+    socket.on("error", () => {});
+    accepted.push(socket);
+    if (accepted.length > 1) relay(socket);
+  });
+  server.listen(0, ADDRESS);
+  await once(server, "listening");
+  t.teardown(() => void server.close());
+  const { port } = server.address() as AddressInfo;
+  return { port, accepted, release: () => relay(accepted[0]!) };
+}
+
+// Guards against a connection that fails because its handshake began with the keys from before a change.
+t.test("should connect with the new keys if they change during the handshake", async (t) => {
+  const server = await openTransport(t);
+  const { port } = await startServer(t, server.transport);
+  const relay = await startHoldingRelay(t, port);
+  const caller = await openTransport(t);
+  const ends = [server, caller];
+  const waitForReloads = (times: number) =>
+    waitFor(() =>
+      ends.every(({ events }) =>
+        events.filter(({ event }) => event === "peer_keys_taken").length ===
+          times
+      )
+    );
+  for (const { trust } of ends) trust(authority, otherAuthority);
+  await waitForReloads(1);
+  const response = sendRequest(caller.transport, { port: relay.port });
+  await waitFor(() => relay.accepted.length === 1);
+  for (const { issue } of ends) await issue(VALID_KEYS, otherAuthority);
+  await waitForReloads(2);
+  for (const { trust } of ends) trust(otherAuthority);
+  await waitForReloads(3);
+  relay.release();
+  t.equal((await response).outcome, 200);
+  t.equal(relay.accepted.length, 2);
+});
--- a/packages/keys/src/tls_transport.ts
+++ b/packages/keys/src/tls_transport.ts
@@ -121,19 +121,26 @@
       const peer = `${target.hostname}:${target.port}`;
       if (this.#isKnownPlain(peer)) return openPlain(target, callback);
       const startedAtMs = performance.now();
-      openTcp(target, (...[error, tcpSocket]) => {
-        if (error !== null) return callback(error, null);
-        const remainingMs = timeoutMs - (performance.now() - startedAtMs);
-        void this.#startTls(tcpSocket, { peer, remainingMs }).then((opened) => {
-          if (opened.isOk) return callback(null, opened.value);
-          const { message, timedOut, peerLacksTls } = opened.error;
-          if (this.#options.mode === "required" || timedOut) {
-            return callback(new Error(message), null);
-          }
-          if (peerLacksTls) this.#rememberPlain(peer);
-          openPlain(target, callback);
+      const remainingMs = () => timeoutMs - (performance.now() - startedAtMs);
+      const openTls = (connect: PeerConnector) =>
+        connect(target, (...[error, tcpSocket]) => {
+          if (error !== null) return callback(error, null);
+          const options = { peer, remainingMs: remainingMs() };
+          void this.#startTls(tcpSocket, options).then((opened) => {
+            if (opened.isOk) return callback(null, opened.value);
+            const { message, timedOut, peerLacksTls, keysChanged } =
+              opened.error;
+            if (keysChanged && remainingMs() > 0) {
+              return openTls(plainConnector(remainingMs()));
+            }
+            if (this.#options.mode === "required" || timedOut) {
+              return callback(new Error(message), null);
+            }
+            if (peerLacksTls) this.#rememberPlain(peer);
+            openPlain(target, callback);
+          });
         });
-      });
+      openTls(openTcp);
     };
   }
 
@@ -243,11 +250,13 @@
     if (opened.isErr) {
       this.#sessions.delete(peer);
       const { message: reason, peerLacksTls } = opened.error;
-      const expected = peerLacksTls && this.#options.mode === "optional";
+      const keysChanged = context !== this.#context;
+      const expected = keysChanged ||
+        peerLacksTls && this.#options.mode === "optional";
       if (!expected) {
         this.#refusals.record({ direction: "outgoing", address, reason });
       }
-      return opened;
+      return opened.mapErr((failure) => ({ ...failure, keysChanged }));
     }
     const socket = opened.value;
     const resumed = socket.isSessionReused();
