Check limits and leavings of upstreams in the soak

The soak had no upstream that names a limit or its leaving in its answers, although both rules (LIMIT, DRAIN) count under faults: kills of the daemon that enforces a limit, cuts between those that have heard of it, a store that is silent while an upstream leaves.

A daemon counts only from an answer that it has passed on, and is excused by its restarts and pauses, and for limits by cuts of its links, since then. Builds that do not read the fields are found by both (scripts/soak_broken.mjs).

--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -1,7 +1,8 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { RelayRule } from "@tanagercove/emulator";
 import type { FaultKind, PlannedFault } from "./plan.ts";
 import type { UpstreamMode } from "./ports.ts";
-import type { LeavingInterval } from "./promises.ts";
+import type { LeavingInterval, LimitInterval } from "./promises.ts";
 import type { SoakDaemon, SoakFleet } from "./soak_fleet.ts";
 
 /** State that faults change. */
@@ -11,6 +12,10 @@
   readonly leaving: LeavingInterval[];
   /** Indexes of the VMs whose upstreams are draining now. */
   readonly draining: Set<number>;
+  /** Ended periods in which an upstream named a limit; each is added when its fault ends. */
+  readonly limits: LimitInterval[];
+  /** Indexes of the VMs whose upstreams name a limit now. */
+  readonly limited: Set<number>;
   publishNext(): void;
 }
 
@@ -23,11 +28,36 @@
 /** Added to the duration of a drain, so that it outlasts the bound for leaving upstreams. */
 const DRAIN_EXTRA_MS = 4_000;
 
+/** Added to the duration of a limit, so that it outlasts the time from which it must be kept. */
+const LIMIT_EXTRA_MS = 6_000;
+
+/** Well below the load of an upstream, about 50 requests per second. */
+const LIMIT_PER_SECOND = 15;
+
+/** Time for which an upstream that has left is stopped before it starts anew. */
+const UPSTREAM_RESTART_MS = 500;
+
 /** Delay of a slow link in each direction, as on a congested link between regions. */
 const LINK_DELAY_MS = 150;
 
+/** Time added to the planned duration of a fault, by kind. */
+const EXTRA_MS: Partial<Record<FaultKind, number>> = {
+  drain_upstream: DRAIN_EXTRA_MS,
+  limit_upstream: LIMIT_EXTRA_MS,
+};
+
 const NO_OP: EndFault = () => {};
 
+/** Faults that excuse the VMs they strike from what upstreams say in their answers. */
+export const CUTS_VM: ReadonlySet<FaultKind> = new Set<FaultKind>([
+  "cut_link",
+  "cut_one_way",
+  "cut_zone",
+  "delay_link",
+  "lose_connections",
+  "silence_link",
+]);
+
 /** Faults during which new versions and upstream states may reach some daemons late or not at all. */
 export const DELAYS_PROPAGATION: ReadonlySet<FaultKind> = new Set<FaultKind>([
   "cut_link",
@@ -77,15 +107,33 @@
     if (draining.has(vm)) return NO_OP;
     draining.add(vm);
     const vmToDrain = fleet.vms[vm]!;
-    const upstreamId = fleet.upstreams[vm]!.id;
+    const upstream = fleet.upstreams[vm]!;
     const fromMs = performance.now();
     fleet.store.setUpstream(vmToDrain, "draining");
-    return () => {
+    upstream.notices = { ...upstream.notices, isLeaving: true };
+    return async () => {
+      const untilMs = performance.now();
+      leaving.push({ upstreamId: upstream.id, fromMs, untilMs });
+      upstream.notices = { ...upstream.notices, isLeaving: false };
+      await sleep(UPSTREAM_RESTART_MS);
       draining.delete(vm);
-      leaving.push({ upstreamId, fromMs, untilMs: performance.now() });
       fleet.store.setUpstream(vmToDrain, "ready");
     };
   },
+  limit_upstream({ fleet, limits, limited }, { vm }) {
+    if (limited.has(vm)) return NO_OP;
+    limited.add(vm);
+    const upstream = fleet.upstreams[vm]!;
+    const fromMs = performance.now();
+    const limitPerSecond = LIMIT_PER_SECOND;
+    upstream.notices = { ...upstream.notices, limitPerSecond };
+    return () => {
+      limited.delete(vm);
+      const untilMs = performance.now();
+      limits.push({ upstreamId: upstream.id, limitPerSecond, fromMs, untilMs });
+      upstream.notices = { ...upstream.notices, limitPerSecond: undefined };
+    };
+  },
   drop_history({ fleet }) {
     fleet.store.dropHistory();
     return NO_OP;
@@ -129,7 +177,7 @@
 
 /** Returns how long a fault lasts. */
 export function faultDurationMs({ kind, forMs }: PlannedFault): number {
-  return kind === "drain_upstream" ? forMs + DRAIN_EXTRA_MS : forMs;
+  return forMs + (EXTRA_MS[kind] ?? 0);
 }
 
 function linkFault(rule: Omit<RelayRule, "from" | "to">) {
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -11,6 +11,7 @@
   "drop_history",
   "hang_upstream",
   "kill",
+  "limit_upstream",
   "lose_answers",
   "lose_connections",
   "pause",
@@ -51,6 +52,13 @@
  * half of the time.
  */
 const MEAN_GAP_MS = 900;
+
+/** Kinds that are planned apart from the others, whose plan for a seed thus stays the same. */
+const SEPARATE_KINDS: ReadonlySet<FaultKind> = new Set(["limit_upstream"]);
+
+/** Mean time between the starts of two faults that are planned apart; they last longer. */
+const SEPARATE_MEAN_GAP_MS = 4_000;
+
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 3_000;
 
@@ -64,15 +72,35 @@
 
 /** Plans the faults of a run; the same seed gives the same plan. */
 export function planFaults(
-  { seed, durationMs, vmCount, kinds = FAULT_KINDS }: PlanFaultsOptions,
+  { kinds = FAULT_KINDS, ...options }: PlanFaultsOptions,
+): readonly PlannedFault[] {
+  const faults = [
+    ...planKinds({
+      ...options,
+      kinds: kinds.filter((kind) => !SEPARATE_KINDS.has(kind)),
+      meanGapMs: MEAN_GAP_MS,
+    }),
+    ...planKinds({
+      ...options,
+      kinds: kinds.filter((kind) => SEPARATE_KINDS.has(kind)),
+      meanGapMs: SEPARATE_MEAN_GAP_MS,
+    }),
+  ];
+  return faults.toSorted((a, b) => a.atMs - b.atMs);
+}
+
+interface PlanKindsOptions extends Required<PlanFaultsOptions> {
+  readonly meanGapMs: number;
+}
+
+function planKinds(
+  { seed, durationMs, vmCount, kinds, meanGapMs }: PlanKindsOptions,
 ): readonly PlannedFault[] {
+  if (kinds.length === 0) return [];
   const random = seededRandom(seed);
+  const randomGapMs = () => -meanGapMs * Math.log(1 - random());
   const faults: PlannedFault[] = [];
-  for (
-    let atMs = randomGapMs(random);
-    atMs < durationMs;
-    atMs += randomGapMs(random)
-  ) {
+  for (let atMs = randomGapMs(); atMs < durationMs; atMs += randomGapMs()) {
     const fault = planFault({ random, vmCount, kinds, atMs });
     faults.push(fault);
     if (random() > REPEATED_SHARE) continue;
@@ -82,7 +110,7 @@
       if (laterMs < durationMs) faults.push({ ...fault, atMs: laterMs });
     }
   }
-  return faults.toSorted((a, b) => a.atMs - b.atMs);
+  return faults;
 }
 
 function planFault({ random, vmCount, kinds, atMs }: {
@@ -103,7 +131,3 @@
     otherVm: (vm + step) % vmCount,
   };
 }
-
-function randomGapMs(random: Random): number {
-  return -MEAN_GAP_MS * Math.log(1 - random());
-}
--- a/packages/soak/src/ports.ts
+++ b/packages/soak/src/ports.ts
@@ -12,11 +12,19 @@
   readonly startedAtMs: number;
 }
 
+/** What an upstream says about itself in its answers. */
+export interface UpstreamNotices {
+  /** Requests per second that it takes from all daemons together. */
+  readonly limitPerSecond?: number;
+  readonly isLeaving?: boolean;
+}
+
 /** Stand-in of an upstream, in the soak's own process. */
 export interface SoakUpstream {
   readonly id: string;
   readonly runs: readonly UpstreamRun[];
   mode: UpstreamMode;
+  notices: UpstreamNotices;
   close(): void;
 }
 
@@ -27,6 +35,7 @@
    * and of recent earlier versions.
    */
   publish(version: number): void;
+  /** Writes the entry of a VM's upstream; one that is ready after it was draining has started anew. */
   setUpstream(vm: SoakVm, state: "ready" | "draining"): void;
   setMode(mode: "answer" | "refuse" | "silent"): void;
   dropHistory(): void;
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -2,6 +2,7 @@
 import { seededRandom } from "@tanagercove/emulator";
 import {
   applyFault,
+  CUTS_VM,
   DELAYS_PROPAGATION,
   type EndFault,
   faultDurationMs,
@@ -13,13 +14,18 @@
 import {
   type AppliedFault,
   type CallRecord,
+  type DaemonHalt,
   findFalseRefusals,
   findLateAnswers,
   findLateStarts,
   findMismatchedAnswers,
   findRequestsCutByStops,
+  findRunsAboveLimit,
   findSecondRuns,
+  findStartsAfterLeavingNotice,
   type LeavingInterval,
+  type LimitInterval,
+  type NoticeContext,
   type PromiseName,
   type Violation,
 } from "./promises.ts";
@@ -108,6 +114,8 @@
       fleet,
       leaving: [],
       draining: new Set<number>(),
+      limits: [],
+      limited: new Set<number>(),
       publishNext,
     };
     const faults = await injectFaults(target, { plan, progress });
@@ -124,6 +132,7 @@
       faults,
       faultsEndedAtMs,
       leaving: target.leaving,
+      limits: target.limits,
     });
     return {
       seed,
@@ -177,16 +186,26 @@
   readonly faults: readonly AppliedFault[];
   readonly faultsEndedAtMs: number;
   readonly leaving: readonly LeavingInterval[];
+  readonly limits: readonly LimitInterval[];
 }
 
-function findViolations(
-  { fleet, versions, calls, faults, faultsEndedAtMs, leaving }: ObservedRun,
-): readonly Violation[] {
+function findViolations(observed: ObservedRun): readonly Violation[] {
+  const { fleet, versions, calls, faults, faultsEndedAtMs } = observed;
+  const { leaving, limits } = observed;
   const { halts, stops, upstreams } = fleet;
   const runs = upstreams.flatMap(({ runs }) => runs);
   const propagationFaults = faults.filter(({ fault }) =>
     DELAYS_PROPAGATION.has(fault.kind)
   );
+  const runsOf = (upstreamId: string) =>
+    upstreams.find(({ id }) => id === upstreamId)!.runs;
+  const restarts = [...halts, ...stops];
+  const excusedFromLeaving = { calls, allRuns: runs, excuses: restarts };
+  const excusedFromLimits: NoticeContext = {
+    calls,
+    allRuns: runs,
+    excuses: [...restarts, ...findCuts(fleet, faults)],
+  };
   return [
     ...findSecondRuns(runs),
     ...findFalseRefusals(calls, runs),
@@ -196,12 +215,38 @@
     ...upstreams.flatMap(({ id, runs }) =>
       findLateStarts(runs, id, { leaving, faults: propagationFaults })
     ),
+    ...leaving.flatMap((interval) =>
+      findStartsAfterLeavingNotice(
+        runsOf(interval.upstreamId),
+        interval,
+        excusedFromLeaving,
+      )
+    ),
+    ...limits.flatMap((limit) =>
+      findRunsAboveLimit(runsOf(limit.upstreamId), limit, excusedFromLimits)
+    ),
     ...versions.violations,
     ...versions.findLateVersions(propagationFaults, performance.now()),
     ...findUnserved(calls, faultsEndedAtMs + SERVED_AGAIN_BOUND_MS),
   ];
 }
 
+/** Returns the periods in which faults cut each VM off from others or slowed its links. */
+function findCuts(
+  { vms }: SoakFleet,
+  faults: readonly AppliedFault[],
+): readonly DaemonHalt[] {
+  return faults
+    .filter(({ fault }) => CUTS_VM.has(fault.kind))
+    .flatMap(({ fault, fromMs, untilMs }) =>
+      vms
+        .filter((_, i) =>
+          fault.kind === "cut_zone" || i === fault.vm || i === fault.otherVm
+        )
+        .map(({ id }) => ({ vmId: id, fromMs, untilMs }))
+    );
+}
+
 async function waitUntilReady(
   { daemons }: SoakFleet,
   platform: SoakPlatform,
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -1,12 +1,15 @@
 import t from "tap";
 import {
   type CallRecord,
+  type DaemonHalt,
   findFalseRefusals,
   findLateAnswers,
   findLateStarts,
   findMismatchedAnswers,
   findRequestsCutByStops,
+  findRunsAboveLimit,
   findSecondRuns,
+  findStartsAfterLeavingNotice,
   IN_FORCE_BOUND_MS,
   planFaults,
   type PlannedFault,
@@ -91,6 +94,63 @@
   t.end();
 });
 
+t.test("should find requests that start on an upstream after their daemon passed on that it leaves", (t) => {
+  const leaving = { upstreamId: "u-0", fromMs: 1_000, untilMs: 9_000 };
+  const find = (
+    { answeredAtMs = 1_050, secondRuns = [] as ReturnType<typeof run>[] },
+    excuses: readonly DaemonHalt[] = [],
+  ) => {
+    const calls = [
+      call({ id: "a", endedAtMs: answeredAtMs }),
+      call({ id: "b", sentAtMs: 3_100, endedAtMs: 3_150 }),
+      call({ id: "c", vmId: "vm-1", sentAtMs: 3_100, endedAtMs: 3_150 }),
+    ];
+    const runs = [run("a"), run("b", 3_110), run("c", 3_110)];
+    const allRuns = [...runs, ...secondRuns];
+    return findStartsAfterLeavingNotice(runs, leaving, {
+      calls,
+      allRuns,
+      excuses,
+    });
+  };
+  t.match(find({}), [{ subject: "b" }]);
+  t.same(find({ answeredAtMs: 1_200 }), [], "sent before the bound");
+  t.same(find({ secondRuns: [run("a")] }), [], "answered by another one");
+  const halt = { vmId: "vm-0", fromMs: 2_000, untilMs: 2_500 };
+  t.same(find({}, [halt]), [], "stopped since");
+  t.equal(find({}, [{ ...halt, vmId: "vm-1" }]).length, 1);
+  t.end();
+});
+
+t.test("should find more requests on an upstream than the limit that it names allows", (t) => {
+  const limit = {
+    upstreamId: "u-0",
+    limitPerSecond: 10,
+    fromMs: 1_000,
+    untilMs: 9_000,
+  };
+  const find = (count: number, excuses: readonly DaemonHalt[] = []) => {
+    const later = Array.from(
+      { length: count },
+      (_, i) => run(`l${i}`, 4_100 + i * 3_900 / count),
+    );
+    const runs = [run("a"), ...later];
+    const calls = runs.map(({ requestId: id, startedAtMs }) =>
+      call({ id, sentAtMs: startedAtMs, endedAtMs: startedAtMs + 40 })
+    );
+    return findRunsAboveLimit(runs, limit, { calls, allRuns: runs, excuses });
+  };
+  t.match(find(66), [{ promise: "limit_is_kept", subject: "l65" }]);
+  t.same(find(65), [], "one and a half times 40, and 5 more");
+  t.same(
+    find(66, [{ vmId: "vm-0", fromMs: 1_000, untilMs: 8_500 }]),
+    [],
+    "cut",
+  );
+  t.equal(find(66, [{ vmId: "vm-1", fromMs: 0, untilMs: 9_000 }]).length, 1);
+  t.end();
+});
+
 t.test("should find requests that a planned stop cuts, but not those that a kill cuts or whose connection is refused", (t) => {
   const stops = [{ vmId: "vm-0", fromMs: 1_020, untilMs: 3_500 }];
   const cut = [call({ status: undefined, error: "ECONNRESET" })];
--- a/scripts/soak_broken.mjs
+++ b/scripts/soak_broken.mjs
@@ -57,6 +57,20 @@
     seed: 1,
     kinds: "drain_upstream",
   },
+  leaving_notice_is_heeded: {
+    file: "platform/wire_headers.ts",
+    from: 'leaving: "server-leaving"',
+    to: 'leaving: "another-field"',
+    seed: 1,
+    kinds: "drain_upstream,silence_platform",
+  },
+  limit_is_kept: {
+    file: "platform/wire_headers.ts",
+    from: 'limitPerSecond: "server-limit"',
+    to: 'limitPerSecond: "another-field"',
+    seed: 1,
+    kinds: "limit_upstream",
+  },
   planned_stop_cuts_nothing: {
     file: "packages/sidecar/src/sidecar.ts",
     from: "await whenDrained({",
