Apply a notice of leaving to the start of the upstream that gave it

Callers saw: one daemon sends nothing more to an upstream that serves, until the upstream or the daemon starts again; with one upstream of a service left, its requests end as no_upstream.

Cause: a daemon looked up the entry of a leaving upstream when the answer arrived. If the upstream had started anew under the same id while the answer was on a slow or frozen link, the notice of the earlier start was recorded for the new one, which never says so itself. Class: a late message is applied to the present holder of an id.

The entry from the time of sending is recorded now, and a notice never replaces that of a later start. Looked for elsewhere: the daemon on the upstream's own VM gets the answer on a connection that ends with the upstream's process, so that it stays as it is; slots and limits are replaced by each later answer.

The new test of serve_request_test.ts failed before (the second request was refused, no expected state within 10 s) and passes now; tests of the sidecar: all passed.

--- a/packages/sidecar/src/leaving_upstreams.ts
+++ b/packages/sidecar/src/leaving_upstreams.ts
@@ -14,11 +14,12 @@
     this.#catalog = catalog;
   }
 
-  /** Records that an upstream leaves; returns whether that is new. Upstreams without an entry get no requests anyway. */
-  add(id: string): boolean {
-    const entry = this.#catalog.upstreams.get(id)?.entry;
-    if (entry === undefined || this.has(entry)) return false;
-    this.#bornMsById.set(id, entry.bornMs);
+  /** Records that the start of an upstream that an entry describes is leaving; returns whether that is new. */
+  add({ id, bornMs }: Pick<UpstreamEntry, "id" | "bornMs">): boolean {
+    const isKnown = this.#bornMsById.has(id) &&
+      (this.#bornMsById.get(id) ?? 0) >= (bornMs ?? 0);
+    if (isKnown) return false;
+    this.#bornMsById.set(id, bornMs);
     return true;
   }
 
--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -203,6 +203,8 @@
   ): Promise<Attempt> {
     const { route } = routed;
     const nowMs = performance.now();
+    // The upstream may start anew under the same id until the answer arrives.
+    const entry = catalog.upstreams.get(chosen.id)?.entry;
     reports.begin(chosen.id);
     let isSilent = false;
     let step: NextStep | undefined;
@@ -226,7 +228,9 @@
     }
     if (result.state !== undefined) {
       reports.recordLoad(chosen.id, result.state.load);
-      if (result.state.isUpstreamLeaving) options.leaving.add(chosen.id);
+      if (result.state.isUpstreamLeaving && entry !== undefined) {
+        options.leaving.add(entry);
+      }
     }
     const { verdict, answer } = result;
     reports.end(chosen.id, {
--- a/packages/sidecar/src/serve_request_test.ts
+++ b/packages/sidecar/src/serve_request_test.ts
@@ -54,21 +54,24 @@
 ) {
   const { upstreams = 2, slack = 1_000, isStopping = false } = options;
   const catalog = new Catalog();
-  catalog.apply(Array.from({ length: upstreams }, (_, i) => ({
-    kind: "upstream" as const,
-    revision: i + 1,
-    entry: {
-      id: `u${i}`,
-      service: "shop",
-      address: `10.0.0.${i + 1}`,
-      port: 80,
-      zone: "a",
-      slots: 4,
-      state: "ready" as const,
-      coldMs: 0,
-      bornMs: 1,
-    },
-  })));
+  let revision = 0;
+  const startUpstream = (i: number, bornMs: number) =>
+    catalog.apply([{
+      kind: "upstream",
+      revision: revision += 1,
+      entry: {
+        id: `u${i}`,
+        service: "shop",
+        address: `10.0.0.${i + 1}`,
+        port: 80,
+        zone: "a",
+        slots: 4,
+        state: "ready",
+        coldMs: 0,
+        bornMs,
+      },
+    }]);
+  for (let i = 0; i < upstreams; i += 1) startUpstream(i, 1);
   const reports = new UpstreamReports();
   const sent: SentRequest[] = [];
   const serve = createRequestServer({
@@ -109,7 +112,7 @@
     isStopping: () => isStopping,
     onPeerState: () => {},
   });
-  return { serve, sent, reports };
+  return { serve, sent, reports, startUpstream };
 }
 
 function routed(route: Partial<Route> = {}): RoutedRequest {
@@ -252,3 +255,20 @@
   t.match(result, { kind: "refused", reason: "deadline_before_start" });
   t.equal(sent.length, 0);
 });
+
+// Guards against an upstream that a daemon avoids for good, because an answer of its earlier start came late.
+t.test("should use an upstream that started anew while an answer said that it leaves", async (t) => {
+  const { serve, sent, startUpstream } = setUp({ upstreams: 1 });
+  const first = serve(routed());
+  await waitFor(() => sent.length === 1);
+  startUpstream(0, 2);
+  const state = { ...ANSWERED.state!, isUpstreamLeaving: true };
+  sent[0]!.answer({ ...ANSWERED, state });
+  t.match(await first, { kind: "answered" });
+  const second = serve(routed());
+  await waitFor(() => sent.length === 2);
+  sent[1]!.answer({ ...ANSWERED, state });
+  t.match(await second, { kind: "answered" });
+  t.match(await serve(routed()), { kind: "refused", reason: "no_upstream" });
+  t.end();
+});
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -225,7 +225,8 @@
 
   /** Called when the upstream of this VM says that it leaves; its entry may say so later. */
   function onUpstreamLeaving(upstreamId: string): void {
-    if (!leaving.add(upstreamId)) return;
+    const entry = catalog.upstreams.get(upstreamId)?.entry;
+    if (entry === undefined || !leaving.add(entry)) return;
     observer.onUpstreamLeaving(upstreamId);
     if (upstreamId !== ownEntry?.id) return;
     isUpstreamLeaving = true;
