End the upstreams of tests that were given up

Cause, in the stand-ins: a mesh that fails to start closes what it has opened and releases its block of addresses, but (1) the process of an upstream that was not ready in time was not ended: it listened later and kept its test file from ending, until tap ended the file; (2) after the first failure, other upstreams and daemons went on to start (Promise.all), and were registered for closing after everything had been closed. Meanwhile other files claimed the released block.

Now an upstream that is not ready in time is killed, and a failed start waits until all other starts have ended before it closes them. A fleet starts no further daemons after a failure.

Not changed: the bounds.

--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -2,6 +2,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import { allEnded } from "./all_ended.ts";
 import {
   DaemonProcess,
   type FleetVm,
@@ -102,10 +103,15 @@
     const waiting = [...daemons];
     const worker = async () => {
       for (let next = waiting.shift(); next; next = waiting.shift()) {
-        await next.start();
+        try {
+          await next.start();
+        } catch (error) {
+          waiting.length = 0;
+          throw error;
+        }
       }
     };
-    await Promise.all(Array.from({ length: startConcurrency }, worker));
+    await allEnded(Array.from({ length: startConcurrency }, worker));
   }
 
   async kill(daemons: readonly DaemonProcess[]): Promise<void> {
--- a/packages/emulator/src/mesh.ts
+++ b/packages/emulator/src/mesh.ts
@@ -1,6 +1,7 @@
 import { formatVms } from "@tanagercove/lists";
 import type { Vm, VmState } from "@tanagercove/types";
 import { type AddressBlock, claimAddressBlock } from "./address_block.ts";
+import { allEnded } from "./all_ended.ts";
 import type { Execution } from "./execution_log.ts";
 import type { FleetVm } from "./daemon_process.ts";
 import type { FleetTls } from "./fleet_keys.ts";
@@ -225,7 +226,7 @@
   const hosting = options.upstreams ?? "inside";
   const upstreams = new Map<string, UpstreamStandIn | UpstreamProcess>();
   if (hosting === "none") return upstreams;
-  await Promise.all(fleetVms.map(async ({ vm, address }, index) => {
+  const start = async ({ vm, address }: FleetVm, index: number) => {
     const startOptions = {
       seed: index + 1,
       ...options.upstreamOptions?.(vm),
@@ -241,6 +242,7 @@
       });
     upstreams.set(vm.id, upstream);
     opened.push(() => upstream.close());
-  }));
+  };
+  await allEnded(fleetVms.map(start));
   return upstreams;
 }
--- a/packages/emulator/src/upstream_process.ts
+++ b/packages/emulator/src/upstream_process.ts
@@ -55,7 +55,7 @@
     return this.#process?.isRunning ?? false;
   }
 
-  /** Starts the process and waits until it listens. */
+  /** Starts the process and waits until it listens; a process that does not in time is killed. */
   async start(): Promise<void> {
     const log = new ExecutionLog();
     this.logs.push(log);
@@ -66,7 +66,12 @@
       ownProcessGroup: this.#options.ownProcessGroup,
       onLine: (line) => this.#onLine(line, log),
     });
-    await withTimeout(ready, `Upstream "${this.#options.name}" is not ready`);
+    try {
+      await withTimeout(ready, `Upstream "${this.#options.name}" is not ready`);
+    } catch (error) {
+      await this.kill();
+      throw error;
+    }
   }
 
   /** Sends a command and waits until the process has carried it out. */
--- a/packages/emulator/src/upstream_stand_in_test.ts
+++ b/packages/emulator/src/upstream_stand_in_test.ts
@@ -4,7 +4,8 @@
 import { HEADERS } from "@tanagercove/types";
 import { claimAddressBlock } from "./address_block.ts";
 import type { ExchangeStep } from "./upstream_control.ts";
-import { startUpstreamProcess } from "./upstream_process.ts";
+import { startMesh } from "./mesh.ts";
+import { startUpstreamProcess, UpstreamProcess } from "./upstream_process.ts";
 import {
   startUpstreamStandIn,
   type StartUpstreamStandInOptions,
@@ -155,3 +156,39 @@
   t.equal(await requestOutcome(url, "2"), "200 5000");
   t.equal(upstream.logs[1]?.all.length, 1);
 });
+
+// Guards against a process that starts late and keeps the address of an upstream that was given up.
+t.test("should end the process of an upstream that is not ready in time", async (t) => {
+  const upstream = new UpstreamProcess({
+    name: "swatches-1-1",
+    host: "127.0.0.1",
+    port: 0,
+  });
+  const started = upstream.start();
+  upstream.pause();
+  t.teardown(() => upstream.kill());
+  await t.rejects(started, { message: /is not ready/ });
+  t.notOk(upstream.isRunning);
+});
+
+// Guards against upstreams that keep their addresses after a mesh has failed to start.
+t.test("should close all upstreams of a mesh if one of them fails to start", async (t) => {
+  const options = {
+    zones: ["zone-a"],
+    services: ["swatches", "reservations"],
+    relay: false,
+    plans: "",
+    allowances: "",
+  };
+  const failed = startMesh({
+    ...options,
+    upstreamOptions: ({ service }) => {
+      if (service === "reservations") throw new Error("no such service");
+      return {};
+    },
+  });
+  await t.rejects(failed, { message: "no such service" });
+  const mesh = await startMesh(options);
+  t.equal(mesh.upstreams.size, 2);
+  await mesh.close();
+});
