--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./promises.ts";
 export * from "./run_soak.ts";
 export * from "./soak_fleet.ts";
+export * from "./upstream_notices.ts";
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -20,16 +20,18 @@
   findLateStarts,
   findMismatchedAnswers,
   findRequestsCutByStops,
-  findRunsAboveLimit,
   findSecondRuns,
-  findStartsAfterLeavingNotice,
   type LeavingInterval,
   type LimitInterval,
-  type NoticeContext,
   type PromiseName,
   type Violation,
 } from "./promises.ts";
 import { SoakFleet, VM_COUNT } from "./soak_fleet.ts";
+import {
+  findRunsAboveLimit,
+  findStartsAfterLeavingNotice,
+  type NoticeContext,
+} from "./upstream_notices.ts";
 import { VersionWatch } from "./version_watch.ts";
 
 /** Options of `runSoak`. */
