--- a/packages/admission/src/clock.ts
+++ b/packages/admission/src/clock.ts
@@ -1,4 +1,4 @@
-/** Clock and timers of `AdmissionQueue` and `UpstreamWatch`; their tests use a virtual clock. */
+/** Clock and timers of the admission queues and `UpstreamWatch`; tests and simulations use a virtual clock. */
 export interface Clock {
   /** Monotonic time in milliseconds; its origin is arbitrary. */
   nowMs(): number;
--- a/packages/admission/src/ranked_admission.ts
+++ b/packages/admission/src/ranked_admission.ts
@@ -9,6 +9,7 @@
   isServedBefore,
   type RankedRequest,
 } from "./ranked_order.ts";
+import { type Clock, systemClock, type Timer } from "./clock.ts";
 import { StartRate } from "./start_rate.ts";
 
 /** Why the owner daemon, the one on the upstream's VM, did not start a request. The request has not run. */
@@ -49,8 +50,7 @@
 /** Options of `RankedAdmission`. */
 export interface RankedAdmissionOptions {
   readonly slots: number;
-  /** Monotonic time in milliseconds. */
-  readonly nowMs?: () => number;
+  readonly clock?: Clock;
 }
 
 /** Number of ranks in the load report; less urgent requests are counted under the last one. */
@@ -65,24 +65,24 @@
 interface Waiter extends RankedRequest {
   readonly requestedAtMs: number;
   readonly deadlineAtMs: number;
-  timer: NodeJS.Timeout | undefined;
+  timer: Timer | undefined;
   settle(result: Result<Grant, RankedRefusal>): void;
 }
 
 /** Runs at most `slots` requests at once; the others wait by rank or are refused. */
 export class RankedAdmission {
-  readonly #nowMs: () => number;
+  readonly #clock: Clock;
   #slots: number;
   #running = 0;
   #leaving = false;
   #serviceTimeMs = INITIAL_SERVICE_TIME_MS;
   readonly #waiting = new Set<Waiter>();
   readonly #startRate = new StartRate();
-  #startTimer: NodeJS.Timeout | undefined;
+  #startTimer: Timer | undefined;
 
   constructor(options: RankedAdmissionOptions) {
     this.#slots = options.slots;
-    this.#nowMs = options.nowMs ?? (() => performance.now());
+    this.#clock = options.clock ?? systemClock;
   }
 
   get running(): number {
@@ -105,7 +105,7 @@
       waitingByRank,
       serviceTimeMs: this.#serviceTimeMs,
       limitPerSecond: this.#startRate.limitPerSecond,
-      startDelayMs: this.#startRate.delayMs(1, this.#nowMs()),
+      startDelayMs: this.#startRate.delayMs(1, this.#clock.nowMs()),
     };
   }
 
@@ -117,7 +117,7 @@
   /** Sets the number of requests per second that the upstream takes; undefined for no limit. */
   setLimit(limitPerSecond: number | undefined): void {
     if (limitPerSecond === this.#startRate.limitPerSecond) return;
-    this.#startRate.setLimit(limitPerSecond, this.#nowMs());
+    this.#startRate.setLimit(limitPerSecond, this.#clock.nowMs());
     this.#startNext();
   }
 
@@ -135,7 +135,7 @@
     readonly granted: Promise<Result<Grant, RankedRefusal>>;
     cancel(): void;
   } {
-    const nowMs = this.#nowMs();
+    const nowMs = this.#clock.nowMs();
     const verdict = decideRankedAdmission({
       isLeaving: this.#leaving,
       freeSlots: this.#startable(nowMs),
@@ -146,6 +146,7 @@
       lateWaitingCount: this.#countLateWaiting(nowMs),
       slots: this.#slots,
       isNested: request.isNested,
+      mayWait: request.mayWait,
     });
     if (verdict.kind === "wait") {
       return this.#enqueue(request, nowMs, verdict.maxWaitMs);
@@ -159,17 +160,21 @@
   }
 
   /** Time after which a caller that is refused now should retry. */
-  retryAfterMs(request: RankedRequest): number {
+  retryAfterMs(
+    request: RankedRequest & Pick<AdmitOptions, "deadlineAtMs">,
+  ): number {
+    const nowMs = this.#clock.nowMs();
     return decideRetryAfterMs({
       backlogMs: this.#predictWaitMs(request),
       neededMs: request.neededMs,
-      objectiveLeftMs: request.objectiveAtMs - this.#nowMs(),
+      objectiveLeftMs: request.objectiveAtMs - nowMs,
+      timeLeftMs: request.deadlineAtMs - nowMs,
     });
   }
 
   /** Refuses all waiting and new requests. */
   close(): void {
-    clearTimeout(this.#startTimer);
+    this.#startTimer?.cancel();
     this.setLeaving(true);
   }
 
@@ -183,7 +188,7 @@
     const ahead = countWaitingAhead([...this.#waiting], request) + 1;
     return Math.max(
       ahead * this.#serviceTimeMs / this.#slots,
-      this.#startRate.delayMs(ahead, this.#nowMs()),
+      this.#startRate.delayMs(ahead, this.#clock.nowMs()),
     );
   }
 
@@ -206,7 +211,7 @@
       timer: undefined,
       settle,
     };
-    waiter.timer = setTimeout(
+    waiter.timer = this.#clock.setTimer(
       () => this.#refuse(waiter, "busy"),
       Math.max(0, maxWaitMs),
     );
@@ -217,16 +222,16 @@
 
   #refuse(waiter: Waiter, reason: RankedRefusal): void {
     if (!this.#waiting.delete(waiter)) return;
-    clearTimeout(waiter.timer);
+    waiter.timer?.cancel();
     waiter.settle(Result.err(reason));
   }
 
   #grant(requestedAtMs: number): Grant {
     this.#running += 1;
-    this.#startRate.take(this.#nowMs());
+    this.#startRate.take(this.#clock.nowMs());
     let released = false;
     return {
-      waitedMs: this.#nowMs() - requestedAtMs,
+      waitedMs: this.#clock.nowMs() - requestedAtMs,
       release: ({ serviceTimeMs, wasSent }) => {
         if (released) return;
         released = true;
@@ -243,7 +248,7 @@
 
   #startNext(): void {
     while (this.#waiting.size > 0) {
-      const nowMs = this.#nowMs();
+      const nowMs = this.#clock.nowMs();
       if (this.#startable(nowMs) < 1) return this.#startLater(nowMs);
       let next: Waiter | undefined;
       for (const waiter of this.#waiting) {
@@ -261,7 +266,7 @@
         continue;
       }
       this.#waiting.delete(waiter);
-      clearTimeout(waiter.timer);
+      waiter.timer?.cancel();
       waiter.settle(Result.ok(this.#grant(waiter.requestedAtMs)));
     }
   }
@@ -269,7 +274,7 @@
   /** Continues once the limit allows another request to start; a free slot continues at once. */
   #startLater(nowMs: number): void {
     if (this.#running >= this.#slots || this.#startTimer !== undefined) return;
-    this.#startTimer = setTimeout(() => {
+    this.#startTimer = this.#clock.setTimer(() => {
       this.#startTimer = undefined;
       this.#startNext();
     }, this.#startRate.delayMs(1, nowMs));
@@ -281,4 +286,6 @@
   readonly deadlineAtMs: number;
   /** Whether a request that already holds a slot waits for this one. */
   readonly isNested: boolean;
+  /** Whether the request may wait; if not, it is refused unless a slot is free. */
+  readonly mayWait: boolean;
 }
--- a/packages/admission/src/ranked_admission_test.ts
+++ b/packages/admission/src/ranked_admission_test.ts
@@ -8,12 +8,16 @@
   decideRetryAfterMs,
   type Grant,
   RankedAdmission,
+  systemClock,
 } from "./index.ts";
 
 /** An admission with a clock that the test sets; each released request reports a service time of 100 ms. */
 function setUp(slots: number) {
   const clock = { nowMs: 0 };
-  const admission = new RankedAdmission({ slots, nowMs: () => clock.nowMs });
+  const admission = new RankedAdmission({
+    slots,
+    clock: { nowMs: () => clock.nowMs, setTimer: systemClock.setTimer },
+  });
   const log: string[] = [];
   const grants: Grant[] = [];
 
@@ -24,6 +28,7 @@
       deadlineAtMs: clock.nowMs + 2_000,
       neededMs: 100,
       isNested: false,
+      mayWait: true,
       ...options,
     });
     void granted.then((result) => {
@@ -100,6 +105,7 @@
   lateWaitingCount: 0,
   slots: 9,
   isNested: false,
+  mayWait: true,
 };
 
 t.test("should decide by objective, time left and whether another request waits for this one", (t) => {
@@ -116,11 +122,38 @@
   t.equal(decide({ freeSlots: 1, waitMs: 5_000 }), "run");
   t.equal(decide({ timeLeftMs: 0, freeSlots: 1 }), "deadline");
   t.equal(decide({ isLeaving: true, freeSlots: 1 }), "leaving");
+  t.equal(decide({ mayWait: false }), "busy");
+  t.equal(decide({ mayWait: false, freeSlots: 1 }), "run");
   t.end();
 });
 
+// Guards against a refusal 64 ms after the deadline of a request that could not be on time from 250 ms on.
+t.test("should not let a request wait for longer than it can be served on time", (t) => {
+  const wait = (options: Partial<DecideRankedAdmissionOptions>) => {
+    const verdict = decideRankedAdmission({ ...UNDER_LOAD, ...options });
+    return verdict.kind === "wait" ? verdict.maxWaitMs : verdict.kind;
+  };
+  t.equal(wait({}), 500, "objective less service time");
+  t.equal(wait({ waitMs: 480 }), "refuse", "on time only if it is fast");
+  t.equal(wait({ objectiveLeftMs: 60 }), 25, "late anywhere");
+  t.equal(wait({ isNested: true }), 1_900, "deadline less service time");
+  t.end();
+});
+
+t.test("should serve a request that is on time only if it is fast behind the others", async (t) => {
+  const { clock, admit, log, release } = setUp(1);
+  clock.nowMs = 1_000;
+  admit("first");
+  admit("tight", { objectiveAtMs: 1_120 });
+  admit("fresh");
+  await sleep(0);
+  t.same(log, ["first run", "tight busy"]);
+  await release();
+  t.same(log.at(-1), "fresh run");
+});
+
 t.test("should tell a refused caller to retry when the backlog is served, or after the burst", (t) => {
-  const shared = { neededMs: 100, objectiveLeftMs: 600 };
+  const shared = { neededMs: 100, objectiveLeftMs: 600, timeLeftMs: 4_000 };
   t.equal(decideRetryAfterMs({ ...shared, backlogMs: 300 }), 300);
   t.equal(decideRetryAfterMs({ ...shared, backlogMs: 0 }), 50);
   t.equal(decideRetryAfterMs({ ...shared, backlogMs: 550 }), 1_100);
--- a/packages/admission/src/ranked_decisions.ts
+++ b/packages/admission/src/ranked_decisions.ts
@@ -1,3 +1,5 @@
+import { isLikelyInTime } from "./ranked_order.ts";
+
 /** Options of `decideRankedAdmission`. */
 export interface DecideRankedAdmissionOptions {
   readonly isLeaving: boolean;
@@ -14,6 +16,8 @@
   readonly slots: number;
   /** Whether a request that already holds a slot waits for this one. */
   readonly isNested: boolean;
+  /** Whether the request may wait; if not, it is refused unless a slot is free. */
+  readonly mayWait: boolean;
 }
 
 /**
@@ -22,6 +26,12 @@
  */
 const LATE_WAITING_PER_SLOT = 1;
 
+/**
+ * Longest wait of a request that can no longer meet its objective, as a share of its service time. Under load above
+ * capacity, each late request that is served makes another one late.
+ */
+const LATE_WAIT_SHARE = 0.25;
+
 /** Whether a new request runs, waits or is refused, and how long it may wait. */
 export type AdmissionVerdict =
   | { readonly kind: "run" }
@@ -36,13 +46,14 @@
  *
  * Limits the queue under overload: if all requests waited, each answer would
  * arrive just too late, and so would the answers to requests that are pipelined
- * behind it on the same connection. So a request usually waits only if it can be
- * answered within its objective, and is refused at once otherwise, as another
- * upstream or a later retry may serve it in time.
+ * behind it on the same connection. So a request usually waits only as long as it
+ * can be answered within its objective, and is refused at once otherwise, as
+ * another upstream or a later retry may serve it in time.
  * There are two exceptions. A request that no upstream could answer within its
- * objective any more, such as a late retry, may wait for a pause in the load. A
- * nested call waits as long as its deadline allows, since a refusal would waste
- * the work of the request that waits for it.
+ * objective any more, such as a late retry, waits for a slot that is about to be
+ * free, but not longer: it is told at once that it cannot be served. A nested call
+ * waits as long as its deadline allows, since a refusal would waste the work of
+ * the request that waits for it.
  */
 export function decideRankedAdmission(
   options: DecideRankedAdmissionOptions,
@@ -51,21 +62,24 @@
   if (options.isLeaving) return { kind: "refuse", reason: "leaving" };
   if (!(timeLeftMs > 0)) return { kind: "refuse", reason: "deadline" };
   if (options.freeSlots > 0) return { kind: "run" };
+  if (!options.mayWait) return { kind: "refuse", reason: "busy" };
   const lastStartMs = timeLeftMs - neededMs;
   if (waitMs > lastStartMs) return { kind: "refuse", reason: "busy" };
   if (options.isNested) return { kind: "wait", maxWaitMs: lastStartMs };
-  if (waitMs + neededMs <= objectiveLeftMs) {
+  if (isLikelyInTime({ waitMs, neededMs, leftMs: objectiveLeftMs })) {
     return {
       kind: "wait",
-      maxWaitMs: Math.min(lastStartMs, objectiveLeftMs),
+      maxWaitMs: Math.min(lastStartMs, objectiveLeftMs - neededMs),
     };
   }
   const isLateEverywhere = objectiveLeftMs < neededMs;
   const lateWaitsLeft = LATE_WAITING_PER_SLOT * options.slots -
     options.lateWaitingCount;
-  return isLateEverywhere && lateWaitsLeft > 0
-    ? { kind: "wait", maxWaitMs: lastStartMs }
-    : { kind: "refuse", reason: "busy" };
+  if (!isLateEverywhere || lateWaitsLeft <= 0) {
+    return { kind: "refuse", reason: "busy" };
+  }
+  const maxWaitMs = Math.min(lastStartMs, LATE_WAIT_SHARE * neededMs);
+  return { kind: "wait", maxWaitMs };
 }
 
 /** Options of `decideRetryAfterMs`. */
@@ -74,6 +88,8 @@
   readonly backlogMs: number;
   readonly neededMs: number;
   readonly objectiveLeftMs: number;
+  /** Time until the caller's deadline. */
+  readonly timeLeftMs: number;
 }
 
 /** Minimum delay before a refused caller should retry. */
@@ -81,21 +97,27 @@
 
 /**
  * Minimum delay if a retry after the backlog has been served would miss the
- * objective. A burst lasts seconds, and with shorter delays a caller would use up
- * its few attempts within the burst.
+ * objective, as a share of the time left. A burst lasts seconds, and with shorter
+ * delays a caller would use up its few attempts within the burst.
  */
-const LATE_RETRY_AFTER_MS = 800;
+const LATE_RETRY_SHARE = 0.2;
 
 /**
  * Decides when a refused caller should retry: once the backlog has been served
  * if an answer would then still be on time, otherwise after a longer delay.
  */
 export function decideRetryAfterMs(options: DecideRetryAfterOptions): number {
-  const { backlogMs, neededMs, objectiveLeftMs } = options;
-  if (backlogMs + neededMs <= objectiveLeftMs) {
-    return Math.max(MIN_RETRY_AFTER_MS, backlogMs);
-  }
-  return Math.max(LATE_RETRY_AFTER_MS, 2 * backlogMs);
+  const { backlogMs, neededMs, objectiveLeftMs, timeLeftMs } = options;
+  const isOnTime = isLikelyInTime({
+    waitMs: backlogMs,
+    neededMs,
+    leftMs: objectiveLeftMs,
+  });
+  return Math.max(
+    MIN_RETRY_AFTER_MS,
+    isOnTime ? backlogMs : 2 * backlogMs,
+    isOnTime ? 0 : LATE_RETRY_SHARE * timeLeftMs,
+  );
 }
 
 /** Options of `decideRankedStart`. */
--- a/packages/admission/src/ranked_order.ts
+++ b/packages/admission/src/ranked_order.ts
@@ -8,6 +8,23 @@
   readonly neededMs: number;
 }
 
+/**
+ * Time that is planned for a request, as a multiple of its average service time. Service times vary, so half of the
+ * requests that start with just the average left are late.
+ */
+const PLANNED_SHARE = 1.25;
+
+/** Whether a request that starts after a wait is likely to end within a time. */
+export function isLikelyInTime(
+  { waitMs, neededMs, leftMs }: {
+    readonly waitMs: number;
+    readonly neededMs: number;
+    readonly leftMs: number;
+  },
+): boolean {
+  return waitMs + PLANNED_SHARE * neededMs <= leftMs;
+}
+
 /**
  * Whether `a` is served before `b`: by rank, then requests that can still meet
  * their latency objective, then by the earlier objective.
@@ -27,8 +44,11 @@
   return a.objectiveAtMs < b.objectiveAtMs;
 }
 
-function canMeetObjective(request: RankedRequest, nowMs: number): boolean {
-  return nowMs + request.neededMs <= request.objectiveAtMs;
+function canMeetObjective(
+  { neededMs, objectiveAtMs }: RankedRequest,
+  nowMs: number,
+): boolean {
+  return isLikelyInTime({ waitMs: 0, neededMs, leftMs: objectiveAtMs - nowMs });
 }
 
 /** Number of waiting requests of the same or a more urgent rank, all of which are assumed to be served first. */
--- a/packages/bench/src/policies/queue_simulation.ts
+++ b/packages/bench/src/policies/queue_simulation.ts
@@ -3,9 +3,8 @@
   type AdmissionQueueOptions,
   type RequestClass,
 } from "@tanagercove/admission";
-import { VirtualClock } from "@tanagercove/test_helpers";
+import { SeededRandom, VirtualClock } from "@tanagercove/test_helpers";
 import { Latencies, type LatencySummary, round } from "./latencies.ts";
-import { SeededRandom } from "./seeded_random.ts";
 
 /** Options of `simulateQueue`. */
 export interface QueueSimulationOptions {
--- a/packages/bench/src/policies/service_simulation.ts
+++ b/packages/bench/src/policies/service_simulation.ts
@@ -5,10 +5,9 @@
   type UpstreamResult,
 } from "@tanagercove/balancing";
 import { decideRetry, RetryBudget } from "@tanagercove/retries";
-import { VirtualClock } from "@tanagercove/test_helpers";
+import { SeededRandom, VirtualClock } from "@tanagercove/test_helpers";
 import type { Outcome, Reason, Vm } from "@tanagercove/types";
 import { Latencies, type LatencySummary, round } from "./latencies.ts";
-import { SeededRandom } from "./seeded_random.ts";
 
 /** How callers choose an upstream. */
 export type Choice = "round_robin" | "random" | "two_choices";
--- a/packages/placement/src/choose_placement.ts
+++ b/packages/placement/src/choose_placement.ts
@@ -10,6 +10,8 @@
   readonly failureShare: number;
   /** Whether the upstream is avoided for now because attempts to reach it or its owner daemon failed. */
   readonly isEjected: boolean;
+  /** Whether the upstream has just refused this request because it was full, so that its load is known exactly. */
+  readonly isKnownFull: boolean;
 }
 
 /** Options of `choosePlacement`. */
--- a/packages/placement/src/placement_test.ts
+++ b/packages/placement/src/placement_test.ts
@@ -1,7 +1,10 @@
 import t from "tap";
+import { SeededRandom } from "@tanagercove/test_helpers";
 import {
   choosePlacement,
+  drawCompared,
   type PlacementCandidate,
+  predictWaitMs,
   type UpstreamEjection,
   UpstreamReports,
 } from "./index.ts";
@@ -17,6 +20,7 @@
     serviceMs: 200,
     failureShare: 0,
     isEjected: false,
+    isKnownFull: false,
     ...options,
   };
 }
@@ -80,7 +84,9 @@
   return { clock, ejections, reports, attempt };
 }
 
-t.test("should predict the wait from the last report and the requests sent since", (t) => {
+const IDLE = { occupancy: 0, serviceTimeMs: 100 };
+
+function setUpLoadedReports() {
   const { clock, reports } = setUpReports();
   reports.begin("u");
   reports.recordLoad("u", {
@@ -89,12 +95,104 @@
     waitingByRank: [0, 0, 4, 8],
     serviceTimeMs: 100,
   });
-  t.equal(reports.waitMs("u", 2), 125, "less urgent requests are not ahead");
-  t.equal(reports.waitMs("u", 3), 325);
+  const waitMs = (rank: number, usualOfService = IDLE) =>
+    predictWaitMs({
+      known: reports.knownLoad("u"),
+      usualOfService,
+      slots: 4,
+      rank,
+    });
+  return { clock, reports, waitMs };
+}
+
+t.test("should predict the wait from the last report and the requests sent since", (t) => {
+  const { reports, waitMs } = setUpLoadedReports();
+  t.equal(waitMs(2), 125, "less urgent requests are not ahead");
+  t.equal(waitMs(3), 325);
   reports.begin("u");
-  t.equal(reports.waitMs("u", 2), 150);
+  t.equal(waitMs(2), 150);
+  t.end();
+});
+
+// Guards against the load of a fleet in which a daemon sends an upstream one request in seconds: its last report said
+// that it was full, or that it was idle, and it was avoided or chosen for that long after the load had changed.
+t.test("should expect that an upstream returns to its usual load while a report grows old", (t) => {
+  const { clock, reports, waitMs } = setUpLoadedReports();
+  clock.nowMs += 1_000;
+  const load = { running: 0, slots: 4, waitingByRank: [], serviceTimeMs: 100 };
+  reports.recordLoad("u", load);
+  t.equal(waitMs(2), 0);
   clock.nowMs += 100;
-  t.equal(reports.waitMs("u", 2), 50, "the queue drains meanwhile");
+  const afterServiceTimeMs = waitMs(2);
+  t.ok(afterServiceTimeMs > 0, "half of the slots may be taken again");
+  clock.nowMs += 900;
+  t.ok(waitMs(2) > 2 * afterServiceTimeMs);
+  t.end();
+});
+
+// Guards against 46 % of all attempts at full upstreams beside idle ones: an upstream without a report counted as idle.
+t.test("should expect of an upstream without a report what the others of its service hold", (t) => {
+  const predict = (occupancy: number) =>
+    predictWaitMs({
+      known: undefined,
+      usualOfService: { occupancy, serviceTimeMs: 100 },
+      slots: 4,
+      rank: 2,
+    });
+  t.ok(predict(0) < 5, "free slots are likely");
+  t.ok(predict(1) > 25, "a free slot is unlikely");
+  t.ok(predict(3) > 200, "several requests are ahead of each slot");
+  const { reports, waitMs } = setUpLoadedReports();
+  t.equal(reports.usualLoad(["u", "unknown"]).occupancy, 2);
+  t.same(reports.usualLoad(["unknown"]).occupancy, 0);
+  t.equal(waitMs(3, { occupancy: 9, serviceTimeMs: 100 }), 325, "not of it");
+  t.end();
+});
+
+function drawFrom(
+  count: number,
+  isOf: {
+    readonly isEjected?: (index: number) => boolean;
+    readonly isKnownFull?: (index: number) => boolean;
+  } = {},
+) {
+  const { next: random } = new SeededRandom(20261205);
+  const { isEjected = () => false, isKnownFull = () => false } = isOf;
+  return Array.from({ length: 1_000 }, () =>
+    drawCompared(count, {
+      isOwnZone: (index) => index % 2 === 0,
+      isEjected,
+      isKnownFull,
+      random,
+    }));
+}
+
+// Guards against the herd: with the same knowledge, all daemons of a zone sent their requests to the same upstream.
+t.test("should compare a few upstreams of the own zone and a few others, all of them equally often", (t) => {
+  const counts = new Array<number>(40).fill(0);
+  for (const drawn of drawFrom(40)) {
+    t.equal(new Set(drawn).size, 8);
+    t.equal(drawn.filter((index) => index % 2 === 0).length, 4);
+    for (const index of drawn) counts[index]! += 1;
+  }
+  t.ok(Math.min(...counts) > 120 && Math.max(...counts) < 280, `${counts}`);
+  t.same(drawFrom(3)[0]!.toSorted(), [0, 1, 2]);
+  t.end();
+});
+
+t.test("should compare an upstream that is known to be full, and an ejected one only if no other is left", (t) => {
+  const isEjected = (index: number) => index < 30;
+  for (
+    const drawn of drawFrom(40, {
+      isEjected,
+      isKnownFull: (index) => index === 35,
+    })
+  ) {
+    t.ok(drawn.includes(35));
+    t.notOk(drawn.some(isEjected));
+  }
+  t.ok(drawFrom(40, { isEjected: () => true })[0]!.length > 0);
+  t.same(drawFrom(0)[0], []);
   t.end();
 });
 
--- a/packages/placement/src/upstream_reports.ts
+++ b/packages/placement/src/upstream_reports.ts
@@ -1,3 +1,9 @@
+import {
+  type KnownLoad,
+  requestsAhead,
+  type UsualLoad,
+} from "./predict_wait.ts";
+
 /** Load of an upstream, reported by its owner daemon. */
 export interface ReportedLoad {
   readonly running: number;
@@ -43,12 +49,15 @@
   readonly lengthMs: number;
 }
 
-/**
- * Age after which a load report is ignored if this daemon has no request in flight to the upstream, since the queue
- * has drained or grown meanwhile.
- */
+/** Age from which a load report says nothing of the load now. */
 const REPORT_MAX_AGE_MS = 1_500;
 
+/** Service time assumed while no upstream of a service has reported one. */
+const DEFAULT_SERVICE_TIME_MS = 150;
+
+/** Weight of the newest report in the average occupancy, which thus covers about the last 5 reports. */
+const USUAL_WEIGHT = 0.2;
+
 /** Weight of the newest service time in the average, which thus covers about the last 10 requests of a route. */
 const SERVICE_TIME_WEIGHT = 0.2;
 
@@ -69,6 +78,7 @@
 
 interface UpstreamRecord {
   load: ReportedLoad | undefined;
+  usualOccupancy: number;
   reportedAtMs: number;
   /** Requests of this daemon sent to the upstream since the last report. */
   sentSinceReport: number;
@@ -109,6 +119,11 @@
 
   recordLoad(id: string, load: ReportedLoad): void {
     const record = this.#record(id);
+    const occupancy = requestsAhead(load, Infinity) / load.slots;
+    record.usualOccupancy = record.load === undefined
+      ? occupancy
+      : record.usualOccupancy +
+        USUAL_WEIGHT * (occupancy - record.usualOccupancy);
     record.load = load;
     record.reportedAtMs = this.#nowMs();
     record.sentSinceReport = 0;
@@ -128,28 +143,43 @@
     );
   }
 
-  /**
-   * Predicted time that a request of the given rank waits for a slot; 0 if there is no load report or it is ignored
-   * (see `REPORT_MAX_AGE_MS`).
-   */
-  waitMs(id: string, rank: number): number {
+  /** What is known of the load of an upstream; undefined without a report or if it is too old. */
+  knownLoad(id: string): KnownLoad | undefined {
     const record = this.#records.get(id);
-    if (record?.load === undefined) return 0;
+    if (record?.load === undefined) return undefined;
     const ageMs = this.#nowMs() - record.reportedAtMs;
-    if (ageMs > REPORT_MAX_AGE_MS && record.inFlight === 0) return 0;
-    const { running, slots, waitingByRank, serviceTimeMs } = record.load;
-    let waitingAhead = record.sentSinceReport;
-    for (const [waitingRank, count] of waitingByRank.entries()) {
-      if (waitingRank <= rank) waitingAhead += count;
+    if (ageMs > REPORT_MAX_AGE_MS) return undefined;
+    const { load, usualOccupancy: occupancy, sentSinceReport } = record;
+    const { serviceTimeMs } = load;
+    return {
+      load,
+      usual: { occupancy, serviceTimeMs },
+      ageMs,
+      sentSinceReport,
+    };
+  }
+
+  /**
+   * Average of what is known of these upstreams and of one that is idle, so that a full upstream does not keep a daemon
+   * from trying the others of a small service.
+   */
+  usualLoad(ids: Iterable<string>): UsualLoad {
+    let occupancy = 0;
+    let serviceTimeMs = 0;
+    let count = 0;
+    for (const id of ids) {
+      const usual = this.knownLoad(id)?.usual;
+      if (usual === undefined) continue;
+      occupancy += usual.occupancy;
+      serviceTimeMs += usual.serviceTimeMs;
+      count += 1;
     }
-    const ahead = running + waitingAhead;
-    const drained = ageMs * slots / serviceTimeMs;
-    const mustFinishFirst = ahead - Math.min(drained, ahead) + 1 - slots;
-    return Math.max(
-      mustFinishFirst * serviceTimeMs / slots,
-      limitWaitMs(record.load, { waitingAhead, ageMs }),
-      0,
-    );
+    return count === 0
+      ? { occupancy: 0, serviceTimeMs: DEFAULT_SERVICE_TIME_MS }
+      : {
+        occupancy: occupancy / (count + 1),
+        serviceTimeMs: serviceTimeMs / count,
+      };
   }
 
   /** Average service time of an upstream on a route; undefined if there was no answer yet. */
@@ -215,6 +245,7 @@
     if (existing !== undefined) return existing;
     const record: UpstreamRecord = {
       load: undefined,
+      usualOccupancy: 0,
       reportedAtMs: -Infinity,
       sentSinceReport: 0,
       inFlight: 0,
@@ -229,15 +260,3 @@
     return record;
   }
 }
-
-/** Predicted wait behind the requests that an upstream's limit lets start first; 0 without a limit. */
-function limitWaitMs(
-  { limitPerSecond, startDelayMs = 0 }: ReportedLoad,
-  { waitingAhead, ageMs }: {
-    readonly waitingAhead: number;
-    readonly ageMs: number;
-  },
-): number {
-  if (limitPerSecond === undefined) return 0;
-  return startDelayMs + waitingAhead * 1_000 / limitPerSecond - ageMs;
-}
--- a/packages/sidecar/src/decisions_test.ts
+++ b/packages/sidecar/src/decisions_test.ts
@@ -153,6 +153,7 @@
     isNested: true,
     callerService: "web",
     version: 12,
+    mayWait: true,
   };
   t.same(decodeTicket(encodeTicket(ticket)), ticket);
   t.equal(decodeTicket("1,2"), undefined);
--- a/packages/sidecar/src/forwarding.ts
+++ b/packages/sidecar/src/forwarding.ts
@@ -27,8 +27,16 @@
   readonly callerService: string;
   /** Configuration version that the route comes from. */
   readonly version: number;
+  /**
+   * Whether the request may wait for a slot; if not, it is refused unless one is free. Sent in `NO_WAIT_HEADER`, since
+   * daemons of earlier versions read a ticket only with the fields they know.
+   */
+  readonly mayWait: boolean;
 }
 
+/** Header of a forwarded request that may not wait for a slot. */
+export const NO_WAIT_HEADER = "tanagercove-no-wait";
+
 /** Why a request has certainly not run and will not run. */
 export type NotRunReason =
   | RankedRefusal
@@ -90,7 +98,14 @@
   ].join(",");
 }
 
-/** Decodes a ticket; undefined if the field count, a number or a percent-encoding is wrong. */
+/** Fields of a forwarded request, as alternating names and values. */
+export function ticketHeaders(ticket: ForwardTicket): readonly string[] {
+  const fields = [FORWARD_HEADER, encodeTicket(ticket)];
+  if (!ticket.mayWait) fields.push(NO_WAIT_HEADER, "1");
+  return fields;
+}
+
+/** Decodes a ticket that may wait; undefined if the field count, a number or a percent-encoding is wrong. */
 export function decodeTicket(text: string): ForwardTicket | undefined {
   const parts = text.split(",");
   if (parts.length !== 10) return undefined;
@@ -113,6 +128,7 @@
     isNested: numbers[4] === 1,
     callerService,
     version: numbers[5]!,
+    mayWait: true,
   };
 }
 
--- /dev/null
+++ b/packages/sidecar/src/mesh_loads.ts
@@ -0,0 +1,180 @@
+import type { SimulateMeshOptions } from "./mesh_simulation.ts";
+
+/** Load patterns of `simulateMesh`. */
+export type MeshLoad = Omit<SimulateMeshOptions, "seed" | "durationMs">;
+
+/** Slots of each upstream of the fleet. */
+const FLEET_SLOTS = 5;
+
+/**
+ * A fleet of 195 upstreams in five zones whose speeds differ by a factor of 2.3. A daemon sends an upstream of its zone
+ * about one request in 4 s. `load` multiplies the requests; 1 takes about 95 % of the slots of the busiest service.
+ */
+export function fleetLoad({ load = 1 } = {}): MeshLoad {
+  const slots = FLEET_SLOTS;
+  return {
+    zones: 5,
+    services: [
+      { name: "swatches", upstreamsPerZone: 15, slots, speeds: [0.6, 1, 1.4] },
+      {
+        name: "reservations",
+        upstreamsPerZone: 9,
+        slots,
+        speeds: [0.7, 0.7, 1.6],
+      },
+      { name: "fittings", upstreamsPerZone: 5, slots, speeds: [0.7, 0.7, 1.6] },
+      { name: "venues", upstreamsPerZone: 11, slots, speeds: [0.7, 0.7, 1.6] },
+    ],
+    kinds: [
+      {
+        name: "swatch-browse",
+        service: "swatches",
+        requestClass: "idempotent",
+        perSecond: 1_180 * load,
+        meanWorkMs: 235,
+        spread: 0.3,
+        objectiveMs: 620,
+        deadlineMs: 2_000,
+        priority: 2,
+        retries: 2,
+        calls: { kind: "stock-check", times: 2, share: 0.7, isTogether: true },
+      },
+      {
+        name: "cover-reserve",
+        service: "reservations",
+        requestClass: "non_idempotent",
+        perSecond: 395 * load,
+        meanWorkMs: 306,
+        spread: 0.3,
+        objectiveMs: 1_030,
+        deadlineMs: 3_000,
+        priority: 1,
+        retries: 2,
+        calls: { kind: "rota-lookup", times: 1, share: 0.7, isTogether: false },
+      },
+      {
+        name: "fitting-confirm",
+        service: "fittings",
+        requestClass: "non_idempotent",
+        perSecond: 355 * load,
+        meanWorkMs: 163,
+        spread: 0.5,
+        objectiveMs: 615,
+        deadlineMs: 1_500,
+        priority: 0,
+        retries: 2,
+        calls: { kind: "hall-layout", times: 1, share: 0.7, isTogether: true },
+      },
+      {
+        name: "venue-plan",
+        service: "venues",
+        requestClass: "idempotent",
+        perSecond: 240 * load,
+        meanWorkMs: 949,
+        spread: 0.5,
+        objectiveMs: 2_566,
+        deadlineMs: 8_000,
+        priority: 2,
+        retries: 2,
+      },
+      ...["stock-check", "rota-lookup", "hall-layout"].map((name, i) => ({
+        name,
+        service: ["reservations", "fittings", "venues"][i]!,
+        requestClass: "idempotent" as const,
+        perSecond: 0,
+        meanWorkMs: 59,
+        spread: 0.5,
+        objectiveMs: 258,
+        deadlineMs: 812,
+        priority: 0,
+        retries: 0,
+      })),
+    ],
+  };
+}
+
+/**
+ * Three upstreams of each of four services, one in each of three zones, with objectives of 0.4 of the deadlines. `load`
+ * multiplies the requests; 1 is a usual day.
+ */
+export function shopLoad({ load = 1 } = {}): MeshLoad {
+  const service = (name: string, speeds: readonly number[]) => ({
+    name,
+    upstreamsPerZone: 1,
+    slots: 6,
+    speeds,
+  });
+  return {
+    zones: 3,
+    services: [
+      service("catalogue", [0.7, 0.7, 1.6]),
+      service("commandes", [0.6, 1, 1.4]),
+      service("historique", [0.5, 1, 1.5]),
+      service("livraisons", [0.5, 1, 1.5]),
+    ],
+    kinds: [
+      {
+        name: "catalogue-browse",
+        service: "catalogue",
+        requestClass: "idempotent",
+        perSecond: 90 * load,
+        meanWorkMs: 120,
+        spread: 0.3,
+        objectiveMs: 400,
+        deadlineMs: 1_000,
+        priority: 2,
+        retries: 1,
+        calls: { kind: "price-lookup", times: 1, share: 0.7, isTogether: true },
+      },
+      {
+        name: "order-submit",
+        service: "commandes",
+        requestClass: "non_idempotent",
+        perSecond: 34 * load,
+        meanWorkMs: 160,
+        spread: 0.5,
+        objectiveMs: 500,
+        deadlineMs: 1_200,
+        priority: 1,
+        retries: 1,
+        calls: { kind: "stock-lookup", times: 1, share: 0.7, isTogether: true },
+      },
+      {
+        name: "order-history",
+        service: "historique",
+        requestClass: "idempotent",
+        perSecond: 34 * load,
+        meanWorkMs: 300,
+        spread: 0.3,
+        objectiveMs: 800,
+        deadlineMs: 2_000,
+        priority: 2,
+        retries: 1,
+      },
+      {
+        name: "delivery-confirm",
+        service: "livraisons",
+        requestClass: "non_idempotent",
+        perSecond: 11 * load,
+        meanWorkMs: 96,
+        spread: 0.3,
+        objectiveMs: 300,
+        deadlineMs: 800,
+        priority: 2,
+        retries: 1,
+      },
+      ...["price-lookup", "stock-lookup"].map((name, i) => ({
+        name,
+        service: ["commandes", "historique"][i]!,
+        requestClass: "idempotent" as const,
+        perSecond: 0,
+        meanWorkMs: 30,
+        spread: 0.5,
+        objectiveMs: 120,
+        deadlineMs: 400,
+        priority: 0,
+        retries: 0,
+      })),
+    ],
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/mesh_simulation.ts
@@ -0,0 +1,513 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { RankedAdmission } from "@tanagercove/admission";
+import { Catalog } from "@tanagercove/catalog";
+import { UpstreamReports } from "@tanagercove/placement";
+import { ServiceBudgets } from "@tanagercove/retries";
+import { SeededRandom, VirtualClock } from "@tanagercove/test_helpers";
+import type { RequestClass, Route } from "@tanagercove/types";
+import type { RoutedRequest } from "./caller_request.ts";
+import { LeavingUpstreams } from "./leaving_upstreams.ts";
+import type { OwnedRequest, OwnedResult, OwnedRun } from "./owner.ts";
+import type {
+  ForwardOptions,
+  ForwardResult,
+  ForwardRun,
+} from "./peer_client.ts";
+import { REFUSALS } from "./refusals.ts";
+import { RouteTimes } from "./route_times.ts";
+import {
+  createRequestServer,
+  type ServedRequest,
+  type ServeRequest,
+} from "./serve_request.ts";
+
+/** A service whose upstreams are spread evenly over the zones. */
+export interface SimulatedService {
+  readonly name: string;
+  readonly upstreamsPerZone: number;
+  readonly slots: number;
+  /** Speeds of the upstreams, in turn; an upstream of speed 2 takes half of the time. */
+  readonly speeds: readonly number[];
+}
+
+/** Calls that a request of a kind makes while it holds its slot. */
+export interface SimulatedCalls {
+  readonly kind: string;
+  readonly times: number;
+  /** Share of the requests that make the calls, 0 to 1. */
+  readonly share: number;
+  readonly isTogether: boolean;
+}
+
+/** A kind of request. */
+export interface SimulatedKind {
+  readonly name: string;
+  readonly service: string;
+  readonly requestClass: RequestClass;
+  /** Requests per second of all zones together; 0 for a kind that only upstreams call. */
+  readonly perSecond: number;
+  readonly meanWorkMs: number;
+  /** Half of the width of the work's distribution, as a share of its mean. */
+  readonly spread: number;
+  readonly objectiveMs: number;
+  readonly deadlineMs: number;
+  readonly priority: number;
+  /** Retries of a caller after a refusal. */
+  readonly retries: number;
+  readonly calls?: SimulatedCalls;
+}
+
+/** A time in which more requests arrive, or fewer. */
+export interface SimulatedBurst {
+  readonly atMs: number;
+  readonly forMs: number;
+  readonly factor: number;
+  /** Zone that it concerns; all zones by default. */
+  readonly zone?: number;
+}
+
+/** Options of `simulateMesh`. */
+export interface SimulateMeshOptions {
+  readonly seed: number;
+  readonly zones: number;
+  readonly services: readonly SimulatedService[];
+  readonly kinds: readonly SimulatedKind[];
+  readonly durationMs: number;
+  readonly bursts?: readonly SimulatedBurst[];
+  /** Time of a hop between daemons of a zone, and of different zones. */
+  readonly hopMs?: number;
+  readonly otherZoneHopMs?: number;
+  /** Interval at which the daemons of a zone learn the load of its upstreams; never by default. */
+  readonly digestIntervalMs?: number;
+}
+
+/** How the requests of a kind ended. */
+export interface KindFigures {
+  readonly asked: number;
+  readonly onTime: number;
+  readonly late: number;
+  readonly refused: number;
+  readonly failed: number;
+  /** Time from the arrival of a request to its refusal, in the order of time. */
+  readonly refusedAfterMs: readonly number[];
+}
+
+/** Figures of a simulation. */
+export interface MeshFigures {
+  readonly kinds: Readonly<Record<string, KindFigures>>;
+  /** Attempts that had to wait, or were refused for good, while another upstream of the service in the zone had a free slot. */
+  readonly waitedWhileFree: number;
+  readonly attempts: number;
+  /** Attempts that left the zone of their caller. */
+  readonly otherZoneAttempts: number;
+  /** Highest number of arrivals at one upstream, relative to the mean of its service. */
+  readonly arrivalsOfBusiest: Readonly<Record<string, number>>;
+}
+
+interface MutableKindFigures {
+  asked: number;
+  onTime: number;
+  late: number;
+  refused: number;
+  failed: number;
+  readonly refusedAfterMs: number[];
+}
+
+interface SimulatedVm {
+  readonly id: string;
+  readonly zone: string;
+  readonly address: string;
+  readonly service: SimulatedService;
+  readonly speed: number;
+  readonly admission: RankedAdmission;
+  readonly routeTimes: RouteTimes;
+  readonly reports: UpstreamReports;
+  serve: ServeRequest;
+  arrivals: number;
+}
+
+const PEER_PORT = 1;
+
+/** Runs daemons and upstreams with the decisions of the product in virtual time. */
+export async function simulateMesh(
+  options: SimulateMeshOptions,
+): Promise<MeshFigures> {
+  const { hopMs = 1, otherZoneHopMs = 2.5, bursts = [] } = options;
+  const clock = new VirtualClock();
+  const nowMs = () => clock.nowMs();
+  const random = new SeededRandom(options.seed);
+  const catalog = new Catalog({ nowMs });
+  const kinds = new Map(options.kinds.map((kind) => [kind.name, kind]));
+  const figures = new Map(
+    options.kinds.map(({ name }) => [name, createKindFigures()]),
+  );
+  const total = { attempts: 0, waitedWhileFree: 0, otherZoneAttempts: 0 };
+  const vms: SimulatedVm[] = [];
+  for (const service of options.services) {
+    const count = service.upstreamsPerZone * options.zones;
+    for (let i = 0; i < count; i += 1) createVm(service, i);
+  }
+  const vmByAddress = new Map(vms.map((vm) => [vm.address, vm]));
+  catalog.apply(vms.map(({ id, zone, address, service }, i) => ({
+    kind: "upstream" as const,
+    revision: i + 1,
+    entry: {
+      id,
+      service: service.name,
+      address,
+      port: 80,
+      zone,
+      slots: service.slots,
+      state: "ready" as const,
+      coldMs: 0,
+      bornMs: 1,
+    },
+  })));
+  for (const vm of vms) vm.serve = createServe(vm);
+  for (let zone = 0; zone < options.zones; zone += 1) shareLoads(zone);
+  for (const kind of options.kinds) {
+    if (kind.perSecond === 0) continue;
+    for (let zone = 0; zone < options.zones; zone += 1) {
+      scheduleArrival(kind, zone);
+    }
+  }
+  await clock.advance(options.durationMs);
+  const longestMs = Math.max(...options.kinds.map((kind) => kind.deadlineMs));
+  await clock.advance(longestMs + 1);
+  for (const { admission } of vms) admission.close();
+  return {
+    kinds: Object.fromEntries(figures),
+    ...total,
+    arrivalsOfBusiest: Object.fromEntries(
+      options.services.map(({ name }) => [name, busiest(name)]),
+    ),
+  };
+
+  function createVm(service: SimulatedService, index: number): void {
+    const zone = index % options.zones;
+    const number = Math.floor(index / options.zones);
+    vms.push({
+      id: `${service.name}-${index}`,
+      zone: `zone-${zone}`,
+      address: `10.${options.services.indexOf(service)}.${zone}.${number}`,
+      service,
+      speed: service.speeds[(number + zone) % service.speeds.length]!,
+      admission: new RankedAdmission({ slots: service.slots, clock }),
+      routeTimes: new RouteTimes(),
+      reports: new UpstreamReports({ nowMs }),
+      serve: () => Promise.resolve({ kind: "gone" }),
+      arrivals: 0,
+    });
+  }
+
+  function createServe(vm: SimulatedVm): ServeRequest {
+    return createRequestServer({
+      zone: vm.zone,
+      address: vm.address,
+      service: vm.service.name,
+      peerPort: PEER_PORT,
+      catalog,
+      owner: { run: (request) => startRun(vm, request) },
+      ownerState: () => ownerState(vm),
+      leaving: new LeavingUpstreams(catalog),
+      peers: { forward: (request) => forward(vm, request) },
+      reports: vm.reports,
+      budgets: new ServiceBudgets({
+        ratio: 0.2,
+        slack: 50,
+        windowMs: 10_000,
+        daemons: () => vms.length,
+        nowMs,
+      }),
+      sendQueue: { wait: () => Promise.resolve() },
+      isStopping: () => false,
+      onPeerState: () => {},
+      nowMs,
+      random: random.next,
+    });
+  }
+
+  function ownerState({ admission }: SimulatedVm) {
+    return { load: admission.load(), version: 1, revision: 1 };
+  }
+
+  function scheduleArrival(kind: SimulatedKind, zone: number): void {
+    const rate = kind.perSecond * factorAt(zone) / options.zones;
+    clock.setTimer(() => {
+      if (nowMs() >= options.durationMs) return;
+      const daemons = vms.filter((vm) => vm.zone === `zone-${zone}`);
+      const vm = daemons[Math.floor(random.next() * daemons.length)]!;
+      void sendAsCaller(vm, kind);
+      scheduleArrival(kind, zone);
+    }, random.exponential(1_000 / rate));
+  }
+
+  /** Tells the daemons of a zone the load of its upstreams, as it was in the middle of the interval. */
+  function shareLoads(zone: number): void {
+    const { digestIntervalMs } = options;
+    if (digestIntervalMs === undefined) return;
+    const zoneVms = vms.filter((vm) => vm.zone === `zone-${zone}`);
+    const ageMs = digestIntervalMs / 2;
+    clock.setTimer(() => {
+      const loads = zoneVms.map(({ id, admission }) => ({
+        id,
+        load: admission.load(),
+      }));
+      clock.setTimer(() => {
+        for (const { reports } of zoneVms) {
+          for (const { id, load } of loads) reports.recordLoad(id, load);
+        }
+      }, ageMs);
+      if (nowMs() < options.durationMs) shareLoads(zone);
+    }, digestIntervalMs);
+  }
+
+  function factorAt(zone: number): number {
+    return bursts
+      .filter((burst) => burst.zone === undefined || burst.zone === zone)
+      .filter(({ atMs, forMs }) => nowMs() >= atMs && nowMs() < atMs + forMs)
+      .reduce((product, { factor }) => product * factor, 1);
+  }
+
+  /** Sends a request as a caller does, which retries after a refusal and after a failure of an idempotent request. */
+  async function sendAsCaller(
+    vm: SimulatedVm,
+    kind: SimulatedKind,
+  ): Promise<void> {
+    const figure = figures.get(kind.name)!;
+    const startedMs = nowMs();
+    const deadlineAtMs = startedMs + kind.deadlineMs;
+    figure.asked += 1;
+    for (let retry = 0;; retry += 1) {
+      const sentAtMs = nowMs();
+      const served = await vm.serve(routedRequest(kind, {
+        deadlineAtMs,
+        objectiveAtMs: startedMs + kind.objectiveMs,
+        isNested: false,
+      }));
+      if (nowMs() > deadlineAtMs) {
+        figure.failed += 1;
+        return;
+      }
+      if (isSuccess(served)) {
+        const isOnTime = nowMs() - startedMs <= kind.objectiveMs;
+        figure[isOnTime ? "onTime" : "late"] += 1;
+        return;
+      }
+      const isRefused = served.kind === "refused" &&
+        REFUSALS[served.reason].status === 503;
+      if (isRefused) figure.refusedAfterMs.push(nowMs() - sentAtMs);
+      const mayRetry = isRefused || kind.requestClass === "idempotent";
+      if (!mayRetry || retry >= kind.retries) {
+        figure[isRefused ? "refused" : "failed"] += 1;
+        return;
+      }
+      const timeLeftMs = deadlineAtMs - nowMs();
+      const pauseMs = served.kind === "refused" ? served.retryAfterMs : 0;
+      const spread = 1 + random.next() / 2;
+      await wait(Math.min(pauseMs * spread, timeLeftMs / 3));
+    }
+  }
+
+  function forward(
+    from: SimulatedVm,
+    { destination, request }: ForwardOptions,
+  ): ForwardRun {
+    const to = vmByAddress.get(destination.address)!;
+    const isOtherZone = to.zone !== from.zone;
+    const oneWayMs = isOtherZone ? otherZoneHopMs : hopMs;
+    if (isOtherZone) total.otherZoneAttempts += 1;
+    const run = startRun(to, request, oneWayMs);
+    const ended = run.ended.then(async (result): Promise<ForwardResult> => {
+      const state = ownerState(to);
+      await wait(oneWayMs);
+      return { ...result, state };
+    });
+    return { ended, cancel: run.cancel };
+  }
+
+  function startRun(
+    vm: SimulatedVm,
+    request: OwnedRequest,
+    delayMs = 0,
+  ): OwnedRun {
+    let cancelled = false;
+    let cancelWait = () => {};
+    async function run(): Promise<OwnedResult> {
+      if (delayMs > 0) await wait(delayMs);
+      const { ticket } = request;
+      const arrivedMs = nowMs();
+      recordArrival(vm, ticket.mayWait);
+      const ranked = {
+        rank: ticket.rank,
+        objectiveAtMs: arrivedMs + ticket.objectiveLeftMs,
+        neededMs: vm.routeTimes.expectedMs(ticket.route),
+        deadlineAtMs: arrivedMs + ticket.timeLeftMs,
+      };
+      const admitted = vm.admission.admit({
+        ...ranked,
+        isNested: ticket.isNested,
+        mayWait: ticket.mayWait,
+      });
+      cancelWait = admitted.cancel;
+      const granted = await admitted.granted;
+      if (granted.isErr) {
+        return {
+          verdict: {
+            kind: "not_run",
+            reason: granted.error,
+            reachedUpstream: false,
+            retryAfterMs: vm.admission.retryAfterMs(ranked),
+          },
+          answer: undefined,
+        };
+      }
+      const startedMs = nowMs();
+      const status = await runOnUpstream(vm, kinds.get(ticket.route)!, {
+        deadlineAtMs: ranked.deadlineAtMs,
+      });
+      const serviceMs = nowMs() - startedMs;
+      granted.value.release({ serviceTimeMs: serviceMs, wasSent: true });
+      if (cancelled || status === undefined) {
+        const reason = cancelled ? "cancelled" : "deadline";
+        return { verdict: { kind: "unknown", reason }, answer: undefined };
+      }
+      vm.routeTimes.record(ticket.route, serviceMs);
+      return {
+        verdict: { kind: "answered", serviceMs },
+        answer: { status, headers: [], body: Buffer.alloc(0) },
+      };
+    }
+    total.attempts += 1;
+    return {
+      ended: run(),
+      cancel() {
+        cancelled = true;
+        cancelWait();
+      },
+    };
+  }
+
+  function recordArrival(vm: SimulatedVm, mayWait: boolean): void {
+    vm.arrivals += 1;
+    const isFull = (other: SimulatedVm) =>
+      other.admission.running >= other.service.slots;
+    if (!isFull(vm) || !mayWait) return;
+    const hasFree = vms.some((other) =>
+      other.service === vm.service && other.zone === vm.zone && !isFull(other)
+    );
+    if (hasFree) total.waitedWhileFree += 1;
+  }
+
+  /** Returns the status of the answer; undefined if the deadline passes first. */
+  async function runOnUpstream(
+    vm: SimulatedVm,
+    kind: SimulatedKind,
+    { deadlineAtMs }: { readonly deadlineAtMs: number },
+  ): Promise<number | undefined> {
+    const factor = random.between(1 - kind.spread, 1 + kind.spread);
+    const workMs = kind.meanWorkMs * factor / vm.speed;
+    const { calls } = kind;
+    let status = 200;
+    if (calls !== undefined && random.next() < calls.share) {
+      const called = kinds.get(calls.kind)!;
+      const call = () => sendNested(vm, called, deadlineAtMs);
+      const results: boolean[] = [];
+      if (calls.isTogether) {
+        results.push(
+          ...await Promise.all(Array.from({ length: calls.times }, call)),
+        );
+      } else {
+        for (let i = 0; i < calls.times; i += 1) results.push(await call());
+      }
+      if (!results.every(Boolean)) status = 500;
+    }
+    const leftMs = Math.max(0, deadlineAtMs - nowMs());
+    await wait(Math.min(workMs, leftMs));
+    return workMs > leftMs ? undefined : status;
+  }
+
+  async function sendNested(
+    vm: SimulatedVm,
+    kind: SimulatedKind,
+    deadlineAtMs: number,
+  ): Promise<boolean> {
+    const figure = figures.get(kind.name)!;
+    const startedMs = nowMs();
+    figure.asked += 1;
+    const served = await vm.serve(routedRequest(kind, {
+      deadlineAtMs: Math.min(deadlineAtMs, startedMs + kind.deadlineMs),
+      objectiveAtMs: startedMs + kind.objectiveMs,
+      isNested: true,
+    }));
+    const succeeded = isSuccess(served);
+    const isOnTime = nowMs() - startedMs <= kind.objectiveMs;
+    const outcome = !succeeded ? "failed" : isOnTime ? "onTime" : "late";
+    figure[outcome] += 1;
+    return succeeded;
+  }
+
+  function routedRequest(
+    kind: SimulatedKind,
+    times: Pick<RoutedRequest, "deadlineAtMs" | "objectiveAtMs" | "isNested">,
+  ): RoutedRequest {
+    return {
+      request: { method: "GET", url: "/" } as IncomingMessage,
+      response: undefined as unknown as ServerResponse,
+      requestId: "simulated",
+      startedMs: nowMs(),
+      attempts: [],
+      isDisconnected: false,
+      cancel: undefined,
+      route: routeOf(kind),
+      version: 1,
+      service: kind.service,
+      rank: times.isNested ? 0 : 1 + kind.priority,
+      headers: [],
+      body: undefined,
+      waitedBeforeMs: 0,
+      ...times,
+    };
+  }
+
+  function busiest(service: string): number {
+    const arrivals = vms
+      .filter((vm) => vm.service.name === service)
+      .map((vm) => vm.arrivals);
+    const mean = arrivals.reduce((sum, n) => sum + n, 0) / arrivals.length;
+    return mean === 0 ? 0 : Math.max(...arrivals) / mean;
+  }
+
+  function wait(ms: number): Promise<void> {
+    return new Promise((resolve) => clock.setTimer(resolve, ms));
+  }
+}
+
+function routeOf(kind: SimulatedKind): Route {
+  return {
+    name: kind.name,
+    host: "mesh.example",
+    prefix: `/${kind.name}/`,
+    requestClass: kind.requestClass,
+    latencyObjectiveMs: kind.objectiveMs,
+    priority: kind.priority,
+    targets: [{ service: kind.service, weight: 1 }],
+    timeoutMs: kind.deadlineMs,
+    maxAttempts: 2,
+  };
+}
+
+function isSuccess(served: ServedRequest): boolean {
+  return served.kind === "answered" && served.answer.status < 300;
+}
+
+function createKindFigures(): MutableKindFigures {
+  return {
+    asked: 0,
+    onTime: 0,
+    late: 0,
+    refused: 0,
+    failed: 0,
+    refusedAfterMs: [],
+  };
+}
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -94,6 +94,10 @@
 /** Time after the deadline in which the upstream may still answer that the deadline has passed. */
 const UPSTREAM_GRACE_MS = 20;
 
+interface RankedOwnedRequest extends RankedRequest {
+  readonly deadlineAtMs: number;
+}
+
 /** Creates the owner of this VM's upstream. */
 export function createOwner(options: CreateOwnerOptions): Owner {
   const admission = new RankedAdmission({ slots: INITIAL_SLOTS });
@@ -116,11 +120,12 @@
       rank: ticket.rank,
       objectiveAtMs: nowMs + ticket.objectiveLeftMs,
       neededMs: routeTimes.expectedMs(ticket.route),
+      deadlineAtMs,
     };
     const admitted = admission.admit({
       ...ranked,
-      deadlineAtMs,
       isNested: ticket.isNested,
+      mayWait: ticket.mayWait,
     });
 
     async function runWhenAdmitted(): Promise<OwnedResult> {
@@ -184,7 +189,7 @@
 
   function refusedResult(
     reason: NotRunReason,
-    ranked: RankedRequest,
+    ranked: RankedOwnedRequest,
     reachedUpstream = false,
   ): OwnedResult {
     const retryAfterMs = admission.retryAfterMs(ranked);
@@ -197,7 +202,7 @@
   function resultOfExchange(
     request: OwnedRequest,
     end: ExchangeEnd,
-    ranked: RankedRequest,
+    ranked: RankedOwnedRequest,
   ): OwnedResult {
     const { requestId } = request;
     const verdict = classifyUpstreamAnswer({
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -26,11 +26,10 @@
 import {
   addUpstreamState,
   decodeVerdict,
-  encodeTicket,
-  FORWARD_HEADER,
   OUTCOME_HEADER,
   type OwnerState,
   type OwnerVerdict,
+  ticketHeaders,
   UPSTREAM_HEADER,
 } from "./forwarding.ts";
 import { PEER_MAX_HEAD_BYTES } from "./header_limits.ts";
@@ -155,8 +154,7 @@
         path,
         headers: [
           ...headers,
-          FORWARD_HEADER,
-          encodeTicket(ticket),
+          ...ticketHeaders(ticket),
           ...contentLengthField(method, body),
         ],
         body,
--- a/packages/sidecar/src/peer_client_test.ts
+++ b/packages/sidecar/src/peer_client_test.ts
@@ -52,6 +52,7 @@
   objectiveLeftMs: 400,
   isNested: false,
   callerService: "web",
+  mayWait: true,
   version: 1,
 };
 
@@ -199,6 +200,7 @@
     changes: [{ kind: "upstream_removed", revision: 4, id: "u1" }],
     revision: 4,
     version: 3,
+    mayWait: true,
   };
   answer.body = JSON.stringify(response);
   t.same(await client.follow(destination, POLL), response);
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -12,6 +12,7 @@
   encodeVerdict,
   FORWARD_HEADER,
   type ForwardTicket,
+  NO_WAIT_HEADER,
   OUTCOME_HEADER,
   type OwnerState,
   type OwnerVerdict,
@@ -122,7 +123,13 @@
     if (options.isLeaving()) response.shouldKeepAlive = false;
     const ticketText = request.headers[FORWARD_HEADER];
     if (typeof ticketText === "string") {
-      await handleForwarded(request, response, decodeTicket(ticketText));
+      const ticket = decodeTicket(ticketText);
+      const mayWait = request.headers[NO_WAIT_HEADER] === undefined;
+      await handleForwarded(
+        request,
+        response,
+        ticket && { ...ticket, mayWait },
+      );
     } else if (request.url!.startsWith(`${UPSTREAMS_PATH}?`)) {
       answerUpstreams(request, response);
     } else if (request.url!.startsWith(`${CONFIGURATION_PATH}?`)) {
--- a/packages/sidecar/src/peer_server_fixture.ts
+++ b/packages/sidecar/src/peer_server_fixture.ts
@@ -35,6 +35,7 @@
   isNested: false,
   callerService: "web",
   version: 1,
+  mayWait: true,
 };
 
 /** Starts a peer server; by default its owner answers each request with 200. */
--- a/packages/sidecar/src/placement_candidates.ts
+++ b/packages/sidecar/src/placement_candidates.ts
@@ -1,7 +1,9 @@
 import type { Catalog, HeldUpstream } from "@tanagercove/catalog";
-import type {
-  PlacementCandidate,
-  UpstreamReports,
+import {
+  drawCompared,
+  type PlacementCandidate,
+  predictWaitMs,
+  type UpstreamReports,
 } from "@tanagercove/placement";
 import type { LeavingUpstreams } from "./leaving_upstreams.ts";
 import type { Route } from "@tanagercove/types";
@@ -24,35 +26,69 @@
   readonly route: Route;
   readonly service: string;
   readonly rank: number;
-  /** Ids of upstreams that this request has tried. */
+  /** Ids of upstreams that this request must not be sent to again. */
   readonly tried: ReadonlySet<string>;
+  /** Ids of upstreams that have refused this request because they were full. */
+  readonly knownFull: ReadonlySet<string>;
+  /** Monotonic time in milliseconds. */
+  readonly nowMs: number;
+  /** Returns a number from 0 (included) to 1 (excluded). */
+  readonly random: () => number;
 }
 
-/** Lists the upstreams that could run a request, with predictions for each. */
+/** Lists the upstreams that are compared for a request (`drawCompared`), with predictions for each. */
 export function placementCandidates(
   options: PlacementCandidatesOptions,
 ): PlacementCandidate[] {
-  const { catalog, reports, leaving, route, tried } = options;
+  const { catalog, reports, leaving, route, tried, ownZone } = options;
   const upstreams = catalog.upstreamsOf(options.service);
+  const usable = upstreams.filter(({ entry }) =>
+    entry.state === "ready" && !leaving.has(entry) && !tried.has(entry.id)
+  );
+  const entryAt = (index: number) => usable[index]!.entry;
+  const compared = drawCompared(usable.length, {
+    isOwnZone: (index) => entryAt(index).zone === ownZone,
+    isEjected: (index) => reports.isEjected(entryAt(index).id),
+    isKnownFull: (index) => options.knownFull.has(entryAt(index).id),
+    random: options.random,
+  });
   const defaultServiceMs = averageServiceMs(upstreams, options);
-  return upstreams
-    .filter(({ entry }) =>
-      entry.state === "ready" && !leaving.has(entry) && !tried.has(entry.id)
-    )
-    .map((held) => {
-      const { id, zone } = held.entry;
-      const averageMs = reports.serviceMs(id, route.name) ?? defaultServiceMs;
-      return {
-        id,
-        isOwnZone: zone === options.ownZone,
-        waitMs: reports.waitMs(id, options.rank),
-        serviceMs: isCold(held)
-          ? Math.max(averageMs, COLD_FACTOR * defaultServiceMs)
-          : averageMs,
-        failureShare: reports.failureShare(id),
-        isEjected: reports.isEjected(id),
-      };
-    });
+  // The load of one zone says little of the load of another.
+  const usualOwnZone = reports.usualLoad(idsOf(usable, ownZone, true));
+  const usualOtherZones = reports.usualLoad(idsOf(usable, ownZone, false));
+  return compared.map((index) => {
+    const held = usable[index]!;
+    const { id, zone, slots } = held.entry;
+    const averageMs = reports.serviceMs(id, route.name) ?? defaultServiceMs;
+    const isOwnZone = zone === ownZone;
+    return {
+      id,
+      isOwnZone,
+      waitMs: predictWaitMs({
+        known: reports.knownLoad(id),
+        usualOfService: isOwnZone ? usualOwnZone : usualOtherZones,
+        slots,
+        rank: options.rank,
+      }),
+      serviceMs: isCold(held, options.nowMs)
+        ? Math.max(averageMs, COLD_FACTOR * defaultServiceMs)
+        : averageMs,
+      failureShare: reports.failureShare(id),
+      isEjected: reports.isEjected(id),
+      isKnownFull: options.knownFull.has(id),
+    };
+  });
+}
+
+/** Ids of the upstreams in the own zone, or of those in other zones. */
+function* idsOf(
+  upstreams: readonly HeldUpstream[],
+  ownZone: string,
+  isOwnZone: boolean,
+): Iterable<string> {
+  for (const { entry } of upstreams) {
+    if ((entry.zone === ownZone) === isOwnZone) yield entry.id;
+  }
 }
 
 /** Average of the upstreams' known service times for the route; an assumed time if none is known. */
@@ -60,15 +96,19 @@
   upstreams: readonly HeldUpstream[],
   { reports, route }: PlacementCandidatesOptions,
 ): number {
-  const known = upstreams
-    .map(({ entry }) => reports.serviceMs(entry.id, route.name))
-    .filter((serviceMs) => serviceMs !== undefined);
-  if (known.length === 0) {
-    return UNKNOWN_SERVICE_TIME_SHARE * route.latencyObjectiveMs;
+  let sumMs = 0;
+  let count = 0;
+  for (const { entry } of upstreams) {
+    const serviceMs = reports.serviceMs(entry.id, route.name);
+    if (serviceMs === undefined) continue;
+    sumMs += serviceMs;
+    count += 1;
   }
-  return known.reduce((sum, ms) => sum + ms, 0) / known.length;
+  return count === 0
+    ? UNKNOWN_SERVICE_TIME_SHARE * route.latencyObjectiveMs
+    : sumMs / count;
 }
 
-function isCold({ entry, seenAtMs }: HeldUpstream): boolean {
-  return performance.now() - seenAtMs < entry.coldMs;
+function isCold({ entry, seenAtMs }: HeldUpstream, nowMs: number): boolean {
+  return nowMs - seenAtMs < entry.coldMs;
 }
--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -17,16 +17,17 @@
 import type { LeavingUpstreams } from "./leaving_upstreams.ts";
 import type { OwnedAnswer, OwnedRequest, Owner } from "./owner.ts";
 import type { ForwardResult, ForwardRun, PeerClient } from "./peer_client.ts";
+import { mayWaitAt } from "./may_wait_at.ts";
 import { placementCandidates } from "./placement_candidates.ts";
 import { type RefusalReason, REFUSALS } from "./refusals.ts";
 import type { SendQueue } from "./send_queue.ts";
 
 /**
- * Maximum number of upstreams to which one request is sent. A refusal by an owner
- * daemon is cheap but not free: a maximum of eight, together with another change,
- * made delays worse in a fleet of 84 small VMs.
+ * Maximum number of times that one request is sent. A refusal by an owner daemon
+ * is cheap but not free: a maximum of eight, together with another change, made
+ * delays worse in a fleet of 84 small VMs.
  */
-const MAX_UPSTREAMS_TRIED = 4;
+const MAX_SENT = 4;
 
 /** Retry-After of a refusal if the wait for a slot is not known. */
 export const DEFAULT_RETRY_AFTER_MS = 250;
@@ -39,6 +40,9 @@
  */
 const MAX_SILENCE_MS = 1_200;
 
+/** Predicted wait, as a share of the service time, up to which an upstream is likely to have a free slot. */
+const NEGLIGIBLE_WAIT_SHARE = 0.1;
+
 /** Options of `createRequestServer`. */
 export interface CreateRequestServerOptions {
   readonly zone: string;
@@ -55,6 +59,10 @@
   readonly sendQueue: Pick<SendQueue, "wait">;
   readonly isStopping: () => boolean;
   readonly onPeerState: (peer: Endpoint, state: OwnerState) => void;
+  /** Monotonic time in milliseconds. */
+  readonly nowMs?: () => number;
+  /** Returns a number from 0 (included) to 1 (excluded). */
+  readonly random?: () => number;
 }
 
 /** Outcome of a caller's request. */
@@ -72,7 +80,10 @@
 
 /** State that the attempts of a request share. */
 interface Progress {
+  /** Upstreams to which the request is not sent again. */
   readonly tried: Set<string>;
+  /** Upstreams that were full when the request came and might not wait. */
+  readonly knownFull: Set<string>;
   upstreamsReached: number;
 }
 
@@ -87,36 +98,47 @@
 export function createRequestServer(
   options: CreateRequestServerOptions,
 ): ServeRequest {
-  const { catalog, reports } = options;
+  const { catalog, reports, random = Math.random } = options;
+  const now = options.nowMs ?? (() => performance.now());
 
   async function serve(routed: RoutedRequest): Promise<ServedRequest> {
     const { route } = routed;
-    const progress: Progress = { tried: new Set(), upstreamsReached: 0 };
+    const progress: Progress = {
+      tried: new Set(),
+      knownFull: new Set(),
+      upstreamsReached: 0,
+    };
     let mayHaveRun = false;
     let fallback: OwnedAnswer | undefined;
     let retryAfterMs = DEFAULT_RETRY_AFTER_MS;
     let reason: RefusalReason = "no_upstream";
-    for (
-      let triedCount = 0;
-      triedCount < MAX_UPSTREAMS_TRIED;
-      triedCount += 1
-    ) {
+    for (let sentCount = 0; sentCount < MAX_SENT; sentCount += 1) {
       await options.sendQueue.wait();
       if (routed.isDisconnected) return { kind: "gone" };
-      if (routed.deadlineAtMs <= performance.now()) {
+      if (routed.deadlineAtMs <= now()) {
         reason = "deadline_before_start";
         break;
       }
+      const candidates = candidatesOf(routed, progress);
       const chosen = choosePlacement({
-        candidates: candidatesOf(routed, progress),
+        candidates,
         latencyObjectiveMs: route.latencyObjectiveMs,
-        random: Math.random,
+        random,
       });
       if (chosen === undefined) break;
+      const mayWait = mayWaitAt(chosen, {
+        candidates,
+        knownFullCount: progress.knownFull.size,
+      });
       progress.tried.add(chosen.id);
-      const attempt = await send(routed, chosen, progress);
+      const attempt = await send(routed, { chosen, mayWait, progress });
       if (routed.isDisconnected) return { kind: "gone" };
       const { verdict, answer } = attempt;
+      if (!mayWait && verdict.kind === "not_run" && verdict.reason === "busy") {
+        progress.tried.delete(chosen.id);
+        progress.knownFull.add(chosen.id);
+        continue;
+      }
       if (answer !== undefined) fallback = answer;
       if (verdict.kind !== "not_run") mayHaveRun = true;
       if (verdict.kind === "not_run" && verdict.retryAfterMs > 0) {
@@ -145,7 +167,7 @@
 
   function candidatesOf(
     { route, service, rank }: RoutedRequest,
-    { tried }: Progress,
+    { tried, knownFull }: Progress,
   ): PlacementCandidate[] {
     return placementCandidates({
       route,
@@ -156,6 +178,9 @@
       leaving: options.leaving,
       ownZone: options.zone,
       tried,
+      knownFull,
+      nowMs: now(),
+      random,
     });
   }
 
@@ -174,7 +199,7 @@
       requestClass: routed.route.requestClass,
       upstreamsReached: progress.upstreamsReached + (wasReached ? 1 : 0),
       maxAttempts: routed.route.maxAttempts,
-      timeLeftMs: routed.deadlineAtMs - performance.now(),
+      timeLeftMs: routed.deadlineAtMs - now(),
       neededMs: chosen.serviceMs,
       hasUntried() {
         const untried = candidatesOf(routed, progress);
@@ -186,23 +211,26 @@
     });
   }
 
-  /** Whether an upstream is worth trying after another was busy: it is predicted to have a free slot or to finish in time. */
+  /** Whether an upstream is worth trying after another was busy: it is likely to have a free slot or to finish in time. */
   function isWorthTrying(
     { objectiveAtMs, isNested, deadlineAtMs }: RoutedRequest,
     { waitMs, serviceMs }: PlacementCandidate,
   ): boolean {
-    const finishedAtMs = performance.now() + waitMs + serviceMs;
-    return waitMs === 0 ||
+    const finishedAtMs = now() + waitMs + serviceMs;
+    return waitMs <= NEGLIGIBLE_WAIT_SHARE * serviceMs ||
       finishedAtMs <= (isNested ? deadlineAtMs : objectiveAtMs);
   }
 
   async function send(
     routed: RoutedRequest,
-    chosen: PlacementCandidate,
-    progress: Progress,
+    { chosen, mayWait, progress }: {
+      readonly chosen: PlacementCandidate;
+      readonly mayWait: boolean;
+      readonly progress: Progress;
+    },
   ): Promise<Attempt> {
     const { route } = routed;
-    const nowMs = performance.now();
+    const sentAtMs = now();
     // The upstream may start anew under the same id until the answer arrives.
     const entry = catalog.upstreams.get(chosen.id)?.entry;
     reports.begin(chosen.id);
@@ -210,13 +238,16 @@
     let step: NextStep | undefined;
     let result: ForwardResult;
     try {
-      const run = startRun(ownedRequest(routed, chosen), (silentMs) => {
-        if (!isSilent) reports.markUnreachable(chosen.id);
-        isSilent = true;
-        if (route.requestClass !== "idempotent") return;
-        step = stepAfterSilence(routed, { chosen, progress, silentMs });
-        if (step !== undefined) run.cancel();
-      });
+      const run = startRun(
+        ownedRequest(routed, { chosen, mayWait }),
+        (silentMs) => {
+          if (!isSilent) reports.markUnreachable(chosen.id);
+          isSilent = true;
+          if (route.requestClass !== "idempotent") return;
+          step = stepAfterSilence(routed, { chosen, progress, silentMs });
+          if (step !== undefined) run.cancel();
+        },
+      );
       routed.cancel = () => run.cancel();
       result = await run.ended;
     } catch (error) {
@@ -248,7 +279,7 @@
         : verdict.reason,
       predictedWaitMs: Math.round(chosen.waitMs),
       predictedServiceMs: Math.round(chosen.serviceMs),
-      durationMs: Math.round(performance.now() - nowMs),
+      durationMs: Math.round(now() - sentAtMs),
     });
     return { verdict, answer, step };
   }
@@ -271,10 +302,13 @@
 
   function ownedRequest(
     routed: RoutedRequest,
-    chosen: PlacementCandidate,
+    { chosen, mayWait }: {
+      readonly chosen: PlacementCandidate;
+      readonly mayWait: boolean;
+    },
   ): OwnedRequest {
     const { route } = routed;
-    const nowMs = performance.now();
+    const nowMs = now();
     const ticket: ForwardTicket = {
       upstreamId: chosen.id,
       service: routed.service,
@@ -286,6 +320,7 @@
       isNested: routed.isNested,
       callerService: options.service,
       version: routed.version,
+      mayWait,
     };
     return {
       ticket,
--- a/packages/sidecar/src/serve_request_test.ts
+++ b/packages/sidecar/src/serve_request_test.ts
@@ -40,6 +40,7 @@
 /** A request sent to another daemon, which the test answers. */
 interface SentRequest {
   readonly address: string;
+  readonly mayWait: boolean;
   readonly onSilent: (silentMs: number) => void;
   readonly isCancelled: () => boolean;
   readonly answer: (result: ForwardResult) => void;
@@ -84,12 +85,13 @@
     ownerState: () => ANSWERED.state!,
     leaving: new LeavingUpstreams(catalog),
     peers: {
-      forward({ destination, onSilent }: ForwardOptions) {
+      forward({ destination, request, onSilent }: ForwardOptions) {
         let isCancelled = false;
         let answer!: (result: ForwardResult) => void;
         const ended = new Promise<ForwardResult>((resolve) => answer = resolve);
         sent.push({
           address: destination.address,
+          mayWait: request.ticket.mayWait,
           onSilent,
           isCancelled: () => isCancelled,
           answer,
@@ -216,6 +218,10 @@
   sent[0]!.answer(refused("busy"));
   await waitFor(() => sent.length === 2);
   sent[1]!.answer(refused("leaving"));
+  await waitFor(() => sent.length === 3);
+  t.equal(sent[2]!.address, sent[0]!.address, "it may have a slot now");
+  t.ok(sent[2]!.mayWait);
+  sent[2]!.answer(refused("busy"));
   const expected = { kind: "refused", reason: "busy", retryAfterMs: 700 };
   t.same(await served, expected);
 });
@@ -242,11 +248,49 @@
     }
     const kind = last === ANSWERED ? "answered" : "refused";
     t.equal((await served).kind, kind);
-    const addresses = sent.slice(first).map(({ address }) => address);
-    t.equal(new Set(addresses).size, triedCount, "each is tried once");
+    t.equal(sent.length, first + triedCount);
+    for (const mayWait of [false, true]) {
+      const addresses = sent.slice(first)
+        .filter((request) => request.mayWait === mayWait)
+        .map(({ address }) => address);
+      t.equal(addresses.length, mayWait ? triedCount - 2 : 2);
+      t.equal(new Set(addresses).size, addresses.length, "each is tried once");
+    }
   }
 });
 
+// Guards against a request that waits beside a free upstream, and against one that is refused although a full upstream
+// would have served it in time.
+t.test("should wait at the full upstream with the shortest queue once two were full", async (t) => {
+  const { serve, sent } = setUp({ upstreams: 2 });
+  const busy = (waiting: number): ForwardResult => ({
+    verdict: {
+      kind: "not_run",
+      reason: "busy",
+      reachedUpstream: false,
+      retryAfterMs: 100,
+    },
+    answer: undefined,
+    state: {
+      load: { ...LOAD, running: 4, waitingByRank: [waiting] },
+      version: 1,
+      revision: 1,
+    },
+  });
+  const served = serve(routed());
+  await waitFor(() => sent.length === 1);
+  t.notOk(sent[0]!.mayWait);
+  sent[0]!.answer(busy(5));
+  await waitFor(() => sent.length === 2);
+  t.not(sent[1]!.address, sent[0]!.address);
+  sent[1]!.answer(busy(9));
+  await waitFor(() => sent.length === 3);
+  t.equal(sent[2]!.address, sent[0]!.address);
+  t.ok(sent[2]!.mayWait);
+  sent[2]!.answer(ANSWERED);
+  t.equal((await served).kind, "answered");
+});
+
 // Guards against sending a request on that a daemon has started to handle too late to be answered in time.
 t.test("should refuse a request whose deadline has passed before it is sent", async (t) => {
   const { serve, sent } = setUp();
--- a/packages/test_helpers/src/index.ts
+++ b/packages/test_helpers/src/index.ts
@@ -8,3 +8,4 @@
 export * from "./request_fault_case.ts";
 export * from "./virtual_clock.ts";
 export * from "./wait_for.ts";
+export * from "./seeded_random.ts";
