Forward requests over one connection of frames for each pair of daemons

Cause: each request between two daemons was an HTTP exchange on a connection of its own: two heads of text that are the same each time, an agent, a parser, a server response and their timers on both sides.

Change: packages/channel. Frames with a checksum, heads in MessagePack with texts that repeat as numbers, bodies in pieces in turn, cancellation and signs of life as frames, a check of an idle connection before a request that must not be repeated, bounds on everything that arrives. HTTP stays for daemons of earlier versions and for the catalog. Ruled out: HTTP with shorter headers, which keeps a connection for each request in flight.

Property tests of the codec (splits, truncation, flipped bits, bounds), tests of each promise of the connection; platform tests run over the channel.

--- /dev/null
+++ b/packages/channel/src/channel_message.ts
@@ -0,0 +1,37 @@
+/** Head of a request or an answer, without its body. */
+export interface MessageHead {
+  readonly numbers: readonly number[];
+  /** Texts, those that repeat on a connection are sent once. */
+  readonly texts: readonly string[];
+}
+
+/** A request or an answer. */
+export interface ChannelMessage {
+  readonly head: MessageHead;
+  readonly body: Buffer | undefined;
+}
+
+/** Memory that one body takes while it arrives. */
+export interface BodyReservation {
+  /** Sets the size; may end this body or another one. */
+  resize(sizeBytes: number): void;
+  close(): void;
+}
+
+/** Memory for the bodies that arrive; `onEnded` is called once if a body must end. */
+export interface BodyMemory {
+  receive(onEnded: () => void): BodyReservation;
+}
+
+/** Why a connection was closed that did not keep to the protocol, or could not be used. */
+export type ChannelProblem =
+  | "frame_too_large"
+  | "frame_too_small"
+  | "corrupt"
+  | "unknown_kind"
+  | "malformed"
+  | "unknown_version"
+  | "too_many_exchanges"
+  | "body_too_large"
+  | "no_hello"
+  | "incomplete_frame";
--- /dev/null
+++ b/packages/channel/src/channel_server.ts
@@ -0,0 +1,203 @@
+import { createServer, type Server, type Socket } from "node:net";
+import { MAX_EXCHANGES } from "./channel_client.ts";
+import { ChannelConnection } from "./channel_connection.ts";
+import type {
+  BodyMemory,
+  ChannelMessage,
+  ChannelProblem,
+} from "./channel_message.ts";
+
+/** A request at work. */
+export interface ChannelRun {
+  /** The answer; undefined if there is none, which is a cut for the other daemon. A rejection is one, too. */
+  readonly ended: Promise<ChannelMessage | undefined>;
+  /** Called when the other daemon no longer waits for the answer. */
+  cancel(): void;
+}
+
+/** Options of `startChannelServer`. */
+export interface StartChannelServerOptions {
+  readonly address: string;
+  readonly port: number;
+  readonly maxBodyBytes: number;
+  readonly memory: BodyMemory;
+  readonly handle: (request: ChannelMessage) => ChannelRun;
+  /** Answer to a request whose body would take too much memory. */
+  readonly answerRefusedBody: () => ChannelMessage;
+  /** Called when an answer of this size begins to be sent; the returned function is called when it has been. */
+  readonly holdAnswer: (sizeBytes: number) => () => void;
+  /** Called when a connection is closed because the other end did not keep to the protocol. */
+  readonly onProblem: (
+    problem: { readonly peer: string; readonly problem: ChannelProblem },
+  ) => void;
+}
+
+/** A server for requests of other daemons. */
+export interface ChannelServer {
+  /** Requests whose answers have not been sent. */
+  readonly inFlight: number;
+  /** Asks the other daemons to send no new request on the connections that are open. */
+  announceLeaving(): void;
+  /** Stops listening and closes all connections. */
+  close(): Promise<void>;
+}
+
+/** A request that takes longer is confirmed by a signal; without one, this daemon would be taken for unreachable. */
+const CONFIRM_AFTER_MS = 120;
+
+/** Connections that may wait to be accepted; all daemons of a fleet may reconnect at once. */
+const BACKLOG = 511;
+
+/** Limit on connections; a fleet has one for each pair of daemons. */
+const MAX_CONNECTIONS = 4_096;
+
+interface ServedExchange {
+  request: ChannelMessage | undefined;
+  run: ChannelRun | undefined;
+  confirmTimer: NodeJS.Timeout | undefined;
+}
+
+/** Serves the requests of other daemons on one port. */
+export async function startChannelServer(
+  options: StartChannelServerOptions,
+): Promise<ChannelServer> {
+  const connections = new Set<ChannelConnection>();
+  let inFlight = 0;
+  let isLeaving = false;
+
+  function accept(socket: Socket): void {
+    const peer = `${socket.remoteAddress}:${socket.remotePort}`;
+    const exchanges = new Map<number, ServedExchange>();
+    /** Requests that arrived in the bytes that are being read; a cancellation may be among the next ones. */
+    let arrived: number[] = [];
+    const connection = new ChannelConnection({
+      socket,
+      maxBodyBytes: options.maxBodyBytes,
+      memory: options.memory,
+      handlers: {
+        onOpen: () => {
+          if (isLeaving) connection.sendSignal("leaving");
+        },
+        onMessage(exchangeId, { kind, message }) {
+          if (kind !== "request" || exchanges.has(exchangeId)) return;
+          if (exchanges.size >= MAX_EXCHANGES) {
+            options.onProblem({ peer, problem: "too_many_exchanges" });
+            return connection.reset();
+          }
+          begin(exchangeId, message);
+          arrived.push(exchangeId);
+        },
+        onBodyRefused(exchangeId) {
+          begin(exchangeId, undefined);
+          finish(exchangeId, options.answerRefusedBody());
+        },
+        onSignal(kind, exchangeId) {
+          if (kind === "cancel") end(exchangeId, "cancel");
+        },
+        onRead() {
+          const started = arrived;
+          arrived = [];
+          for (const exchangeId of started) start(exchangeId);
+        },
+        onClosed(problem) {
+          connections.delete(connection);
+          for (const exchangeId of [...exchanges.keys()]) {
+            end(exchangeId, "cancel");
+          }
+          if (problem !== undefined) options.onProblem({ peer, problem });
+        },
+      },
+    });
+    connections.add(connection);
+
+    function begin(
+      exchangeId: number,
+      request: ChannelMessage | undefined,
+    ): void {
+      inFlight += 1;
+      exchanges.set(exchangeId, {
+        request,
+        run: undefined,
+        confirmTimer: undefined,
+      });
+    }
+
+    function start(exchangeId: number): void {
+      const exchange = exchanges.get(exchangeId);
+      if (exchange === undefined) return;
+      const run = options.handle(exchange.request!);
+      exchange.request = undefined;
+      exchange.run = run;
+      exchange.confirmTimer = setTimeout(
+        () => connection.sendSignal("alive", exchangeId),
+        CONFIRM_AFTER_MS,
+      );
+      void run.ended.then(
+        (answer) => finish(exchangeId, answer),
+        () => finish(exchangeId, undefined),
+      );
+    }
+
+    function finish(
+      exchangeId: number,
+      answer: ChannelMessage | undefined,
+    ): void {
+      const exchange = exchanges.get(exchangeId);
+      if (exchange === undefined) return;
+      clearTimeout(exchange.confirmTimer);
+      if (answer === undefined) {
+        connection.sendSignal("cancel", exchangeId);
+        return end(exchangeId, "keep");
+      }
+      const release = options.holdAnswer(answer.body?.length ?? 0);
+      connection.sendMessage(exchangeId, {
+        kind: "answer",
+        message: answer,
+        onSent() {
+          release();
+          end(exchangeId, "keep");
+        },
+      });
+    }
+
+    function end(exchangeId: number, runAction: "cancel" | "keep"): void {
+      const exchange = exchanges.get(exchangeId);
+      if (exchange === undefined) return;
+      exchanges.delete(exchangeId);
+      inFlight -= 1;
+      clearTimeout(exchange.confirmTimer);
+      if (runAction === "keep") return;
+      connection.forget(exchangeId);
+      exchange.run?.cancel();
+    }
+  }
+
+  const server = createServer(accept);
+  server.maxConnections = MAX_CONNECTIONS;
+  await listen(server, options);
+  return {
+    get inFlight() {
+      return inFlight;
+    },
+    announceLeaving() {
+      isLeaving = true;
+      for (const connection of connections) connection.sendSignal("leaving");
+    },
+    close() {
+      return new Promise((resolve) => {
+        server.close(() => resolve());
+        for (const connection of connections) connection.end();
+      });
+    },
+  };
+}
+
+function listen(
+  server: Server,
+  { address, port }: { readonly address: string; readonly port: number },
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen({ host: address, port, backlog: BACKLOG }, resolve);
+  });
+}
--- /dev/null
+++ b/packages/channel/src/message_codec.ts
@@ -0,0 +1,104 @@
+import { Decoder, encode, Encoder } from "@msgpack/msgpack";
+import type { MessageHead } from "./channel_message.ts";
+import { PackingTable, UnpackingTable } from "./text_tables.ts";
+
+/** Version of the protocol; a connection to a daemon with another one is not used. */
+export const PROTOCOL_VERSION = 1;
+
+/** Identifies the protocol in the first frame of each direction. */
+const PROTOCOL_NAME = "tanagercove";
+
+/** Limit on the numbers or texts of one head; a message has at most a few hundred fields. */
+const MAX_HEAD_ITEMS = 4_096;
+
+/** Limit on the length of a text in a head. */
+const MAX_TEXT_BYTES = 80 * 1024;
+
+/** A decoded head with the first bytes of its body. */
+export interface DecodedMessage {
+  readonly head: MessageHead;
+  /** Length of the whole body; undefined without a body. */
+  readonly bodyBytes: number | undefined;
+  /** The beginning of the body. */
+  readonly firstBytes: Buffer;
+}
+
+const encoder = new Encoder();
+const decoder = new Decoder({
+  maxStrLength: MAX_TEXT_BYTES,
+  maxBinLength: MAX_TEXT_BYTES,
+  maxArrayLength: MAX_HEAD_ITEMS,
+  maxMapLength: 0,
+  maxExtLength: 0,
+});
+
+/** Encodes and decodes the messages of one connection. */
+export class MessageCodec {
+  readonly #packing = new PackingTable();
+  readonly #unpacking = new UnpackingTable();
+
+  /** The returned bytes are valid until the next call. */
+  encode(
+    { numbers, texts }: MessageHead,
+    { bodyBytes, firstBytes }: {
+      readonly bodyBytes: number | undefined;
+      readonly firstBytes: Buffer;
+    },
+  ): Uint8Array {
+    const packed = texts.map((text) => this.#packing.pack(text));
+    return encoder.encodeSharedRef([
+      numbers,
+      packed,
+      bodyBytes ?? -1,
+      firstBytes,
+    ]);
+  }
+
+  /** Returns undefined if the payload is malformed; the connection cannot be used any more then. */
+  decode(payload: Buffer): DecodedMessage | undefined {
+    const value = decodeValue(payload);
+    if (!Array.isArray(value) || value.length !== 4) return undefined;
+    const [numbers, packed, bodyBytes, firstBytes]: unknown[] = value;
+    if (!Array.isArray(numbers) || !numbers.every(Number.isFinite)) {
+      return undefined;
+    }
+    if (!Array.isArray(packed) || !(firstBytes instanceof Uint8Array)) {
+      return undefined;
+    }
+    if (!Number.isSafeInteger(bodyBytes)) return undefined;
+    const totalBytes = bodyBytes as number;
+    if (firstBytes.length > Math.max(0, totalBytes)) return undefined;
+    const texts: string[] = [];
+    for (const item of packed) {
+      const text = this.#unpacking.unpack(item);
+      if (text === undefined) return undefined;
+      texts.push(text);
+    }
+    return {
+      head: { numbers, texts },
+      bodyBytes: totalBytes < 0 ? undefined : totalBytes,
+      // A copy, as these bytes would keep all that was read with them in memory.
+      firstBytes: Buffer.from(firstBytes),
+    };
+  }
+}
+
+/** Encodes the payload of the first frame. */
+export function encodeHello(version = PROTOCOL_VERSION): Buffer {
+  return Buffer.from(encode([PROTOCOL_NAME, version]));
+}
+
+/** Decodes the version in the payload of the first frame; undefined if it is malformed. */
+export function decodeHello(payload: Buffer): number | undefined {
+  const value = decodeValue(payload);
+  if (!Array.isArray(value) || value[0] !== PROTOCOL_NAME) return undefined;
+  return Number.isSafeInteger(value[1]) ? value[1] : undefined;
+}
+
+function decodeValue(payload: Buffer): unknown {
+  try {
+    return decoder.decode(payload);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -458,6 +458,13 @@
       "Another daemon's answer with its catalog cannot be decoded and is treated as no answer",
     action: "check what runs on the peer port of that VM, and which version",
   },
+  channel_closed: {
+    level: "warn",
+    fields: { peer: "text", problem: "text", unlogged_closes: "number" },
+    meaning:
+      "A connection to another daemon was closed because that one did not keep to the protocol",
+    action: "check what runs on the channel port of that VM, and which version",
+  },
   upstream_id_learnt: {
     level: "info",
     fields: { former_upstream_id: "text", upstream_id: "text" },
--- a/packages/sidecar/src/drain.ts
+++ b/packages/sidecar/src/drain.ts
@@ -87,6 +87,11 @@
   readonly acceptsNew: boolean;
 }
 
+/** Time from the stop signal until forwarded requests are refused. */
+export function refuseForwardedAfterMs(drainTimeoutMs: number): number {
+  return Math.floor(ACCEPT_FORWARDED_SHARE * drainTimeoutMs);
+}
+
 /** Time from the stop signal until callers' new requests are refused. */
 export function refuseNewAfterMs(drainTimeoutMs: number): number {
   return Math.floor(REFUSE_NEW_SHARE * drainTimeoutMs);
@@ -106,7 +111,7 @@
 ): StopPhase {
   const isBefore = (endMs: number) => !isDrained && stoppingForMs < endMs;
   return {
-    acceptsForwarded: isBefore(ACCEPT_FORWARDED_SHARE * drainTimeoutMs),
+    acceptsForwarded: isBefore(refuseForwardedAfterMs(drainTimeoutMs)),
     acceptsNew: isBefore(refuseNewAfterMs(drainTimeoutMs)),
   };
 }
--- a/packages/sidecar/src/failure_log.ts
+++ b/packages/sidecar/src/failure_log.ts
@@ -1,4 +1,5 @@
 import { LineLimit, logEvent, type Logger } from "@tanagercove/logs";
+import type { ChannelProblem } from "@tanagercove/channel";
 import type { Metrics } from "@tanagercove/metrics";
 import type { UnreadableAnswer } from "./peer_client.ts";
 
@@ -12,6 +13,10 @@
 /** Logs and counts failures that this daemon handles although it does not expect them; the lines are limited in rate. */
 export interface FailureLog {
   onUnreadableAnswer(answer: UnreadableAnswer): void;
+  /** Logs that a connection to another daemon was closed because that one did not keep to the protocol. */
+  onChannelClosed(
+    closed: { readonly peer: string; readonly problem: ChannelProblem },
+  ): void;
   /** Logs an error that was thrown during an operation, which a fault in this program allows. */
   onOperationFailed(operation: FailedOperation, error: unknown): void;
 }
@@ -27,6 +32,7 @@
   { log, metrics }: CreateFailureLogOptions,
 ): FailureLog {
   const answerLimit = new LineLimit();
+  const channelLimit = new LineLimit();
   const operationLimit = new LineLimit();
   return {
     onUnreadableAnswer({ destination, problem }) {
@@ -40,6 +46,17 @@
         unlogged_answers,
       });
     },
+    onChannelClosed({ peer, problem }) {
+      metrics.counter("channels_closed", { problem }).add();
+      const unlogged_closes = channelLimit.take();
+      if (unlogged_closes === undefined) return;
+      logEvent(log, {
+        event: "channel_closed",
+        peer,
+        problem,
+        unlogged_closes,
+      });
+    },
     onOperationFailed(operation, error) {
       metrics.counter("failed_operations", { operation }).add();
       const unlogged_failures = operationLimit.take();
--- a/packages/sidecar/src/forwarding.ts
+++ b/packages/sidecar/src/forwarding.ts
@@ -146,17 +146,11 @@
   verdict: OwnerVerdict,
   { load, version, revision }: OwnerState,
 ): string {
-  const reason = verdict.kind === "answered" ? "" : verdict.reason;
-  const reached = verdict.kind === "not_run" && verdict.reachedUpstream;
-  const timeMs = verdict.kind === "answered"
-    ? verdict.serviceMs
-    : verdict.kind === "not_run"
-    ? verdict.retryAfterMs
-    : 0;
+  const { kind, reason, reachedUpstream, timeMs } = verdictParts(verdict);
   return [
-    verdict.kind,
+    kind,
     reason,
-    reached ? 1 : 0,
+    reachedUpstream ? 1 : 0,
     Math.round(timeMs),
     load.running,
     load.slots,
@@ -167,17 +161,53 @@
   ].join(",");
 }
 
+/** Parts of an encoded verdict. */
+export interface VerdictParts {
+  readonly kind: string;
+  readonly reason: string;
+  readonly reachedUpstream: boolean;
+  /** Service time of an answer, or time after which to retry. */
+  readonly timeMs: number;
+}
+
+/** Splits a verdict into its parts. */
+export function verdictParts(verdict: OwnerVerdict): VerdictParts {
+  return {
+    kind: verdict.kind,
+    reason: verdict.kind === "answered" ? "" : verdict.reason,
+    reachedUpstream: verdict.kind === "not_run" && verdict.reachedUpstream,
+    timeMs: verdict.kind === "answered"
+      ? verdict.serviceMs
+      : verdict.kind === "not_run"
+      ? verdict.retryAfterMs
+      : 0,
+  };
+}
+
+/** Joins the parts of a verdict; undefined if its kind or reason is unknown. */
+export function verdictOf(
+  { kind, reason, reachedUpstream, timeMs }: VerdictParts,
+): OwnerVerdict | undefined {
+  return isVerdictKind(kind)
+    ? VERDICTS[kind](reason, reachedUpstream, timeMs)
+    : undefined;
+}
+
 /** Decodes a verdict; undefined if the text is malformed or its kind or reason is unknown. */
 export function decodeVerdict(
   text: string,
 ): { readonly verdict: OwnerVerdict; readonly state: OwnerState } | undefined {
   const parts = text.split(",");
-  const kind = parts[0]!;
-  if (parts.length !== 10 || !isVerdictKind(kind)) return undefined;
+  if (parts.length !== 10) return undefined;
   const waitingByRank = parts[6]!.split(":").map(Number);
   const numbers = [3, 4, 5, 7, 8, 9].map((i) => Number(parts[i]));
   if (![...waitingByRank, ...numbers].every(Number.isFinite)) return undefined;
-  const verdict = VERDICTS[kind](parts[1]!, parts[2] === "1", numbers[0]!);
+  const verdict = verdictOf({
+    kind: parts[0]!,
+    reason: parts[1]!,
+    reachedUpstream: parts[2] === "1",
+    timeMs: numbers[0]!,
+  });
   if (verdict === undefined) return undefined;
   return {
     verdict,
--- a/packages/sidecar/src/observer.ts
+++ b/packages/sidecar/src/observer.ts
@@ -14,7 +14,7 @@
 import type { Metrics } from "@tanagercove/metrics";
 import type { UpstreamEjection } from "@tanagercove/placement";
 import type { CallerResult } from "./caller_request.ts";
-import type { ForwardedResult } from "./peer_server.ts";
+import type { ForwardedResult } from "./forwarded_requests.ts";
 import type { LearntIdentity } from "./upstream_identity.ts";
 
 /** Limit on log lines about callers' requests; the same limit applies separately to forwarded requests. */
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -4,7 +4,6 @@
   type ServerResponse,
 } from "node:http";
 import { answerFeedRequest, type Catalog } from "@tanagercove/catalog";
-import type { ReportedLoad } from "@tanagercove/placement";
 import type { AnswerMemory } from "./answer_memory.ts";
 import {
   decodeTicket,
@@ -15,10 +14,10 @@
   NO_WAIT_HEADER,
   OUTCOME_HEADER,
   type OwnerState,
-  type OwnerVerdict,
   UPSTREAM_HEADER,
 } from "./forwarding.ts";
 import { answerFailedRequest } from "./failed_request.ts";
+import { type ForwardedResult, runForwarded } from "./forwarded_requests.ts";
 import type { OwnedResult, Owner } from "./owner.ts";
 import { PEER_MAX_HEAD_BYTES } from "./header_limits.ts";
 import { endToEndHeaders } from "./passed_headers.ts";
@@ -54,15 +53,6 @@
 /** Upper bound on the wait of a follower's long poll. */
 const MAX_FEED_WAIT_MS = 10_000;
 
-/** How a forwarded request ended at this daemon. */
-export interface ForwardedResult {
-  readonly requestId: string;
-  readonly ticket: ForwardTicket;
-  readonly verdict: OwnerVerdict;
-  readonly load: ReportedLoad;
-  readonly durationMs: number;
-}
-
 /** Options of `startPeerServer`. */
 export interface StartPeerServerOptions {
   readonly address: string;
@@ -203,7 +193,6 @@
     response: ServerResponse,
     ticket: ForwardTicket | undefined,
   ): Promise<void> {
-    const startedMs = performance.now();
     inFlight += 1;
     response.once("close", () => inFlight -= 1);
     const requestId = request.headers[options.names.requestId];
@@ -222,35 +211,14 @@
       response.writeHead(400).end();
       return;
     }
-    const finish = (result: OwnedResult) => {
-      options.onForwarded({
-        requestId,
-        ticket,
-        verdict: result.verdict,
-        load: options.owner.load(),
-        durationMs: performance.now() - startedMs,
-      });
-      respond(response, ticket, result);
-    };
-    if (!options.accepts(ticket)) {
-      return finish({
-        verdict: {
-          kind: "not_run",
-          reason: "leaving",
-          reachedUpstream: false,
-          retryAfterMs: 0,
-        },
-        answer: undefined,
-      });
-    }
-    const run = options.owner.run({
+    const run = runForwarded({
       ticket,
       requestId,
       method: request.method!,
       path,
       headers,
       body: body.value,
-    });
+    }, options);
     const confirmTimer = setTimeout(() => {
       if (!response.headersSent) response.writeProcessing();
     }, CONFIRM_AFTER_MS);
@@ -262,7 +230,7 @@
       if (!response.writableFinished) run.cancel();
     });
     const result = await run.ended.finally(() => clearTimeout(confirmTimer));
-    finish(result);
+    respond(response, ticket, result);
   }
 
   function respond(
--- a/packages/sidecar/src/settings.ts
+++ b/packages/sidecar/src/settings.ts
@@ -39,6 +39,8 @@
   readonly caller: Endpoint;
   /** Address on which the daemon listens for requests of other daemons; the port is the same on all VMs. */
   readonly peer: Endpoint;
+  /** Port of the channel between daemons, the same on all VMs; without it, they forward requests over HTTP. */
+  readonly channelPort?: number | undefined;
   /** Address on which the daemon serves the readiness check. */
   readonly readiness: Endpoint;
   /**
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -6,6 +6,12 @@
   type CatalogSource,
   CatalogSync,
 } from "@tanagercove/catalog";
+import {
+  ChannelClient,
+  type ChannelProblem,
+  type ChannelServer,
+  startChannelServer,
+} from "@tanagercove/channel";
 import type { Logger } from "@tanagercove/logs";
 import { Metrics } from "@tanagercove/metrics";
 import { UpstreamReports } from "@tanagercove/placement";
@@ -17,6 +23,10 @@
 import { answerLimits, AnswerMemory } from "./answer_memory.ts";
 import { fetchUpstreamId } from "./fetch_upstream_id.ts";
 import { createCallerHandler } from "./caller_handler.ts";
+import {
+  createChannelForwarder,
+  createChannelHandler,
+} from "./channel_peers.ts";
 import { closeInStages } from "./close_in_stages.ts";
 import { ConnectionAgents } from "./connection_agent.ts";
 import {
@@ -27,6 +37,7 @@
 } from "./daemon_addresses.ts";
 import {
   decideStopPhase,
+  refuseForwardedAfterMs,
   refuseNewAfterMs,
   type StopPhase,
   whenDrained,
@@ -123,6 +134,23 @@
     answerMemory,
     onUnreadable: failures.onUnreadableAnswer,
   });
+  const onChannelProblem = (problem: ChannelProblem, peer: string) =>
+    failures.onChannelClosed({ peer, problem });
+  const channel = new ChannelClient({
+    localAddress: settings.address,
+    maxBodyBytes: maxAnswerBytes,
+    memory: answerMemory,
+    onProblem: ({ destination: { address, port }, problem }) =>
+      onChannelProblem(problem, `${address}:${port}`),
+  });
+  const forward = settings.channelPort === undefined
+    ? peers.forward
+    : createChannelForwarder({
+      client: channel,
+      port: settings.channelPort,
+      http: peers,
+      onUnreadable: failures.onUnreadableAnswer,
+    });
   const identity = new UpstreamIdentity({
     service: settings.service,
     fetchId: fetchOwnUpstreamId,
@@ -294,7 +322,7 @@
     owner,
     ownerState,
     leaving,
-    peers,
+    peers: { forward },
     reports,
     budgets,
     sendQueue,
@@ -338,6 +366,7 @@
   const isReady = () => !isStopping() && catalog.index !== undefined;
   const listeners: HttpListener[] = [];
   let peerServer: PeerServer | undefined;
+  let channelServer: ChannelServer | undefined;
   await openListeners().catch(async (error) => {
     eventLoopWatch.close();
     await closeListeners();
@@ -369,6 +398,24 @@
         failures.onOperationFailed("forwarded_request", error),
     });
     listeners.push(peerServer);
+    if (settings.channelPort !== undefined) {
+      channelServer = await startChannelServer({
+        address: settings.peer.address,
+        port: settings.channelPort,
+        maxBodyBytes: maxAnswerBytes,
+        memory: answerMemory,
+        holdAnswer: (sizeBytes) => answerMemory.hold(sizeBytes),
+        onProblem: ({ peer, problem }) => onChannelProblem(problem, peer),
+        ...createChannelHandler({
+          owner,
+          accepts,
+          state: ownerState,
+          onForwarded: (result) => observer.onForwarded(result),
+          onHandlerFailed: (error) =>
+            failures.onOperationFailed("forwarded_request", error),
+        }),
+      });
+    }
     listeners.push(
       await listenHttp(callerServer, {
         address: settings.caller.address,
@@ -397,7 +444,10 @@
   }
 
   async function closeListeners(): Promise<void> {
-    await Promise.all(listeners.map((listener) => listener.close()));
+    await Promise.all([
+      channelServer?.close(),
+      ...listeners.map((listener) => listener.close()),
+    ]);
   }
 
   sync.start();
@@ -418,7 +468,7 @@
       slots_waiting: () => owner.waiting,
       callers_in_flight: () => callers.inFlight,
       connections_opened_to_upstream: () => upstreamAgents.opened,
-      connections_opened_to_daemons: () => peerAgents.opened,
+      connections_opened_to_daemons: () => peerAgents.opened + channel.opened,
       ready: () => isReady() ? 1 : 0,
     };
     for (const [name, read] of Object.entries(gauges)) {
@@ -452,12 +502,18 @@
       applyLeaving,
       refuseNewAfterMs(drainTimeoutMs),
     );
+    const announceTimer = setTimeout(
+      () => channelServer?.announceLeaving(),
+      refuseForwardedAfterMs(drainTimeoutMs),
+    );
     await whenDrained({
       drainTimeoutMs,
       isBusy: () =>
-        callers.inFlight > 0 || owner.running > 0 || peerServer!.inFlight > 0,
+        callers.inFlight > 0 || owner.running > 0 ||
+        peerServer!.inFlight > 0 || (channelServer?.inFlight ?? 0) > 0,
     });
     clearTimeout(refuseNewTimer);
+    clearTimeout(announceTimer);
     isDrained = true;
     owner.close();
     callers.cancelAll();
@@ -469,6 +525,7 @@
     await closeListeners();
     // The sync waits for its requests in flight; closing the connections ends those that get no answer.
     const syncClosed = Promise.all([sync.close(), links.close()]);
+    channel.close();
     peerAgents.close();
     upstreamAgents.close();
     await source.close();
