Read the platform with fewer calls

Each start reads four pages and the configuration at full price (195 starts at once), and a watch is answered at the first change, so the changes of a release cost five calls each.

Watches begin at least 250 ms apart; a daemon that is behind its peers waits 400 ms for its own watch, not 150 ms.

--- a/packages/catalog/src/catalog_sync.ts
+++ b/packages/catalog/src/catalog_sync.ts
@@ -96,8 +96,17 @@
 /** Interval between fetches from other daemons while the platform is unreachable. */
 const PEER_FETCH_INTERVAL_MS = 400;
 
-/** Time for this daemon's own watch, or its reader, to deliver a change that another daemon already holds. */
-const BEHIND_GRACE_MS = 150;
+/**
+ * Minimum time from the begin of a watch to the begin of the next one. A watch is answered at the first change, and each
+ * answer is a call that the platform charges for; the changes of a release, several in each second, arrive together then.
+ */
+const WATCH_INTERVAL_MS = 250;
+
+/**
+ * Time for this daemon's own watch, or its reader, to deliver a change that another daemon already holds: the interval
+ * between watches and the way down the tree of followers.
+ */
+const BEHIND_GRACE_MS = 400;
 
 /**
  * Keeps the catalog up to date from the platform or from a reader. A reader is a higher-ranked daemon of the same zone,
@@ -122,6 +131,7 @@
   };
   #platformLostAtMs: number | undefined;
   #settleUntilMs = 0;
+  #nextWatchAtMs = 0;
   #settleTimer: NodeJS.Timeout | undefined;
   #isCatchingUp = false;
   #reader: string | undefined;
@@ -296,6 +306,10 @@
 
   async #watch(): Promise<"ok" | "failed"> {
     const { catalog, source } = this.#options;
+    const pauseMs = this.#nextWatchAtMs - performance.now();
+    if (pauseMs > 0) await this.#sleep(pauseMs);
+    if (this.#closing.signal.aborted) return "ok";
+    this.#nextWatchAtMs = performance.now() + WATCH_INTERVAL_MS;
     this.#watchAbort = new AbortController();
     const { signal } = this.#watchAbort;
     const timer = this.#timeTransfers();
