Start sidecars with less processor time and memory

The histogram library creates a number format when it is loaded, which reads the data of all languages, and Node prepares a module loader for an ES module.

--- a/scripts/cost.mjs
+++ b/scripts/cost.mjs
@@ -5,13 +5,13 @@
 import { build } from "esbuild";
 import { buildSidecar } from "./build_sidecar.mjs";
 
-const [, nodeArgs] = /^run = "node (.*) target\/sidecar\.mjs"/m.exec(
+const [, nodeArgs] = /^run = "node (.*) target\/sidecar\.cjs"/m.exec(
   readFileSync("deploy/system.toml", "utf8"),
 );
 const args = process.argv.slice(2);
 if (!args.includes("--program")) {
   await buildSidecar();
-  args.push("--program", "target/sidecar.mjs");
+  args.push("--program", "target/sidecar.cjs");
 }
 if (!args.includes("--node-args")) args.push(`--node-args=${nodeArgs}`);
 await build({
--- a/scripts/soak.mjs
+++ b/scripts/soak.mjs
@@ -33,7 +33,7 @@
   await buildSoak();
   const { status } = spawnSync(
     process.execPath,
-    ["build/soak.mjs", "target/sidecar.mjs", ...process.argv.slice(2)],
+    ["build/soak.mjs", "target/sidecar.cjs", ...process.argv.slice(2)],
     { stdio: "inherit" },
   );
   process.exitCode = status ?? 1;
--- a/scripts/soak_broken.mjs
+++ b/scripts/soak_broken.mjs
@@ -90,11 +90,11 @@
 for (const [promise, patch] of Object.entries(BROKEN_BUILDS)) {
   if (only !== undefined && only !== promise) continue;
   const plugins = [createPatchPlugin(patch)];
-  await buildSidecar({ outfile: "build/broken/sidecar.mjs", plugins });
+  await buildSidecar({ outfile: "build/broken/sidecar.cjs", plugins });
   await buildSoak({ outfile: "build/broken/soak.mjs", plugins });
   const { stdout } = spawnSync(process.execPath, [
     "build/broken/soak.mjs",
-    "build/broken/sidecar.mjs",
+    "build/broken/sidecar.cjs",
     "--quiet",
     `--seed=${patch.seed}`,
     ...(patch.kinds === undefined ? [] : [`--kinds=${patch.kinds}`]),
