--- a/packages/channel/src/channel_test.ts
+++ b/packages/channel/src/channel_test.ts
@@ -422,3 +422,106 @@
   t.equal(nameOf(await after.ended), "after");
   t.equal(server.inFlight, 0);
 });
+
+/** A daemon that sends these bytes for its first request, and closes the connection after them if asked to. */
+async function startScriptedServer(
+  t: Test,
+  { bytes, closes }: {
+    readonly bytes: (codec: MessageCodec) => Buffer;
+    readonly closes: boolean;
+  },
+): Promise<number> {
+  const port = nextPort += 1;
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    sockets.push(socket);
+    socket.on("error", () => {});
+    const codec = new MessageCodec();
+    const hello = { exchangeId: 0, payload: encodeHello() };
+    socket.write(encodeFrame("hello", hello));
+    socket.on("data", (chunk) => {
+      if (!chunk.toString("latin1").includes("request")) return;
+      socket.write(bytes(codec));
+      if (closes) socket.end();
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(port, ADDRESS, resolve));
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  return port;
+}
+
+function answerFrame(
+  codec: MessageCodec,
+  { exchangeId, name, bodyBytes, firstBytes = Buffer.alloc(0) }: {
+    readonly exchangeId: number;
+    readonly name: string;
+    readonly bodyBytes?: number;
+    readonly firstBytes?: Buffer;
+  },
+): Buffer {
+  const head = { numbers: [], texts: [name] };
+  const payload = Buffer.from(codec.encode(head, { bodyBytes, firstBytes }));
+  return encodeFrame("answer", { exchangeId, payload });
+}
+
+// Guards against an answer that reaches the caller of a later request, because it was sent twice or late.
+t.test("should ignore a second copy of an answer, and answers to no request", async (t) => {
+  let requests = 0;
+  const port = await startScriptedServer(t, {
+    bytes(codec) {
+      requests += 1;
+      const own = { exchangeId: requests, name: `answer ${requests}` };
+      const frames = [
+        { exchangeId: requests - 1, name: "late copy" },
+        { exchangeId: 77, name: "to no request" },
+        own,
+        { ...own, name: "second copy" },
+      ];
+      return Buffer.concat(frames.map((frame) => answerFrame(codec, frame)));
+    },
+    closes: false,
+  });
+  const client = startClient(t);
+  for (const number of [1, 2, 3]) {
+    const name = `request ${number}`;
+    const end = await send(client, { port, name }).ended;
+    t.equal(nameOf(end), `answer ${number}`);
+  }
+  t.equal(client.opened, 1);
+});
+
+// Guards against half an answer that reaches the caller as a success.
+t.test("should not take an answer for complete whose connection ends within its body", async (t) => {
+  const port = await startScriptedServer(t, {
+    bytes: (codec) =>
+      answerFrame(codec, {
+        exchangeId: 1,
+        name: "half",
+        bodyBytes: 1_000,
+        firstBytes: Buffer.alloc(999),
+      }),
+    closes: true,
+  });
+  const end = await send(startClient(t), { port, name: "request" }).ended;
+  t.match(end, { failure: "cut", mayHaveBeenSent: true });
+});
+
+t.test("should close a connection that sends more of a body than it has announced", async (t) => {
+  const problems: string[] = [];
+  const port = await startScriptedServer(t, {
+    bytes: (codec) =>
+      Buffer.concat([
+        answerFrame(codec, { exchangeId: 1, name: "long", bodyBytes: 10 }),
+        encodeFrame("data", { exchangeId: 1, payload: Buffer.alloc(11) }),
+      ]),
+    closes: false,
+  });
+  const client = startClient(t, problems);
+  const end = await send(client, { port, name: "request" }).ended;
+  t.match(end, { failure: "cut", mayHaveBeenSent: true });
+  await waitFor(() => problems.length > 0);
+  t.same(problems, ["client: malformed"]);
+});
