Check all channels by one timer, and keep them for 30 s

Cause: each connection had a timer of its own that fired every 5 s, and a daemon of the large fleet has some hundred connections, so it woke many times a second for nothing; connections were closed after 8 s, though most pairs of daemons there have one request in 4 to 20 s.

Change: one timer for all connections of the client and one for those of the server; connections stay open for 30 s and are asked for a sign of life after 3 s also before an idempotent request.

--- a/packages/channel/src/channel_client.ts
+++ b/packages/channel/src/channel_client.ts
@@ -1,6 +1,10 @@
 import { connect } from "node:net";
 import type { Endpoint } from "@tanagercove/types";
-import { ChannelConnection, type SignalKind } from "./channel_connection.ts";
+import {
+  ChannelConnection,
+  CHECK_INTERVAL_MS,
+  type SignalKind,
+} from "./channel_connection.ts";
 import type {
   BodyMemory,
   ChannelMessage,
@@ -62,10 +66,11 @@
 const CONNECT_TIMEOUT_MS = 300;
 
 /**
- * Idle time from which a connection is asked for a sign of life before a request that must not be repeated is sent on
- * it: an idle connection may have been dropped without any sign.
+ * Idle time from which a connection is asked for a sign of life before a request is sent on it: an idle connection may
+ * have been dropped without any sign. A request that must not be repeated is lost then, an idempotent one is only late.
  */
 const VERIFY_IDLE_MS = 300;
+const VERIFY_IDEMPOTENT_IDLE_MS = 3_000;
 
 /** Time for the sign of life, after which a new connection is opened. */
 const VERIFY_TIMEOUT_MS = 100;
@@ -73,8 +78,8 @@
 /** Interval of `onSilent` calls. The other daemon says within 120 ms that a request has arrived. */
 const SILENT_INTERVAL_MS = 450;
 
-/** Idle time after which a connection is closed. */
-const MAX_IDLE_MS = 8_000;
+/** Idle time after which a connection is closed; most pairs of daemons of a large fleet have one request in 4 to 20 s. */
+const MAX_IDLE_MS = 30_000;
 
 /** Limit on exchanges in flight on one connection. */
 export const MAX_EXCHANGES = 1_024;
@@ -113,6 +118,10 @@
   /** The connection for new requests to each daemon; others only end their exchanges. */
   readonly #current = new Map<string, Link>();
   readonly #links = new Set<Link>();
+  /** One timer for all connections, as a daemon of a large fleet has hundreds. */
+  readonly #checkTimer = setInterval(() => {
+    for (const { connection } of this.#links) connection.closeStuck();
+  }, CHECK_INTERVAL_MS);
   #opened = 0;
   #isClosed = false;
 
@@ -156,6 +165,7 @@
   /** Closes all connections; exchanges in flight fail. */
   close(): void {
     this.#isClosed = true;
+    clearInterval(this.#checkTimer);
     for (const link of this.#links) link.connection.reset();
   }
 
@@ -170,9 +180,8 @@
       return;
     }
     const idleMs = performance.now() - link.connection.lastReceivedMs;
-    if (isIdempotent || idleMs < VERIFY_IDLE_MS) {
-      return this.#transmit(link, exchange);
-    }
+    const maxIdleMs = isIdempotent ? VERIFY_IDEMPOTENT_IDLE_MS : VERIFY_IDLE_MS;
+    if (idleMs < maxIdleMs) return this.#transmit(link, exchange);
     link.waiting.push(exchange);
     link.isVerifying = true;
     link.connection.sendSignal("ping");
--- a/packages/channel/src/channel_connection.ts
+++ b/packages/channel/src/channel_connection.ts
@@ -53,8 +53,8 @@
 /** Bodies are sent in pieces of this size, so that short messages pass between those of a long one. */
 const PIECE_BYTES = 16 * 1024;
 
-/** Interval at which a connection is checked for progress; one that makes none is closed after up to twice this time. */
-const CHECK_INTERVAL_MS = 5_000;
+/** Interval of `closeStuck`; a connection that makes no progress is closed after up to twice this time. */
+export const CHECK_INTERVAL_MS = 5_000;
 
 const NO_BYTES = Buffer.alloc(0);
 
@@ -88,7 +88,6 @@
   #isClosed = false;
   #problem: ChannelProblem | undefined;
   #lastReceivedMs = performance.now();
-  #checkTimer: NodeJS.Timeout | undefined;
   #bytesAtCheck = { read: 0, written: 0 };
 
   constructor(options: ChannelConnectionOptions) {
@@ -101,7 +100,6 @@
     socket.on("end", () => socket.destroy());
     socket.on("error", () => socket.destroy());
     socket.on("close", () => this.#handleClose());
-    this.#checkTimer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
     this.#write("hello", { exchangeId: 0, payload: encodeHello() });
   }
 
@@ -168,6 +166,23 @@
     this.#socket.resetAndDestroy();
   }
 
+  /**
+   * Closes the connection if it opens, receives a frame or sends, and no byte has passed since the last call. To be
+   * called every `CHECK_INTERVAL_MS`.
+   */
+  closeStuck(): void {
+    const { bytesRead, bytesWritten, writableLength } = this.#socket;
+    const { read, written } = this.#bytesAtCheck;
+    const hasRead = bytesRead > read;
+    if (!this.#isOpen && !hasRead) return this.#fail("no_hello");
+    if (this.#reader.heldBytes > 0 && !hasRead) {
+      return this.#fail("incomplete_frame");
+    }
+    const flushedBytes = bytesWritten - writableLength;
+    if (writableLength > 0 && flushedBytes === written) return this.reset();
+    this.#bytesAtCheck = { read: bytesRead, written: flushedBytes };
+  }
+
   #fail(problem: ChannelProblem): void {
     this.#problem ??= problem;
     this.#socket.destroy();
@@ -293,24 +308,9 @@
     this.#socket.write(frame, onWritten && (() => onWritten()));
   }
 
-  /** Closes a connection that opens, reads a frame or sends too slowly: no byte has passed since the last check. */
-  #check(): void {
-    const { bytesRead, bytesWritten, writableLength } = this.#socket;
-    const { read, written } = this.#bytesAtCheck;
-    const hasRead = bytesRead > read;
-    if (!this.#isOpen && !hasRead) return this.#fail("no_hello");
-    if (this.#reader.heldBytes > 0 && !hasRead) {
-      return this.#fail("incomplete_frame");
-    }
-    const flushedBytes = bytesWritten - writableLength;
-    if (writableLength > 0 && flushedBytes === written) return this.reset();
-    this.#bytesAtCheck = { read: bytesRead, written: flushedBytes };
-  }
-
   #handleClose(): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
-    clearInterval(this.#checkTimer);
     for (const exchangeId of [...this.#assemblies.keys()]) {
       this.#dropAssembly(exchangeId);
     }
--- a/packages/channel/src/channel_server.ts
+++ b/packages/channel/src/channel_server.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server, type Socket } from "node:net";
 import { MAX_EXCHANGES } from "./channel_client.ts";
-import { ChannelConnection } from "./channel_connection.ts";
+import { ChannelConnection, CHECK_INTERVAL_MS } from "./channel_connection.ts";
 import type {
   BodyMemory,
   ChannelMessage,
@@ -175,6 +175,9 @@
   const server = createServer(accept);
   server.maxConnections = MAX_CONNECTIONS;
   await listen(server, options);
+  const checkTimer = setInterval(() => {
+    for (const connection of connections) connection.closeStuck();
+  }, CHECK_INTERVAL_MS);
   return {
     get inFlight() {
       return inFlight;
@@ -184,6 +187,7 @@
       for (const connection of connections) connection.sendSignal("leaving");
     },
     close() {
+      clearInterval(checkTimer);
       return new Promise((resolve) => {
         server.close(() => resolve());
         for (const connection of connections) connection.end();
