Bound the memory of tiny chunks and the close of a channel server

A frame that arrives in tiny chunks was kept as that many buffers; they are joined from 64 on. A server that closes waited for daemons that read nothing; they are reset after 100 ms. An error on accepting a connection would have ended the process.

--- a/packages/channel/src/channel_message.ts
+++ b/packages/channel/src/channel_message.ts
@@ -23,7 +23,7 @@
   receive(onEnded: () => void): BodyReservation;
 }
 
-/** Why a connection was closed that did not keep to the protocol, or could not be used. */
+/** Why a connection was closed that did not keep to the protocol, or could not be accepted. */
 export type ChannelProblem =
   | "frame_too_large"
   | "frame_too_small"
@@ -34,4 +34,5 @@
   | "too_many_exchanges"
   | "body_too_large"
   | "no_hello"
-  | "incomplete_frame";
+  | "incomplete_frame"
+  | "accept_failed";
--- a/packages/channel/src/channel_server.ts
+++ b/packages/channel/src/channel_server.ts
@@ -51,6 +51,9 @@
 /** Limit on connections; a fleet has one for each pair of daemons. */
 const MAX_CONNECTIONS = 4_096;
 
+/** Time for the other daemons to take the last bytes when the server closes. */
+const CLOSE_GRACE_MS = 100;
+
 interface ServedExchange {
   request: ChannelMessage | undefined;
   run: ChannelRun | undefined;
@@ -175,6 +178,11 @@
   const server = createServer(accept);
   server.maxConnections = MAX_CONNECTIONS;
   await listen(server, options);
+  // An unhandled error, such as that there are no more descriptors, would end the process.
+  server.on(
+    "error",
+    () => options.onProblem({ peer: "unknown", problem: "accept_failed" }),
+  );
   const checkTimer = setInterval(() => {
     for (const connection of connections) connection.closeStuck();
   }, CHECK_INTERVAL_MS);
@@ -191,6 +199,9 @@
       return new Promise((resolve) => {
         server.close(() => resolve());
         for (const connection of connections) connection.end();
+        setTimeout(() => {
+          for (const connection of connections) connection.reset();
+        }, CLOSE_GRACE_MS).unref();
       });
     },
   };
--- a/packages/channel/src/channel_test.ts
+++ b/packages/channel/src/channel_test.ts
@@ -525,3 +525,26 @@
   await waitFor(() => problems.length > 0);
   t.same(problems, ["client: malformed"]);
 });
+
+// Guards against a stop that lasts until the kill, since another daemon takes no more bytes.
+t.test("should close although another daemon reads nothing", async (t) => {
+  const { port, served, server } = await setUp(t);
+  const socket = connect({ host: ADDRESS, port });
+  t.teardown(() => socket.destroy());
+  socket.on("error", () => {});
+  socket.pause();
+  const codec = new MessageCodec();
+  const head = { numbers: [], texts: ["large"] };
+  const options = { bodyBytes: undefined, firstBytes: Buffer.alloc(0) };
+  const payload = Buffer.from(codec.encode(head, options));
+  socket.write(Buffer.concat([
+    encodeFrame("hello", { exchangeId: 0, payload: encodeHello() }),
+    encodeFrame("request", { exchangeId: 1, payload }),
+  ]));
+  await waitFor(() => served.length === 1);
+  served[0]!.answer(message("large", Buffer.alloc(30_000_000)));
+  await sleep(50);
+  const startedMs = performance.now();
+  await server.close();
+  t.ok(performance.now() - startedMs < 2_000);
+});
--- a/packages/channel/src/frames.ts
+++ b/packages/channel/src/frames.ts
@@ -77,6 +77,9 @@
   return frame;
 }
 
+/** Pieces of an incomplete frame from which they are joined; many small ones would take more memory than their bytes. */
+const MAX_PIECES = 64;
+
 /** Splits the bytes of a connection into frames; holds at most one incomplete frame. */
 export class FrameReader {
   #pieces: Buffer[] = [];
@@ -91,6 +94,7 @@
   push(chunk: Buffer): Result<readonly Frame[], FrameProblem> {
     this.#pieces.push(chunk);
     this.#heldBytes += chunk.length;
+    if (this.#pieces.length > MAX_PIECES) this.#join();
     const frames: Frame[] = [];
     for (;;) {
       if (this.#heldBytes < FRAME_HEAD_BYTES) return Result.ok(frames);
@@ -117,7 +121,10 @@
   /** The first piece, joined with the next ones if it is shorter than the length. */
   #first(lengthBytes: number): Buffer {
     const first = this.#pieces[0]!;
-    if (first.length >= lengthBytes) return first;
+    return first.length >= lengthBytes ? first : this.#join();
+  }
+
+  #join(): Buffer {
     const joined = Buffer.concat(this.#pieces);
     this.#pieces = [joined];
     return joined;
