Let the last try of a request wait for a slot

After three upstreams that could not be reached, the fourth might refuse the request because it was full, although it would have served it in time. A refusal by a full upstream now also sets the reason and the Retry-After of the request. The test of a busy and a leaving upstream gives the busy one's load, as each real refusal does; without it the next choice was by lot.

--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -126,7 +126,8 @@
         random,
       });
       if (chosen === undefined) break;
-      const mayWait = mayWaitAt(chosen, {
+      const isLast = sentCount === MAX_SENT - 1;
+      const mayWait = isLast || mayWaitAt(chosen, {
         candidates,
         knownFullCount: progress.knownFull.size,
       });
@@ -137,6 +138,8 @@
       if (!mayWait && verdict.kind === "not_run" && verdict.reason === "busy") {
         progress.tried.delete(chosen.id);
         progress.knownFull.add(chosen.id);
+        reason = "busy";
+        if (verdict.retryAfterMs > 0) retryAfterMs = verdict.retryAfterMs;
         continue;
       }
       if (answer !== undefined) fallback = answer;
--- a/packages/sidecar/src/serve_request_test.ts
+++ b/packages/sidecar/src/serve_request_test.ts
@@ -213,7 +213,13 @@
       retryAfterMs: reason === "busy" ? 700 : 0,
     },
     answer: undefined,
-    state: undefined,
+    state: reason === "busy"
+      ? {
+        load: { ...LOAD, running: 4, waitingByRank: [2] },
+        version: 1,
+        revision: 1,
+      }
+      : undefined,
   });
   sent[0]!.answer(refused("busy"));
   await waitFor(() => sent.length === 2);
@@ -291,6 +297,29 @@
   t.equal((await served).kind, "answered");
 });
 
+// Guards against "unreachable" for a request that a full upstream would have served: its last try might not wait.
+t.test("should let the last try wait", async (t) => {
+  const { serve, sent } = setUp({ upstreams: 8 });
+  const served = serve(routed());
+  for (let attempt = 1; attempt <= 4; attempt += 1) {
+    await waitFor(() => sent.length === attempt);
+    t.equal(sent.at(-1)!.mayWait, attempt === 4);
+    sent.at(-1)!.answer(
+      attempt === 4 ? ANSWERED : {
+        verdict: {
+          kind: "not_run",
+          reason: "connect_failed",
+          reachedUpstream: false,
+          retryAfterMs: 0,
+        },
+        answer: undefined,
+        state: undefined,
+      },
+    );
+  }
+  t.equal((await served).kind, "answered");
+});
+
 // Guards against sending a request on that a daemon has started to handle too late to be answered in time.
 t.test("should refuse a request whose deadline has passed before it is sent", async (t) => {
   const { serve, sent } = setUp();
