--- a/scripts/cost.mjs
+++ b/scripts/cost.mjs
@@ -1,9 +1,10 @@
 // Usage: node scripts/cost.mjs [--program PATH ...] [OPTIONS]: measures the processor time of sidecars, by default of the
 // present code, with the Node arguments of the deploy file. Give the programs of two builds to compare them.
 import { spawnSync } from "node:child_process";
-import { readdirSync, readFileSync } from "node:fs";
+import { readFileSync } from "node:fs";
 import { build } from "esbuild";
 import { buildSidecar } from "./build_sidecar.mjs";
+import { workspaceAliases } from "./workspace_aliases.mjs";
 
 const [, nodeArgs] = /^run = "node (.*) target\/sidecar\.cjs"/m.exec(
   readFileSync("deploy/system.toml", "utf8"),
@@ -19,12 +20,7 @@
   outfile: "build/cost.mjs",
   bundle: true,
   packages: "external",
-  alias: Object.fromEntries(
-    readdirSync("packages").map((name) => [
-      `@tanagercove/${name}`,
-      `./packages/${name}/src/index.ts`,
-    ]),
-  ),
+  alias: workspaceAliases(),
   platform: "node",
   target: "node20",
   format: "esm",
--- a/scripts/soak.mjs
+++ b/scripts/soak.mjs
@@ -1,9 +1,9 @@
 // Usage: node scripts/soak.mjs [--help | OPTIONS]: builds the sidecar and the soak, and injects faults into running sidecars.
 import { spawnSync } from "node:child_process";
-import { readdirSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { build } from "esbuild";
 import { buildSidecar } from "./build_sidecar.mjs";
+import { workspaceAliases } from "./workspace_aliases.mjs";
 
 /** Builds the soak program as one file. */
 export async function buildSoak(
@@ -15,12 +15,7 @@
     plugins,
     bundle: true,
     packages: "external",
-    alias: Object.fromEntries(
-      readdirSync("packages").map((name) => [
-        `@tanagercove/${name}`,
-        `./packages/${name}/src/index.ts`,
-      ]),
-    ),
+    alias: workspaceAliases(),
     platform: "node",
     target: "node20",
     format: "esm",
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -5,6 +5,7 @@
 import { join } from "node:path";
 import { build } from "esbuild";
 import { buildSidecar } from "./build_sidecar.mjs";
+import { workspaceAliases } from "./workspace_aliases.mjs";
 
 const TEST_FILE_TIMEOUT_S = 180;
 const PARALLEL_JOBS = 3;
@@ -150,12 +151,3 @@
     return [];
   }
 }
-
-function workspaceAliases() {
-  return Object.fromEntries(
-    readdirSync("packages").map((name) => [
-      `@tanagercove/${name}`,
-      `./packages/${name}/src/index.ts`,
-    ]),
-  );
-}
