--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -370,6 +370,7 @@
   await openListeners().catch(async (error) => {
     eventLoopWatch.close();
     await closeListeners();
+    channel.close();
     await source.close();
     throw error;
   });
