--- a/packages/placement/src/predict_wait.ts
+++ b/packages/placement/src/predict_wait.ts
@@ -43,8 +43,8 @@
  * Answers the load of a large fleet, in which a daemon sends an upstream one
  * request in seconds: nearly every choice is made without a recent report. An
  * upstream without one is expected to hold what the others of its service hold,
- * not nothing, and a reported load moves towards that while the requests behind
- * the report end. What may have changed since counts too: of two upstreams, the
+ * not nothing. A reported load moves towards what that upstream itself usually
+ * holds while the requests behind the report end. What may have changed since counts too: of two upstreams, the
  * one with more free slots is less likely to be full on arrival.
  */
 export function predictWaitMs(options: PredictWaitOptions): number {
