--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -312,12 +312,20 @@
   output = "";
   #child;
   constructor(
-    { name, ip, zone, service, ports, store, memoryMb = 350, extra = [] },
+    { name, ip, zone, service, ports, store, memoryMb = 350, linkMbps = 1_000 },
   ) {
-    Object.assign(this, { name, ip, zone, service, ports, store, memoryMb });
+    Object.assign(this, {
+      name,
+      ip,
+      zone,
+      service,
+      ports,
+      store,
+      memoryMb,
+      linkMbps,
+    });
     this.folder = mkdtempSync(join(tmpdir(), "review-"));
     this.settings = join(this.folder, "boot.conf");
-    this.extra = extra;
     this.writeSettings();
   }
   writeSettings() {
@@ -337,7 +345,7 @@
         "self.limits.cpu_cores=1",
         `self.limits.memory_mb=${this.memoryMb}`,
         "self.limits.max_fds=4100",
-        "self.limits.link_mbps=1000.0",
+        `self.limits.link_mbps=${this.linkMbps.toFixed(1)}`,
         "self.limits.disk_mb=0",
         `self.app_addr=${ip}:${ports.app}`,
         `self.service=${this.service}`,
@@ -358,7 +366,6 @@
         "terms.bounds.retry_budget_ratio=0.2",
         "terms.bounds.budget_window_s=10",
         "terms.bounds.budget_slack=56",
-        ...this.extra,
         "",
       ].join("\n"),
     );
