--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -193,6 +193,8 @@
   runs = [];
   arrivals = [];
   workMs = 150;
+  /** Share of the requests that it runs whose answers are lost: the connection is reset in place of the answer. */
+  lostShare = 0;
   slots;
   running = 0;
   #server;
@@ -240,8 +242,15 @@
     this.runs.push({ attempt, method: request.method, bodyBytes });
     this.recorder?.line(`${this.id} runs ${attempt}`);
     this.running += 1;
+    let isOver = false;
     const timer = setTimeout(() => {
       this.running -= 1;
+      if (Math.random() < this.lostShare) {
+        this.recorder?.line(`${this.id} ran ${attempt}, its answer is lost`);
+        isOver = true;
+        request.socket.resetAndDestroy();
+        return;
+      }
       const body = `${this.id} ${attempt}`;
       response.writeHead(200, {
         "attempt-id": attempt,
@@ -251,7 +260,7 @@
       }).end(body);
     }, this.workMs);
     response.on("close", () => {
-      if (response.writableFinished) return;
+      if (response.writableFinished || isOver) return;
       clearTimeout(timer);
       this.running -= 1;
     });
@@ -521,6 +530,18 @@
   const sidecars = [];
   const closers = [];
   let code = 2;
+  // Whatever ends this process, the sidecars end with it.
+  process.on("exit", () => {
+    for (const sidecar of sidecars) sidecar.signal("SIGKILL");
+  });
+  for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+    process.on(signal, () => process.exit(2));
+  }
+  process.on("uncaughtException", (error) => {
+    recorder.say(`could not run: ${error.stack}`);
+    recorder.flush();
+    process.exit(2);
+  });
   const limit = setTimeout(() => {
     recorder.say("could not run: 115 s are over");
     recorder.flush();
