Read the platform although daemons rank each other in a circle

Cause: two daemons followed each other. Each took the answered polls of the other for contact to the platform, so neither read it. They had come to rank each other above themselves because a daemon kept the first link that it had learnt for an address, although the address had gone to another VM.

Change: each response to a follower names the readers over which the changes come. A daemon does not feed a follower that is among its own readers, and answers waiting followers when its readers change, so a circle of any size ends within a round of responses. Of two values for the link of an address, the one that its VM told last counts. A poll that is refused no longer costs a full read of the platform. Both messages can be read by daemons of earlier versions.

--- a/packages/catalog/src/catalog_feed.ts
+++ b/packages/catalog/src/catalog_feed.ts
@@ -1,9 +1,14 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Catalog } from "./catalog.ts";
+import { isSameChain, type ReaderChain } from "./reader_chain.ts";
 import type { CatalogChange, CatalogUpdate } from "./source_port.ts";
 
 /** Long poll of a follower to the daemon that it follows. */
 export interface FeedRequest {
+  /** The follower, as other daemons name it; an earlier version does not tell. */
+  readonly follower?: string;
+  /** Readers of the followed daemon as told by its last response, if it told them. */
+  readonly readers?: ReaderChain;
   readonly version: number;
   /** Id of the feed that `position` belongs to; each run of the followed daemon has its own. */
   readonly feedId: string;
@@ -17,10 +22,12 @@
   readonly feedId: string;
   readonly position: number;
   /**
-   * Whether the followed daemon has a catalog and contact to the platform, and is not stopping. If not, the follower
-   * does not follow it for a few seconds.
+   * Whether the followed daemon has a catalog and contact to the platform, does not get its changes from the follower,
+   * and is not stopping. If not, the follower does not follow it for a few seconds.
    */
   readonly isInContact: boolean;
+  /** Readers of the followed daemon; an earlier version does not tell. */
+  readonly readers?: ReaderChain;
   /** All upstreams; set instead of `changes` if the position is unknown or too old. */
   readonly whole: CatalogUpdate | undefined;
   readonly changes: readonly CatalogChange[];
@@ -35,6 +42,8 @@
   readonly feedId: string;
   readonly request: FeedRequest;
   readonly isInContact: () => boolean;
+  /** Readers of this daemon. */
+  readonly readers: () => ReaderChain;
 }
 
 /**
@@ -47,16 +56,23 @@
 
 /**
  * Responds to a follower's long poll. A follower that is behind gets the response at once. Any other follower gets it
- * `BATCH_WINDOW_MS` after the next change, or at the timeout. Loss of contact to the platform is reported at once.
+ * `BATCH_WINDOW_MS` after the next change, or at the timeout. Loss of contact to the platform and a change of the readers
+ * are reported at once. Daemons that follow each other in a circle therefore learn it within a round of responses,
+ * although each of them answers the next one.
  */
 export async function answerFeedRequest(
   options: AnswerFeedOptions,
 ): Promise<FeedResponse> {
-  const { catalog, feedId, request, isInContact } = options;
+  const { catalog, feedId, request, readers } = options;
   const isUpToDate = () =>
     request.feedId === feedId && request.position === catalog.position &&
     request.version >= catalog.version;
-  if (isUpToDate() && isInContact()) {
+  const knowsReaders = () =>
+    request.readers === undefined || isSameChain(request.readers, readers());
+  const isInContact = () =>
+    options.isInContact() &&
+    (request.follower === undefined || !readers().includes(request.follower));
+  if (isUpToDate() && knowsReaders() && isInContact()) {
     await catalog.whenChanged(request.waitMs);
     if (!isUpToDate() && isInContact()) await sleep(BATCH_WINDOW_MS);
   }
@@ -67,6 +83,7 @@
     feedId,
     position: catalog.position,
     isInContact: isInContact(),
+    readers: readers(),
     whole: loggedChanges === undefined ? catalog.snapshot() : undefined,
     changes: loggedChanges?.changes ?? [],
     revision: catalog.revision,
--- a/packages/catalog/src/catalog_sync.ts
+++ b/packages/catalog/src/catalog_sync.ts
@@ -14,6 +14,7 @@
   applyConfigurationUpdate,
   type ConfigurationUpdate,
 } from "./configuration_update.ts";
+import { isSameChain, type ReaderChain } from "./reader_chain.ts";
 import type { CatalogSource, CatalogUpdate } from "./source_port.ts";
 
 /** Fetches the upstreams of another daemon; undefined if that daemon does not answer or holds nothing newer. */
@@ -44,6 +45,13 @@
     /** Daemon that this one follows from now on; undefined if this daemon reads the platform itself. */
     readonly reader: string | undefined;
   }
+  | {
+    readonly kind: "circle_avoided";
+    /** Daemon that this one does not follow, since it gets its changes from this one. */
+    readonly reader: string;
+    /** Readers of that daemon. */
+    readonly readers: ReaderChain;
+  }
   | {
     readonly kind: "caught_up_from_peer";
     readonly peer: string;
@@ -55,6 +63,8 @@
 export interface CatalogSyncOptions {
   readonly catalog: Catalog;
   readonly source: CatalogSource;
+  /** This daemon, as `peers` and `higherRankedReaders` of other daemons name it. */
+  readonly ownPeer: string;
   readonly fetchUpstreams: FetchUpstreams;
   readonly fetchConfiguration: FetchConfiguration;
   readonly followPeer: FollowPeer;
@@ -135,6 +145,9 @@
   #settleTimer: NodeJS.Timeout | undefined;
   #isCatchingUp = false;
   #reader: string | undefined;
+  #readers: ReaderChain = [];
+  /** Whether a reader has delivered changes since the last full read of the platform. */
+  #hasFollowed = false;
   /** Feed position at each reader, so that following a previous reader again needs no full snapshot. */
   readonly #feedPositions = new Map<
     string,
@@ -160,6 +173,11 @@
     return this.#reader;
   }
 
+  /** Readers over which the last response or read reached this daemon. */
+  get readers(): ReaderChain {
+    return this.#readers;
+  }
+
   start(): void {
     this.#loops = Promise.all([
       this.#followPlatform(),
@@ -219,7 +237,7 @@
     if (reader !== this.#reader) {
       this.#reader = reader;
       // Changes that the previous reader had not delivered yet are unknown here.
-      this.#needsFullRead ||= reader === undefined;
+      this.#needsFullRead ||= reader === undefined && this.#hasFollowed;
       this.#options.onEvent({ kind: "guide_changed", reader });
     }
     const lastRead = this.#lastRead;
@@ -238,24 +256,33 @@
   }
 
   async #followReader(reader: string): Promise<"ok" | "failed"> {
-    const { catalog, followPeer } = this.#options;
+    const { catalog, followPeer, ownPeer, onEvent } = this.#options;
     const feedPosition = this.#feedPositions.get(reader);
+    const isNewReader = reader !== this.#readers[0];
+    const knownReaders = isNewReader ? undefined : this.#readers.slice(1);
     const response = await followPeer(reader, {
+      follower: ownPeer,
+      ...(knownReaders && { readers: knownReaders }),
       version: catalog.version,
       feedId: feedPosition?.feedId ?? "",
       position: feedPosition?.position ?? 0,
-      waitMs: FOLLOW_POLL_MS,
+      // A reader that cannot be followed is to be known before this daemon's own followers wait for it.
+      waitMs: isNewReader ? 0 : FOLLOW_POLL_MS,
     });
-    if (response === undefined || !response.isInContact) {
+    const readers = response?.readers ?? [];
+    const isCircle = readers.includes(ownPeer);
+    if (response === undefined || !response.isInContact || isCircle) {
       const nowMs = performance.now();
       this.#avoidedUntilMs.set(reader, nowMs + READER_AVOIDED_MS);
+      if (isCircle) onEvent({ kind: "circle_avoided", reader, readers });
       return "ok";
     }
     this.#feedPositions.set(reader, {
       feedId: response.feedId,
       position: response.position,
     });
-    this.#recordContact();
+    this.#recordContact([reader, ...readers]);
+    this.#hasFollowed = true;
     if (response.whole !== undefined) {
       catalog.replace(response.whole, { advances: false });
     }
@@ -277,7 +304,10 @@
 
   async #readAll(): Promise<"ok" | "failed"> {
     const outcome = await this.#readUpdate();
-    if (outcome === "ok") this.#needsFullRead = false;
+    if (outcome === "ok") {
+      this.#needsFullRead = false;
+      this.#hasFollowed = false;
+    }
     return outcome;
   }
 
@@ -298,7 +328,7 @@
       knownConfigurationRevision,
     });
     if (result.isErr) return this.#recordFailure(result.error);
-    this.#recordContact();
+    this.#recordContact([]);
     this.#options.catalog.replace(result.value, this.#removalOptions());
     this.#recordRead(result.value, timer.transferMs());
     return "ok";
@@ -329,7 +359,7 @@
       // The backoff prevents continuous full reads of a platform that keeps no history at all.
       return "failed";
     }
-    this.#recordContact();
+    this.#recordContact([]);
     catalog.apply(result.value.changes, this.#removalOptions());
     catalog.advance(result.value.revision);
     this.#recordRead(result.value, timer.transferMs());
@@ -366,7 +396,10 @@
     return "failed";
   }
 
-  #recordContact(): void {
+  #recordContact(readers: ReaderChain): void {
+    const hasNewReaders = !isSameChain(readers, this.#readers);
+    this.#readers = readers;
+    if (hasNewReaders) this.#options.catalog.wakeFollowers();
     if (this.#platformLostAtMs === undefined) return;
     const nowMs = performance.now();
     const outageMs = nowMs - this.#platformLostAtMs;
--- a/packages/catalog/src/catalog_sync_test.ts
+++ b/packages/catalog/src/catalog_sync_test.ts
@@ -141,6 +141,7 @@
   const sync = new CatalogSync({
     catalog,
     source,
+    ownPeer: "own:1",
     fetchUpstreams: options.fetchUpstreams ??
       (() => Promise.resolve(undefined)),
     fetchConfiguration: options.fetchConfiguration ??
--- a/packages/catalog/src/catalog_test.ts
+++ b/packages/catalog/src/catalog_test.ts
@@ -214,6 +214,7 @@
       feedId: "run-1",
       request: { version, feedId, position, waitMs: 10 },
       isInContact: () => true,
+      readers: () => [],
     });
   const first = await poll("", 0, 0);
   t.equal(first.whole?.changes.length, 1);
@@ -250,6 +251,7 @@
       waitMs: 60_000,
     },
     isInContact: () => true,
+    readers: () => [],
   });
   catalog.apply([upstream("u2", 6)]);
   t.equal((await response).changes.length, 1);
@@ -264,6 +266,7 @@
     feedId: "f",
     request: { version: 0, feedId: "f", position: 0, waitMs: 60_000 },
     isInContact: () => true,
+    readers: () => [],
   });
   for (const revision of [1, 2, 3]) {
     catalog.apply([upstream(`u${revision}`, revision)]);
@@ -282,6 +285,7 @@
     feedId: "f",
     request: { version: 0, feedId: "f", position: 0, waitMs: 60_000 },
     isInContact: () => isInContact,
+    readers: () => [],
   });
   isInContact = false;
   catalog.wakeFollowers();
--- a/packages/catalog/src/index.ts
+++ b/packages/catalog/src/index.ts
@@ -6,4 +6,5 @@
 export * from "./configuration_delta.ts";
 export * from "./configuration_update.ts";
 export * from "./choose_reader.ts";
+export * from "./reader_chain.ts";
 export * from "./choose_next_read.ts";
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -356,6 +356,14 @@
       "This daemon now takes routes and upstreams from another source: `reader` is a daemon of its zone, or `platform`",
     action: NOTHING,
   },
+  reader_circle_avoided: {
+    level: "warn",
+    fields: { reader: "text", readers: "text" },
+    meaning:
+      "This daemon does not follow `reader` for a few seconds, since that daemon gets its changes from this one; `readers` names the daemons over which it gets them",
+    action:
+      "if it is repeated for the same daemons, compare their settings of the link: they rank each other differently",
+  },
   caught_up_from_peer: {
     level: "info",
     fields: {
--- a/packages/sidecar/src/daemon_addresses.ts
+++ b/packages/sidecar/src/daemon_addresses.ts
@@ -6,7 +6,7 @@
 /** Addresses of the VMs of this zone, this one included, in an order that all daemons compute alike. */
 export function zoneAddresses(
   catalog: Catalog,
-  { zone, address }: SidecarSettings,
+  { zone, address }: Pick<SidecarSettings, "zone" | "address">,
 ): readonly string[] {
   const addresses = new Set([address]);
   for (const { entry } of catalog.upstreams.values()) {
--- a/packages/sidecar/src/decode_peer_answers.ts
+++ b/packages/sidecar/src/decode_peer_answers.ts
@@ -6,7 +6,7 @@
   FeedResponse,
   UpstreamsSnapshot,
 } from "@tanagercove/catalog";
-import type { LinkTable } from "./zone_links.ts";
+import type { KnownLink, LinkTable } from "./zone_links.ts";
 
 /** A decoded answer of another daemon, or what is wrong with it. */
 export type PeerAnswerResult<T> = Result<T, string>;
@@ -49,13 +49,25 @@
   );
 }
 
-/** Decodes the bandwidths that another daemon knows. */
+/** Decodes the links that another daemon knows; one of an earlier version tells only their bandwidths. */
 export function decodeLinkTable(body: Buffer): PeerAnswerResult<LinkTable> {
-  return decodeJson(body).andThen((value) =>
-    isObject(value) && Object.values(value).every(isNumber)
-      ? Result.ok(value as LinkTable)
-      : Result.err("The answer is not a table of links")
-  );
+  return decodeJson(body).andThen((value) => {
+    if (!isObject(value) || !Object.values(value).every(isLink)) {
+      return Result.err("The answer is not a table of links");
+    }
+    const links = Object.entries(value as Record<string, number | KnownLink>)
+      .map(([address, link]) => [
+        address,
+        typeof link === "number" ? { linkMbps: link } : link,
+      ]);
+    return Result.ok(Object.fromEntries(links) as LinkTable);
+  });
+}
+
+function isLink(value: unknown): boolean {
+  return isNumber(value) ||
+    isObject(value) && isNumber(value.linkMbps) &&
+      (value.toldMsAgo === undefined || isNumber(value.toldMsAgo));
 }
 
 function decodeJson(body: Buffer): Result<unknown, string> {
@@ -89,6 +101,7 @@
     typeof value.isInContact === "boolean" &&
     [value.position, value.revision, value.version].every(isNumber) &&
     isListOf(value.changes, isChange) &&
+    (value.readers === undefined || isListOf(value.readers, isText)) &&
     (value.whole === undefined || isCatalogUpdate(value.whole));
 }
 
--- a/packages/sidecar/src/observer.ts
+++ b/packages/sidecar/src/observer.ts
@@ -315,6 +315,12 @@
     }),
   guide_changed: ({ reader }, { log }) =>
     logEvent(log, { event: "reader_changed", reader: reader ?? "platform" }),
+  circle_avoided: ({ reader, readers }, { log }) =>
+    logEvent(log, {
+      event: "reader_circle_avoided",
+      reader,
+      readers: readers.join(","),
+    }),
   caught_up_from_peer: ({ peer, version, changeRevision }, { log }) =>
     logEvent(log, {
       event: "caught_up_from_peer",
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -47,6 +47,9 @@
 /** Path at which daemons of a zone tell each other the bandwidths of their links. */
 export const LINKS_PATH = "/-/tanagercove/links";
 
+/** Query parameter with which a daemon asks for the times of the links too; earlier versions cannot read them. */
+export const LINK_TIMES_PARAMETER = "times";
+
 /**
  * Path of the long poll for changes of a daemon's catalog. A follower is a daemon that uses this long poll instead of
  * reading the platform.
@@ -169,19 +172,19 @@
       });
       return forwardRun(exchange);
     },
-    follow: (destination, { version, feedId, position, waitMs }) =>
+    follow: (destination, request) =>
       fetchDecoded<FeedResponse>(destination, {
         content: "feed",
         decode: decodeFeedResponse,
-        path: `${FEED_PATH}?version=${version}&feed_id=${feedId}` +
-          `&position=${position}&wait_ms=${waitMs}`,
-        headTimeoutMs: waitMs + FEED_GRACE_MS,
+        path: feedPath(request),
+        headTimeoutMs: request.waitMs + FEED_GRACE_MS,
       }),
     exchangeLinks: (destination, ownLinkMbps) =>
       fetchDecoded<LinkTable>(destination, {
         content: "links",
         decode: decodeLinkTable,
-        path: `${LINKS_PATH}?address=${localAddress}&link_mbps=${ownLinkMbps}`,
+        path: `${LINKS_PATH}?address=${localAddress}&link_mbps=${ownLinkMbps}` +
+          `&${LINK_TIMES_PARAMETER}=1`,
         headTimeoutMs: CATALOG_HEAD_TIMEOUT_MS,
       }),
     fetchUpstreams: (destination, heldUpstreamRevision) =>
@@ -231,6 +234,20 @@
   }
 }
 
+function feedPath(
+  { follower, readers, version, feedId, position, waitMs }: FeedRequest,
+): string {
+  const query = new URLSearchParams({
+    version: String(version),
+    feed_id: feedId,
+    position: String(position),
+    wait_ms: String(waitMs),
+  });
+  if (follower !== undefined) query.set("follower", follower);
+  if (readers !== undefined) query.set("readers", readers.join(","));
+  return `${FEED_PATH}?${query}`;
+}
+
 function forwardRun(exchange: Exchange): ForwardRun {
   return {
     ended: exchange.ended.then(forwardResult),
--- a/packages/sidecar/src/peer_client_test.ts
+++ b/packages/sidecar/src/peer_client_test.ts
@@ -207,6 +207,12 @@
   const whole = { ...response, whole: snapshot };
   answer.body = JSON.stringify(whole);
   t.match(await client.follow(destination, POLL), { whole: snapshot });
+  answer.body = JSON.stringify({ "10.0.0.7": 5 });
+  t.same(
+    await client.exchangeLinks(destination, 5),
+    { "10.0.0.7": { linkMbps: 5 } },
+    "links of an earlier version",
+  );
   t.same(problems, []);
 });
 
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -3,7 +3,11 @@
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
-import { answerFeedRequest, type Catalog } from "@tanagercove/catalog";
+import {
+  answerFeedRequest,
+  type Catalog,
+  type ReaderChain,
+} from "@tanagercove/catalog";
 import type { AnswerMemory } from "./answer_memory.ts";
 import {
   decodeTicket,
@@ -29,6 +33,7 @@
 import {
   CONFIGURATION_PATH,
   FEED_PATH,
+  LINK_TIMES_PARAMETER,
   LINKS_PATH,
   UPSTREAMS_PATH,
 } from "./peer_client.ts";
@@ -36,7 +41,7 @@
 import { isSendableRequest } from "./sendable_heads.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 import { type HttpListener, listenHttp } from "./http_listener.ts";
-import type { ZoneLinks } from "./zone_links.ts";
+import type { LinkTable, ZoneLinks } from "./zone_links.ts";
 
 /** HTTP status for the caller's daemon if there is no upstream answer; `OUTCOME_HEADER` has the details. */
 const STATUS_BY_KIND = { not_run: 503, unknown: 502 } as const;
@@ -65,6 +70,8 @@
   readonly feedId: string;
   /** Whether other daemons may follow this one: it has a catalog and contact to the platform, and is not stopping. */
   readonly isInContact: () => boolean;
+  /** Daemons over which the platform's changes reach this one. */
+  readonly readers: () => ReaderChain;
   /** State of this daemon and of the upstream with an id, which is that of this VM or was. */
   readonly state: (upstreamId: string) => OwnerState;
   /** Whether a request with this ticket may still run on this VM's upstream. */
@@ -143,7 +150,13 @@
     if (address !== null && linkMbps >= 0 && linkMbps < Infinity) {
       options.links.record(address, linkMbps);
     }
-    respondJson(response, encodeJson(options.links.table()));
+    const table = options.links.table();
+    respondJson(
+      response,
+      encodeJson(
+        searchParams.has(LINK_TIMES_PARAMETER) ? table : bandwidthsOf(table),
+      ),
+    );
   }
 
   function answerUpstreams(
@@ -174,16 +187,21 @@
   ): Promise<void> {
     const { searchParams } = new URL(request.url!, "http://daemon");
     const number = (name: string) => Number(searchParams.get(name));
+    const follower = searchParams.get("follower");
+    const readers = searchParams.get("readers");
     const answer = await answerFeedRequest({
       catalog: options.catalog,
       feedId: options.feedId,
       request: {
+        ...(follower === null ? {} : { follower }),
+        ...(readers === null ? {} : { readers: decodeReaders(readers) }),
         version: number("version"),
         feedId: searchParams.get("feed_id") ?? "",
         position: number("position"),
         waitMs: Math.min(MAX_FEED_WAIT_MS, number("wait_ms")),
       },
       isInContact: options.isInContact,
+      readers: options.readers,
     });
     respondJson(response, encodeJson(answer));
   }
@@ -295,6 +313,18 @@
   response.end(body.bytes);
 }
 
+/** The table as daemons of earlier versions read it. */
+function bandwidthsOf(table: LinkTable): Readonly<Record<string, number>> {
+  return Object.fromEntries(
+    Object.entries(table).map(([address, { linkMbps }]) => [address, linkMbps]),
+  );
+}
+
+/** Decodes a list of daemons that is joined by commas. */
+function decodeReaders(text: string): ReaderChain {
+  return text === "" ? [] : text.split(",");
+}
+
 function numberParameter(request: IncomingMessage, name: string): number {
   const { searchParams } = new URL(request.url!, "http://daemon");
   return Number(searchParams.get(name));
--- a/packages/sidecar/src/peer_server_fixture.ts
+++ b/packages/sidecar/src/peer_server_fixture.ts
@@ -4,7 +4,7 @@
 import { AnswerMemory } from "./answer_memory.ts";
 import type { ForwardTicket } from "./forwarding.ts";
 import type { OwnedRequest, Owner } from "./owner.ts";
-import { startPeerServer } from "./peer_server.ts";
+import { startPeerServer, type StartPeerServerOptions } from "./peer_server.ts";
 import type { RequestHeaderNames } from "./settings.ts";
 
 /** Header names of the fixture. */
@@ -39,7 +39,11 @@
 };
 
 /** Starts a peer server; by default its owner answers each request with 200. */
-export async function setUpPeerServer(t: Test, owner?: Owner) {
+export async function setUpPeerServer(
+  t: Test,
+  owner?: Owner,
+  overrides: Partial<StartPeerServerOptions> = {},
+) {
   const runs: OwnedRequest[] = [];
   const failures: unknown[] = [];
   let error: Error | undefined;
@@ -68,6 +72,7 @@
     catalog: new Catalog(),
     feedId: "f",
     isInContact: () => true,
+    readers: () => [],
     state: () => ({ load: LOAD, version: 1, revision: 1 }),
     accepts: () => true,
     isLeaving: () => false,
@@ -75,6 +80,7 @@
     maxBodyBytes: () => 1_000,
     onForwarded: () => {},
     onHandlerFailed: (failure) => failures.push(failure),
+    ...overrides,
   });
   t.teardown(() => listener.close());
   const { port } = listener.server.address() as { port: number };
--- a/packages/sidecar/src/peer_server_test.ts
+++ b/packages/sidecar/src/peer_server_test.ts
@@ -1,14 +1,33 @@
 import { connect } from "node:net";
-import t from "tap";
-import { Catalog } from "@tanagercove/catalog";
+import t, { type Test } from "tap";
+import { Catalog, type FeedRequest } from "@tanagercove/catalog";
+import { AnswerMemory } from "./answer_memory.ts";
 import { ConfigurationResponses } from "./configuration_responses.ts";
+import { ConnectionAgents } from "./connection_agent.ts";
 import { encodeTicket } from "./forwarding.ts";
+import {
+  createPeerClient,
+  LINKS_PATH,
+  type PeerClient,
+} from "./peer_client.ts";
 import {
   forwardedRequest,
   setUpPeerServer,
   TICKET,
 } from "./peer_server_fixture.ts";
 
+function createClient(t: Test): PeerClient {
+  const agents = new ConnectionAgents({ maxIdleMs: 1_000 });
+  t.teardown(() => agents.close());
+  return createPeerClient({
+    agents,
+    localAddress: "127.0.0.1",
+    maxAnswerBytes: 1_000,
+    answerMemory: new AnswerMemory({ maxBufferedBytes: 1_000_000 }),
+    onUnreadable: ({ problem }) => t.fail(problem),
+  });
+}
+
 /** Sends raw bytes on a new connection; returns the status of the answer, or undefined if there is none. */
 function sendRaw(port: number, text: string): Promise<number | undefined> {
   return new Promise((resolve) => {
@@ -41,6 +60,47 @@
   t.equal(await sendRaw(port, forwardedRequest(valid)), 200, "still serving");
 });
 
+// Guards against a circle of followers that no daemon notices, since the readers do not cross the wire.
+t.test("should tell a follower the readers, and that it is one of them", async (t) => {
+  const readers = ["10.0.0.7:1", "10.0.0.8:1"];
+  const { port } = await setUpPeerServer(t, undefined, {
+    readers: () => readers,
+  });
+  const follow = (request: Partial<FeedRequest>) =>
+    createClient(t).follow({ address: "127.0.0.1", port }, {
+      version: 0,
+      feedId: "f",
+      position: 0,
+      waitMs: 60_000,
+      ...request,
+    });
+  const outdated = await follow({ follower: "10.0.0.9:1", readers: [] });
+  t.match(outdated, { isInContact: true, readers });
+  const circle = await follow({ follower: "10.0.0.8:1", readers });
+  t.match(circle, { isInContact: false, readers });
+  const earlier = await follow({ feedId: "", waitMs: 0 });
+  t.match(earlier, { isInContact: true }, "a follower that does not tell");
+});
+
+// Guards against daemons of an earlier version that learn no link, and so follow nobody.
+t.test("should tell links with their times only to a daemon that asks for them", async (t) => {
+  const told: unknown[] = [];
+  const table = { "10.0.0.7": { linkMbps: 5, toldMsAgo: 12 } };
+  const { port } = await setUpPeerServer(t, undefined, {
+    links: {
+      record: (address, linkMbps) => told.push({ address, linkMbps }),
+      table: () => table,
+    },
+  });
+  const destination = { address: "127.0.0.1", port };
+  t.same(await createClient(t).exchangeLinks(destination, 100), table);
+  t.same(told, [{ address: "127.0.0.1", linkMbps: 100 }]);
+  const earlier = await fetch(
+    `http://127.0.0.1:${port}${LINKS_PATH}?address=10.0.0.9&link_mbps=7`,
+  );
+  t.same(await earlier.json(), { "10.0.0.7": 5 });
+});
+
 // Guards against an exception after a slot was granted: Node's parser accepts a tab in a path, but Node refuses to
 // write it.
 t.test("should answer 400 to a forwarded request that cannot be passed on", async (t) => {
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -185,6 +185,7 @@
   const sync = new CatalogSync({
     catalog,
     source,
+    ownPeer: `${settings.address}:${peerPort}`,
     fetchUpstreams: (peer, heldRevision) =>
       peers.fetchUpstreams(parseEndpoint(peer), heldRevision),
     fetchConfiguration: (peer, heldVersion) =>
@@ -389,6 +390,7 @@
       isInContact: () =>
         catalog.revision > 0 && sync.platformLostAtMs === undefined &&
         !isStopping(),
+      readers: () => sync.readers,
       state: ownerState,
       accepts,
       isLeaving: () => !stopPhase().acceptsForwarded,
@@ -470,6 +472,7 @@
       callers_in_flight: () => callers.inFlight,
       connections_opened_to_upstream: () => upstreamAgents.opened,
       connections_opened_to_daemons: () => peerAgents.opened + channel.opened,
+      reader_chain_length: () => sync.readers.length,
       ready: () => isReady() ? 1 : 0,
     };
     for (const [name, read] of Object.entries(gauges)) {
@@ -486,6 +489,7 @@
       stopping: isStopping(),
       configuration: catalog.index?.configuration,
       catalog_revision: catalog.revision,
+      readers: sync.readers,
       upstreams: [...catalog.upstreams.values()].map((held) => ({
         ...held,
         ejected: reports.isEjected(held.entry.id),
--- /dev/null
+++ b/packages/sidecar/src/zone_fixture.ts
@@ -0,0 +1,314 @@
+import { randomBytes } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  answerFeedRequest,
+  Catalog,
+  type CatalogChange,
+  type CatalogSource,
+  CatalogSync,
+  type CatalogSyncEvent,
+  type CatalogUpdate,
+  configurationUpdateFrom,
+  type FeedRequest,
+} from "@tanagercove/catalog";
+import type { PlatformError } from "@tanagercove/errors";
+import type { RouteConfiguration, UpstreamEntry } from "@tanagercove/types";
+import { Result } from "true-myth";
+import { higherRankedReaders, zoneAddresses } from "./daemon_addresses.ts";
+import { ZoneLinks } from "./zone_links.ts";
+
+/** Port of each daemon of a `ZoneFixture` for other daemons. */
+const PEER_PORT = 7_000;
+
+/** Time after which a call to an address without an answer fails. */
+const SILENCE_MS = 300;
+
+/** A VM of a `ZoneFixture`. */
+export interface VmOptions {
+  readonly address: string;
+  readonly linkMbps?: number;
+  readonly zone?: string;
+  /** What this daemon takes for the link of another VM; by default, what it has learnt. */
+  readonly linkMbpsOf?: (address: string) => number | undefined;
+}
+
+/** A call that a `FakePlatform` received. */
+export interface PlatformCall {
+  readonly from: string;
+  readonly kind: "watch" | "read";
+  readonly atMs: number;
+}
+
+const CONFIGURATION_KEY = "configuration";
+
+/** A platform in memory that the daemons of a `ZoneFixture` read. */
+export class FakePlatform {
+  readonly calls: PlatformCall[] = [];
+  /** VMs whose calls fail. */
+  readonly refused = new Set<string>();
+  isDown = false;
+  #revision = 0;
+  readonly #items = new Map<string, CatalogChange>();
+  readonly #waiters = new Set<() => void>();
+
+  putConfiguration(configuration: RouteConfiguration): void {
+    this.#put(CONFIGURATION_KEY, (revision) => ({
+      kind: "configuration",
+      revision,
+      configuration,
+    }));
+  }
+
+  putUpstream(entry: UpstreamEntry): void {
+    this.#put(entry.id, (revision) => ({ kind: "upstream", revision, entry }));
+  }
+
+  removeUpstream(id: string): void {
+    this.#put(id, (revision) => ({ kind: "upstream_removed", revision, id }));
+  }
+
+  /** Ends the watches that wait, which then fail if their VM is refused or the platform is down. */
+  cutWatches(): void {
+    for (const wake of [...this.#waiters]) wake();
+  }
+
+  /** The platform as the daemon at an address reads it. */
+  sourceFor(from: string): CatalogSource {
+    return {
+      readAll: () => Promise.resolve(this.#answer({ from, kind: "read" }, 0)),
+      watch: async ({ afterRevision, waitMs, signal }) => {
+        const isServed = !this.isDown && !this.refused.has(from);
+        if (isServed && this.#revision <= afterRevision) {
+          await this.#nextChange(waitMs, signal);
+        }
+        return this.#answer({ from, kind: "watch" }, afterRevision);
+      },
+      close: () => Promise.resolve(),
+    };
+  }
+
+  #put(key: string, change: (revision: number) => CatalogChange): void {
+    this.#revision += 1;
+    this.#items.set(key, change(this.#revision));
+    this.cutWatches();
+  }
+
+  #answer(
+    call: Omit<PlatformCall, "atMs">,
+    afterRevision: number,
+  ): Result<CatalogUpdate, PlatformError> {
+    this.calls.push({ ...call, atMs: performance.now() });
+    if (this.isDown || this.refused.has(call.from)) {
+      return Result.err({ kind: "unavailable", status: 503 });
+    }
+    const changes = [...this.#items.values()].filter((change) =>
+      change.revision > afterRevision &&
+      (call.kind === "watch" || change.kind !== "upstream_removed")
+    );
+    return Result.ok({ revision: this.#revision, changes });
+  }
+
+  #nextChange(waitMs: number, signal: AbortSignal | undefined): Promise<void> {
+    return new Promise((resolve) => {
+      const settle = () => {
+        clearTimeout(timer);
+        this.#waiters.delete(settle);
+        resolve();
+      };
+      const timer = setTimeout(settle, waitMs);
+      this.#waiters.add(settle);
+      signal?.addEventListener("abort", settle);
+    });
+  }
+}
+
+/** Reading of the platform and of other daemons, as in a sidecar, without its sockets. */
+export class ZoneDaemon {
+  readonly catalog: Catalog;
+  readonly sync: CatalogSync;
+  readonly links: ZoneLinks;
+  readonly events: CatalogSyncEvent[] = [];
+  readonly address: string;
+  readonly linkMbps: number;
+  readonly #feedId = randomBytes(6).toString("hex");
+
+  constructor(
+    fixture: ZoneFixture,
+    { address, linkMbps = 5, zone = "a", linkMbpsOf }: VmOptions,
+  ) {
+    this.address = address;
+    this.linkMbps = linkMbps;
+    this.catalog = new Catalog({
+      onEvent: ({ kind }) => kind === "upstream_taken" && this.links.refresh(),
+    });
+    const zoneVms = () => zoneAddresses(this.catalog, { zone, address });
+    this.links = new ZoneLinks({
+      ownAddress: address,
+      ownLinkMbps: linkMbps,
+      zoneAddresses: zoneVms,
+      exchange: async (keeper) => {
+        const daemon = await fixture.reach(address, keeper);
+        daemon?.links.record(address, linkMbps);
+        return daemon?.links.table();
+      },
+    });
+    const reach = (peer: string) => fixture.reach(address, addressOf(peer));
+    this.sync = new CatalogSync({
+      catalog: this.catalog,
+      source: fixture.platform.sourceFor(address),
+      ownPeer: peerAt(address),
+      fetchUpstreams: async (peer, heldRevision) => {
+        const catalog = (await reach(peer))?.catalog;
+        return catalog && catalog.upstreamRevision > heldRevision
+          ? catalog.snapshot()
+          : undefined;
+      },
+      fetchConfiguration: async (peer, heldVersion) => {
+        const catalog = (await reach(peer))?.catalog;
+        return catalog && configurationUpdateFrom(catalog, heldVersion);
+      },
+      followPeer: async (peer, request) => {
+        fixture.polls.push({ from: address, to: addressOf(peer) });
+        return (await reach(peer))?.answer(request);
+      },
+      peers: () => zoneVms().filter((other) => other !== address).map(peerAt),
+      higherRankedReaders: () =>
+        higherRankedReaders({
+          ownAddress: address,
+          zoneAddresses: zoneVms(),
+          linkMbpsOf: (other) =>
+            other === address
+              ? linkMbps
+              : (linkMbpsOf ?? this.links.linkMbpsOf.bind(this.links))(other),
+        }).map(peerAt),
+      onEvent: (event) => this.events.push(event),
+    });
+  }
+
+  start(): void {
+    this.sync.start();
+    this.links.start();
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([this.sync.close(), this.links.close()]);
+  }
+
+  answer(request: FeedRequest): ReturnType<typeof answerFeedRequest> {
+    return answerFeedRequest({
+      catalog: this.catalog,
+      feedId: this.#feedId,
+      request,
+      isInContact: () =>
+        this.catalog.revision > 0 && this.sync.platformLostAtMs === undefined,
+      readers: () => this.sync.readers,
+    });
+  }
+}
+
+/** A call from one daemon to another. */
+export interface PeerCall {
+  readonly from: string;
+  readonly to: string;
+}
+
+/** Daemons that read one platform and follow each other, in one process. */
+export class ZoneFixture {
+  readonly platform = new FakePlatform();
+  /** Long polls of followers, in the order in which they were sent. */
+  readonly polls: PeerCall[] = [];
+  readonly #daemons = new Map<string, ZoneDaemon>();
+  readonly #silent = new Set<string>();
+  readonly #isCut: (call: PeerCall) => boolean;
+
+  constructor(
+    { isCut = () => false }: {
+      /** Whether a call between two daemons gets no answer. */
+      readonly isCut?: (call: PeerCall) => boolean;
+    } = {},
+  ) {
+    this.#isCut = isCut;
+  }
+
+  get daemons(): readonly ZoneDaemon[] {
+    return [...this.#daemons.values()];
+  }
+
+  /** Registers the upstream of a VM; `generation` tells apart the upstreams that use an address in turn. */
+  register({ address, zone = "a" }: VmOptions, generation = 1): void {
+    this.platform.putUpstream({
+      id: upstreamId(address, generation),
+      service: "shop",
+      address,
+      port: 80,
+      zone,
+      slots: 4,
+      state: "ready",
+      coldMs: 0,
+      bornMs: generation,
+    });
+  }
+
+  unregister(address: string, generation = 1): void {
+    this.platform.removeUpstream(upstreamId(address, generation));
+  }
+
+  start(vm: VmOptions): ZoneDaemon {
+    this.#silent.delete(vm.address);
+    const daemon = new ZoneDaemon(this, vm);
+    this.#daemons.set(vm.address, daemon);
+    daemon.start();
+    return daemon;
+  }
+
+  /** Ends a daemon. With `isSilent`, calls to its address get no answer, as after a loss of power. */
+  async kill(address: string, { isSilent = false } = {}): Promise<void> {
+    const daemon = this.#daemons.get(address);
+    this.#daemons.delete(address);
+    if (isSilent) this.#silent.add(address);
+    await daemon?.close();
+  }
+
+  /** The daemon at an address, as a call from another one reaches it; undefined if there is no answer. */
+  async reach(from: string, to: string): Promise<ZoneDaemon | undefined> {
+    if (this.#silent.has(to) || this.#isCut({ from, to })) {
+      await sleep(SILENCE_MS);
+      return undefined;
+    }
+    await sleep(1);
+    return this.#daemons.get(to);
+  }
+
+  async close(): Promise<void> {
+    const closed = this.daemons.map((daemon) => daemon.close());
+    this.platform.cutWatches();
+    await Promise.all(closed);
+  }
+}
+
+/** A configuration without routes. */
+export function configurationAt(version: number): RouteConfiguration {
+  return {
+    version,
+    routes: [],
+    services: [],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  };
+}
+
+function upstreamId(address: string, generation: number): string {
+  return `${address}-${generation}`;
+}
+
+function peerAt(address: string): string {
+  return `${address}:${PEER_PORT}`;
+}
+
+function addressOf(peer: string): string {
+  return peer.slice(0, peer.lastIndexOf(":"));
+}
--- /dev/null
+++ b/packages/sidecar/src/zone_reading_test.ts
@@ -0,0 +1,99 @@
+import t, { type Test } from "tap";
+import { rankByRendezvous } from "@tanagercove/membership";
+import { waitFor } from "@tanagercove/test_helpers";
+import { configurationAt, ZoneFixture } from "./zone_fixture.ts";
+
+/** Time within which a version must be in force (`config_apply_s`). */
+const APPLY_MS = 2_000;
+
+/** The VMs of a zone, in the order of their ranks while all links are equal. */
+function rankedAddresses(count: number): readonly string[] {
+  const addresses = Array.from({ length: count }, (_, i) => `10.0.0.${i + 1}`);
+  return rankByRendezvous("a", addresses);
+}
+
+function startZone(t: Test): ZoneFixture {
+  const zone = new ZoneFixture();
+  zone.platform.putConfiguration(configurationAt(1));
+  t.teardown(() => zone.close());
+  return zone;
+}
+
+/** Publishes a version; resolves once all daemons have it, and fails if that takes too long. */
+async function publish(zone: ZoneFixture, version: number): Promise<void> {
+  zone.platform.putConfiguration(configurationAt(version));
+  await waitFor(
+    () => zone.daemons.every(({ catalog }) => catalog.version === version),
+    { timeoutMs: APPLY_MS },
+  );
+}
+
+// Guards against a zone that reads the platform no more: the address of its reader went to a VM with a narrow link, and
+// that VM and the next wide one followed each other.
+t.test("should read the platform after the address of a reader has gone to a VM with a narrow link", async (t) => {
+  const addresses = rankedAddresses(6);
+  // Neither of the wide VMs is among those that keep the table of links.
+  const [lost, other] = [addresses[3]!, addresses[4]!];
+  const zone = startZone(t);
+  const vms = addresses.map((address) => ({
+    address,
+    linkMbps: address === lost || address === other ? 100 : 5,
+  }));
+  for (const vm of vms) zone.register(vm);
+  for (const vm of vms) zone.start(vm);
+  await waitFor(() =>
+    zone.daemons.every(({ links }) =>
+      addresses.every((address) => links.linkMbpsOf(address) !== undefined)
+    )
+  );
+
+  await zone.kill(lost);
+  const narrow = { address: lost, linkMbps: 5 };
+  zone.register(narrow, 2);
+  zone.start(narrow);
+  zone.unregister(lost);
+  const pollsBefore = zone.polls.length;
+  const hasPolled = (from: string, to: string) =>
+    zone.polls.slice(pollsBefore).some((poll) =>
+      poll.from === from && poll.to === to
+    );
+  const otherDaemon = zone.daemons.find(({ address }) => address === other)!;
+  await waitFor(
+    () =>
+      hasPolled(lost, other) &&
+      (hasPolled(other, lost) || otherDaemon.links.linkMbpsOf(lost) === 5),
+    { timeoutMs: 20_000, what: "polls between the wide VMs" },
+  );
+  await publish(zone, 2);
+});
+
+// Guards against a circle of more than two daemons, in which no two follow each other.
+t.test("should read the platform although three daemons rank each other in a circle", async (t) => {
+  const addresses = rankedAddresses(3);
+  const zone = startZone(t);
+  const vms = addresses.map((address, i) => ({
+    address,
+    linkMbpsOf: (other: string) => other === addresses[(i + 1) % 3] ? 100 : 1,
+  }));
+  for (const vm of vms) zone.register(vm);
+  for (const vm of vms) zone.start(vm);
+  await waitFor(() =>
+    addresses.every((address) =>
+      zone.polls.some(({ from }) => from === address)
+    )
+  );
+  for (const version of [2, 3, 4]) await publish(zone, version);
+  const readsBefore = zone.platform.calls.filter(({ kind }) => kind === "read");
+  const avoided = () =>
+    zone.daemons.flatMap(({ events }) =>
+      events.filter(({ kind }) => kind === "circle_avoided")
+    ).length;
+  const avoidedBefore = avoided();
+  await waitFor(() => avoided() > avoidedBefore, { timeoutMs: 20_000 });
+  const reads = zone.platform.calls.filter(({ kind }) => kind === "read");
+  t.equal(
+    reads.length,
+    readsBefore.length,
+    "a refused poll costs no full read",
+  );
+});
