Read the platform soon after many readers have lost power

What callers would see: requests of a zone that run by an old version until daemons of other zones tell of the newer one, one daemon at a time.

Cause: a daemon tried all higher-ranked daemons before it read the platform. A silent one costs a timeout of 0.3 s and is avoided for 4 s, so with more than 13 of them the first one was tried again before the last one. All that time the daemon counted as in contact, since no call of its own had failed.

Change: a daemon that has looked for a reader for 250 ms reads the platform itself for the next 4 s. If the platform does not answer, it looks on at once.

--- a/packages/catalog/src/catalog_sync.ts
+++ b/packages/catalog/src/catalog_sync.ts
@@ -92,6 +92,12 @@
 /** Time during which a reader that did not answer or lost contact to the platform is not followed. */
 const READER_AVOIDED_MS = 4_000;
 
+/**
+ * Time for which a daemon looks for a reader, from the first one that fails, before it reads the platform itself. Readers
+ * that lose power together each cost a timeout, and avoiding the first one ends before the last one has been tried.
+ */
+const READER_SEARCH_MS = 250;
+
 /** First backoff after a failed call; doubles up to `RETRY_MAX_MS`, with jitter. */
 const RETRY_MS = 100;
 const RETRY_MAX_MS = 800;
@@ -154,6 +160,10 @@
     { feedId: string; position: number }
   >();
   readonly #avoidedUntilMs = new Map<string, number>();
+  /** When a reader first failed since the last contact to the platform. */
+  #searchStartedAtMs: number | undefined;
+  /** End of the time in which this daemon reads the platform itself, since it found no reader soon enough. */
+  #readsItselfUntilMs = 0;
   #loops: Promise<unknown> = Promise.resolve();
 
   constructor(options: CatalogSyncOptions) {
@@ -249,6 +259,7 @@
 
   #chooseReader(): string | undefined {
     const nowMs = performance.now();
+    if (nowMs < this.#readsItselfUntilMs) return undefined;
     return chooseReader({
       higherRanked: this.#options.higherRankedReaders(),
       isAvoided: (reader) => (this.#avoidedUntilMs.get(reader) ?? 0) > nowMs,
@@ -272,8 +283,7 @@
     const readers = response?.readers ?? [];
     const isCircle = readers.includes(ownPeer);
     if (response === undefined || !response.isInContact || isCircle) {
-      const nowMs = performance.now();
-      this.#avoidedUntilMs.set(reader, nowMs + READER_AVOIDED_MS);
+      this.#recordFailedReader(reader);
       if (isCircle) onEvent({ kind: "circle_avoided", reader, readers });
       return "ok";
     }
@@ -293,6 +303,15 @@
     return "ok";
   }
 
+  #recordFailedReader(reader: string): void {
+    const nowMs = performance.now();
+    this.#avoidedUntilMs.set(reader, nowMs + READER_AVOIDED_MS);
+    this.#searchStartedAtMs ??= nowMs;
+    if (nowMs - this.#searchStartedAtMs < READER_SEARCH_MS) return;
+    this.#searchStartedAtMs = undefined;
+    this.#readsItselfUntilMs = nowMs + READER_AVOIDED_MS;
+  }
+
   /** Fetches the configuration of another daemon that holds a newer version than this one. */
   async #fetchConfiguration(peer: string, version: number): Promise<void> {
     const { catalog, fetchConfiguration } = this.#options;
@@ -388,6 +407,7 @@
   }
 
   #recordFailure(error: PlatformError): "failed" {
+    this.#readsItselfUntilMs = 0;
     if (this.#platformLostAtMs === undefined) {
       this.#platformLostAtMs = performance.now();
       this.#options.catalog.wakeFollowers();
@@ -399,6 +419,7 @@
   #recordContact(readers: ReaderChain): void {
     const hasNewReaders = !isSameChain(readers, this.#readers);
     this.#readers = readers;
+    this.#searchStartedAtMs = undefined;
     if (hasNewReaders) this.#options.catalog.wakeFollowers();
     if (this.#platformLostAtMs === undefined) return;
     const nowMs = performance.now();
--- a/packages/sidecar/src/zone_reading_test.ts
+++ b/packages/sidecar/src/zone_reading_test.ts
@@ -97,3 +97,22 @@
     "a refused poll costs no full read",
   );
 });
+
+// Guards against a zone that reads the platform no more after a loss of power: with more silent readers than a daemon can
+// try before it no longer avoids the first one, it never came to read the platform itself.
+t.test("should read the platform soon after most readers of a zone have lost power", async (t) => {
+  const addresses = rankedAddresses(39);
+  const zone = startZone(t);
+  for (const address of addresses) zone.register({ address });
+  for (const address of addresses) zone.start({ address });
+  await waitFor(() =>
+    zone.daemons.every(({ sync }, i) =>
+      (sync.reader === undefined) === (i === 0)
+    )
+  );
+  const lost = addresses.slice(0, 20);
+  await Promise.all(
+    lost.map((address) => zone.kill(address, { isSilent: true })),
+  );
+  await publish(zone, 2);
+});
