Repeat no request by a route that may be outdated

A version had added an unsafe route below a safe one. A daemon that still held the version before took requests for it as idempotent, and sent them again when their answers were lost.

Cause: the caller's daemon decided alone, by its own version, whether a request may be sent again.

Change: an owner daemon refuses, as not run, a request that its own newer version makes non-idempotent although the caller's daemon takes it for idempotent. That answer arrives before the first run, so it also holds if the owner daemon is lost later. It names a Retry-After of 0.5 s, in which the caller's daemon fetches the newer version, and no other upstream is tried, since its daemon may hold the older version too. A daemon that knows of a newer version than its own, or has no contact to the platform, repeats only GET, HEAD and OPTIONS. A request in flight takes the class of a version that arrives meanwhile, if that one is stricter.

Open: a GET on an unsafe route that neither daemon knows of.

--- a/packages/catalog/src/catalog_sync.ts
+++ b/packages/catalog/src/catalog_sync.ts
@@ -150,6 +150,8 @@
   #nextWatchAtMs = 0;
   #settleTimer: NodeJS.Timeout | undefined;
   #isCatchingUp = false;
+  /** Newest version that another daemon is known to hold. */
+  #newestKnownVersion = 0;
   #reader: string | undefined;
   #readers: ReaderChain = [];
   /** Whether a reader has delivered changes since the last full read of the platform. */
@@ -178,6 +180,12 @@
     return this.#platformLostAtMs;
   }
 
+  /** Whether this daemon has contact to the platform and knows of no newer version than the one in force. */
+  get isCurrent(): boolean {
+    return this.#platformLostAtMs === undefined &&
+      this.#newestKnownVersion <= this.#options.catalog.version;
+  }
+
   /** Daemon that this one follows; undefined if it reads the platform. */
   get reader(): string | undefined {
     return this.#reader;
@@ -200,6 +208,7 @@
     peer: string,
     state: { readonly version: number; readonly revision: number },
   ): Promise<void> {
+    this.#recordKnownVersion(state.version);
     if (!this.#isBehind(state) || this.#isCatchingUp) return;
     this.#isCatchingUp = true;
     try {
@@ -218,6 +227,10 @@
     await this.#loops;
   }
 
+  #recordKnownVersion(version: number): void {
+    this.#newestKnownVersion = Math.max(this.#newestKnownVersion, version);
+  }
+
   #isBehind(state: { version: number; revision: number }): boolean {
     const { catalog } = this.#options;
     return state.version > catalog.version ||
@@ -297,6 +310,7 @@
       catalog.replace(response.whole, { advances: false });
     }
     catalog.apply(response.changes);
+    this.#recordKnownVersion(response.version);
     await this.#fetchConfiguration(reader, response.version);
     if (catalog.version < response.version) return await this.#readAll();
     catalog.advance(response.revision);
--- a/packages/catalog/src/catalog_sync_test.ts
+++ b/packages/catalog/src/catalog_sync_test.ts
@@ -390,3 +390,27 @@
   t.equal(source.watchedAfter.at(-1), 4);
   t.same(source.knownRevisions, [undefined, 4]);
 });
+
+// Guards against requests that are repeated by a route that another daemon already knows to be outdated.
+t.test("should count as current only while in contact, and while no other daemon holds a newer version", async (t) => {
+  const { source, catalog, sync } = setUp({
+    fetchConfiguration: () =>
+      Promise.resolve({
+        kind: "whole",
+        revision: 7,
+        configuration: configurationAt(4),
+      }),
+  });
+  sync.start();
+  await waitFor(() => source.watches === 1);
+  t.equal(sync.isCurrent, true);
+  const caughtUp = sync.catchUpIfBehind("peer:1", { version: 4, revision: 7 });
+  t.equal(sync.isCurrent, false, "the newer version is not here yet");
+  await caughtUp;
+  t.equal(catalog.version, 4);
+  t.equal(sync.isCurrent, true);
+  source.isDown = true;
+  source.publish(UNAVAILABLE);
+  await waitFor(() => sync.platformLostAtMs !== undefined);
+  t.equal(sync.isCurrent, false);
+});
--- a/packages/sidecar/src/channel_peers_test.ts
+++ b/packages/sidecar/src/channel_peers_test.ts
@@ -1,5 +1,6 @@
 import fc from "fast-check";
 import t, { type Test } from "tap";
+import { Catalog } from "@tanagercove/catalog";
 import { ChannelClient, startChannelServer } from "@tanagercove/channel";
 import { AnswerMemory } from "./answer_memory.ts";
 import {
@@ -115,6 +116,7 @@
       run: () => ({ ended: Promise.resolve().then(run), cancel: () => {} }),
       load: () => STATE.load,
     },
+    catalog: new Catalog(),
     accepts: () => true,
     onForwarded: () => {},
     state: () => STATE,
--- a/packages/sidecar/src/decide_next_step.ts
+++ b/packages/sidecar/src/decide_next_step.ts
@@ -38,6 +38,7 @@
   cancelled: "deadline_before_start",
   upstream_refused: "upstream_refused",
   upstream_changed: "upstream_refused",
+  route_changed: "route_changed",
   connect_failed: "unreachable",
 };
 
@@ -56,6 +57,10 @@
     return final;
   }
   if (verdict.kind !== "not_run" && requestClass !== "idempotent") return final;
+  // Another daemon may hold the older version too, and would run the request as an idempotent one.
+  if (verdict.kind === "not_run" && verdict.reason === "route_changed") {
+    return final;
+  }
   if (verdict.kind !== "answered" && verdict.reason === "cancelled") {
     return final;
   }
--- a/packages/sidecar/src/departed_callers_test.ts
+++ b/packages/sidecar/src/departed_callers_test.ts
@@ -141,6 +141,7 @@
     }),
     sendQueue,
     isStopping: () => false,
+    isConfigurationCurrent: () => true,
     onPeerState: () => {},
   });
   const { handler } = setUpCallerHandler({ catalog, serve });
--- a/packages/sidecar/src/forwarded_requests.ts
+++ b/packages/sidecar/src/forwarded_requests.ts
@@ -1,6 +1,18 @@
 import type { ReportedLoad } from "@tanagercove/placement";
-import type { ForwardTicket, OwnerVerdict } from "./forwarding.ts";
+import type { Catalog } from "@tanagercove/catalog";
+import type {
+  ForwardTicket,
+  NotRunReason,
+  OwnerVerdict,
+} from "./forwarding.ts";
 import type { OwnedRequest, OwnedResult, OwnedRun, Owner } from "./owner.ts";
+import { isTakenForIdempotent } from "./request_class.ts";
+
+/**
+ * Time after which the caller of a request whose route has changed may come back; its daemon fetches the newer version
+ * meanwhile.
+ */
+const ROUTE_CHANGED_RETRY_MS = 500;
 
 /** How a forwarded request ended at this daemon. */
 export interface ForwardedResult {
@@ -16,17 +28,22 @@
   readonly owner: Pick<Owner, "run" | "load">;
   /** Whether a request with this ticket may still run on this VM's upstream. */
   readonly accepts: (ticket: ForwardTicket) => boolean;
+  readonly catalog: Pick<Catalog, "index">;
   readonly onForwarded: (result: ForwardedResult) => void;
 }
 
-/** Runs a request of another daemon, or refuses it as leaving. */
+/** Runs a request of another daemon, or refuses it: as leaving, or since its route has changed. */
 export function runForwarded(
   request: OwnedRequest,
-  { owner, accepts, onForwarded }: RunForwardedOptions,
+  { owner, accepts, catalog, onForwarded }: RunForwardedOptions,
 ): OwnedRun {
   const startedMs = performance.now();
   const { requestId, ticket } = request;
-  const run = accepts(ticket) ? owner.run(request) : leavingRun();
+  const run = !accepts(ticket)
+    ? refusedRun("leaving", 0)
+    : isTakenForIdempotent(request, catalog.index)
+    ? refusedRun("route_changed", ROUTE_CHANGED_RETRY_MS)
+    : owner.run(request);
   const ended = run.ended.then((result) => {
     onForwarded({
       requestId,
@@ -40,14 +57,9 @@
   return { ended, cancel: () => run.cancel() };
 }
 
-function leavingRun(): OwnedRun {
+function refusedRun(reason: NotRunReason, retryAfterMs: number): OwnedRun {
   const result: OwnedResult = {
-    verdict: {
-      kind: "not_run",
-      reason: "leaving",
-      reachedUpstream: false,
-      retryAfterMs: 0,
-    },
+    verdict: { kind: "not_run", reason, reachedUpstream: false, retryAfterMs },
     answer: undefined,
   };
   return { ended: Promise.resolve(result), cancel: () => {} };
--- a/packages/sidecar/src/forwarding.ts
+++ b/packages/sidecar/src/forwarding.ts
@@ -42,6 +42,7 @@
   | RankedRefusal
   | "upstream_refused"
   | "upstream_changed"
+  | "route_changed"
   | "connect_failed";
 
 /** Why it is not known whether a request ran. */
@@ -284,6 +285,7 @@
   cancelled: true,
   upstream_refused: true,
   upstream_changed: true,
+  route_changed: true,
   connect_failed: true,
 };
 
--- a/packages/sidecar/src/mesh_simulation.ts
+++ b/packages/sidecar/src/mesh_simulation.ts
@@ -221,6 +221,7 @@
       }),
       sendQueue: { wait: () => Promise.resolve() },
       isStopping: () => false,
+      isConfigurationCurrent: () => true,
       onPeerState: () => {},
       nowMs,
       random: random.next,
--- a/packages/sidecar/src/refusals.ts
+++ b/packages/sidecar/src/refusals.ts
@@ -9,6 +9,7 @@
   | "busy"
   | "unreachable"
   | "upstream_refused"
+  | "route_changed"
   | "deadline_before_start"
   | "cut"
   | "deadline";
@@ -32,6 +33,10 @@
   busy: { status: 503, message: "Not run: no upstream has room in time" },
   unreachable: { status: 503, message: "Not run: no upstream is reachable" },
   upstream_refused: { status: 503, message: "Not run: the upstreams refused" },
+  route_changed: {
+    status: 503,
+    message: "Not run: a newer version has another route for it",
+  },
   deadline_before_start: {
     status: 503,
     message: "Not run: the time was over before a slot was free",
--- /dev/null
+++ b/packages/sidecar/src/route_change_test.ts
@@ -0,0 +1,216 @@
+import { IncomingMessage, ServerResponse } from "node:http";
+import { Socket } from "node:net";
+import t from "tap";
+import { Catalog } from "@tanagercove/catalog";
+import { UpstreamReports } from "@tanagercove/placement";
+import { ServiceBudgets } from "@tanagercove/retries";
+import type { Route } from "@tanagercove/types";
+import type { RoutedRequest } from "./caller_request.ts";
+import { runForwarded } from "./forwarded_requests.ts";
+import { LeavingUpstreams } from "./leaving_upstreams.ts";
+import type { OwnedRequest, OwnedResult } from "./owner.ts";
+import { decideRequestClass } from "./request_class.ts";
+import { createRequestServer } from "./serve_request.ts";
+
+const HOST = "shop.example";
+
+const BROWSE: Route = {
+  name: "browse",
+  host: HOST,
+  prefix: "/browse/",
+  requestClass: "idempotent",
+  latencyObjectiveMs: 500,
+  priority: 1,
+  targets: [{ service: "shop", weight: 1 }],
+  timeoutMs: 4_000,
+  maxAttempts: 2,
+};
+
+/** A route of the second version, below that of the first one. */
+const PAY: Route = {
+  ...BROWSE,
+  name: "pay",
+  prefix: "/browse/pay/",
+  requestClass: "non_idempotent",
+};
+
+const LOAD = { running: 1, slots: 4, waitingByRank: [0], serviceTimeMs: 50 };
+
+const ANSWER_LOST: OwnedResult = {
+  verdict: { kind: "unknown", reason: "cut" },
+  answer: undefined,
+};
+
+/** A catalog with two upstreams, which are on other VMs, and the routes of a version. */
+function catalogAt(version: 1 | 2): Catalog {
+  const catalog = new Catalog();
+  for (const [i, id] of ["u0", "u1"].entries()) {
+    catalog.apply([{
+      kind: "upstream",
+      revision: i + 1,
+      entry: {
+        id,
+        service: "shop",
+        address: `10.0.0.${i + 1}`,
+        port: 80,
+        zone: "a",
+        slots: 4,
+        state: "ready",
+        coldMs: 0,
+        bornMs: 1,
+      },
+    }]);
+  }
+  takeVersion(catalog, version);
+  return catalog;
+}
+
+function takeVersion(catalog: Catalog, version: 1 | 2): void {
+  catalog.apply([{
+    kind: "configuration",
+    revision: 10 + version,
+    configuration: {
+      version,
+      routes: version === 1 ? [BROWSE] : [BROWSE, PAY],
+      services: [],
+      limits: {
+        maxHeaderBytes: 1_000,
+        maxBodyBytes: 1_000,
+        headerTimeoutMs: 1_000,
+        idleTimeoutMs: 1_000,
+      },
+    },
+  }]);
+}
+
+/** A daemon that holds version 1, in front of two owner daemons whose upstreams lose each answer. */
+function setUp(options: {
+  readonly ownerVersion: 1 | 2;
+  readonly isConfigurationCurrent?: boolean;
+  /** Called when an upstream has run the request. */
+  readonly onRun?: (catalog: Catalog) => void;
+}) {
+  const catalog = catalogAt(1);
+  const ownerCatalog = catalogAt(options.ownerVersion);
+  const runs: OwnedRequest[] = [];
+  const serve = createRequestServer({
+    zone: "a",
+    address: "10.0.0.99",
+    service: "web",
+    peerPort: 9_000,
+    catalog,
+    owner: { run: () => t.fail("the upstream is on another VM") as never },
+    ownerState: () => t.fail("the upstream is on another VM") as never,
+    leaving: new LeavingUpstreams(catalog),
+    peers: {
+      forward({ request }) {
+        const { ended, cancel } = runForwarded(request, {
+          owner: {
+            load: () => LOAD,
+            run(owned) {
+              runs.push(owned);
+              options.onRun?.(catalog);
+              return { ended: Promise.resolve(ANSWER_LOST), cancel() {} };
+            },
+          },
+          accepts: () => true,
+          catalog: ownerCatalog,
+          onForwarded() {},
+        });
+        // Without a state, as if the owner daemon had ended together with its upstream.
+        return {
+          ended: ended.then((end) => ({ ...end, state: undefined })),
+          cancel,
+        };
+      },
+    },
+    reports: new UpstreamReports(),
+    budgets: new ServiceBudgets({
+      ratio: 0,
+      slack: 1_000,
+      windowMs: 10_000,
+      daemons: () => 1,
+    }),
+    sendQueue: { wait: () => Promise.resolve() },
+    isStopping: () => false,
+    isConfigurationCurrent: () => options.isConfigurationCurrent ?? true,
+    onPeerState() {},
+    random: () => 0.5,
+  });
+  return { serve: (method: string) => serve(routed(method)), runs };
+}
+
+/** A request for the route of the second version, at a daemon that holds the first one. */
+function routed(method: string): RoutedRequest {
+  const request = new IncomingMessage(new Socket());
+  Object.assign(request, { method, url: "/browse/pay/x" });
+  request.headers.host = HOST;
+  const nowMs = performance.now();
+  return {
+    request,
+    response: new ServerResponse(request),
+    requestId: "r1",
+    startedMs: nowMs,
+    attempts: [],
+    isDisconnected: false,
+    cancel: undefined,
+    route: BROWSE,
+    version: 1,
+    service: "shop",
+    rank: 2,
+    headers: ["Host", HOST],
+    body: undefined,
+    deadlineAtMs: nowMs + 4_000,
+    objectiveAtMs: nowMs + 500,
+    waitedBeforeMs: 0,
+    isNested: false,
+  };
+}
+
+// Guards against a payment that runs twice: its daemon held an older version, by which the request might be repeated.
+t.test("should not run a request that another daemon takes for idempotent by an older version", async (t) => {
+  for (const method of ["POST", "GET"]) {
+    const { serve, runs } = setUp({ ownerVersion: 2 });
+    const served = await serve(method);
+    t.match(served, { kind: "refused", reason: "route_changed" }, method);
+    t.match(served, { retryAfterMs: 500 }, "by then its daemon has caught up");
+    t.equal(runs.length, 0, "also not at an upstream that might be tried next");
+  }
+});
+
+// Guards against the same at a daemon that is cut off together with the upstreams.
+t.test("should repeat only safe methods while the configuration may be outdated", async (t) => {
+  const outdated = { ownerVersion: 1, isConfigurationCurrent: false } as const;
+  for (
+    const { method, count } of [
+      { method: "POST", count: 1 },
+      { method: "PUT", count: 1 },
+      { method: "GET", count: 2 },
+    ]
+  ) {
+    const { serve, runs } = setUp(outdated);
+    t.match(await serve(method), { kind: "refused", reason: "cut" });
+    t.equal(runs.length, count, method);
+  }
+  const { serve, runs } = setUp({ ownerVersion: 1 });
+  await serve("POST");
+  t.equal(runs.length, 2, "a current configuration decides alone");
+});
+
+// Guards against the same for a request that is under way while the newer version arrives.
+t.test("should not repeat a request that a version taken meanwhile makes non-idempotent", async (t) => {
+  const { serve, runs } = setUp({
+    ownerVersion: 1,
+    onRun: (catalog) => takeVersion(catalog, 2),
+  });
+  t.match(await serve("POST"), { kind: "refused", reason: "cut" });
+  t.equal(runs.length, 1);
+});
+
+t.test("should keep the class of a request whose route was removed", (t) => {
+  const removed = { current: undefined, isConfigurationCurrent: true };
+  for (const routed of ["idempotent", "non_idempotent"] as const) {
+    t.equal(decideRequestClass({ ...removed, routed, method: "GET" }), routed);
+  }
+  t.end();
+});
--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -6,7 +6,8 @@
   type UpstreamReports,
 } from "@tanagercove/placement";
 import type { ServiceBudgets } from "@tanagercove/retries";
-import type { Endpoint } from "@tanagercove/types";
+import { matchRoute } from "@tanagercove/routing";
+import type { Endpoint, RequestClass } from "@tanagercove/types";
 import type { RoutedRequest } from "./caller_request.ts";
 import {
   decideNextStep,
@@ -20,6 +21,7 @@
 import { mayWaitAt } from "./may_wait_at.ts";
 import { placementCandidates } from "./placement_candidates.ts";
 import { type RefusalReason, REFUSALS } from "./refusals.ts";
+import { decideRequestClass } from "./request_class.ts";
 import type { SendQueue } from "./send_queue.ts";
 
 /**
@@ -58,6 +60,8 @@
   readonly budgets: ServiceBudgets;
   readonly sendQueue: Pick<SendQueue, "wait">;
   readonly isStopping: () => boolean;
+  /** Whether the configuration in force is the newest one, as far as this daemon can know. */
+  readonly isConfigurationCurrent: () => boolean;
   readonly onPeerState: (peer: Endpoint, state: OwnerState) => void;
   /** Monotonic time in milliseconds. */
   readonly nowMs?: () => number;
@@ -168,6 +172,24 @@
     return { kind: "refused", reason, retryAfterMs };
   }
 
+  function requestClassOf(
+    { route, version, request }: RoutedRequest,
+  ): RequestClass {
+    const { index } = catalog;
+    const currentRoute = index === undefined || catalog.version === version
+      ? route
+      : matchRoute(index, {
+        host: request.headers.host ?? "",
+        path: request.url!,
+      });
+    return decideRequestClass({
+      routed: route.requestClass,
+      current: currentRoute?.requestClass,
+      isConfigurationCurrent: options.isConfigurationCurrent(),
+      method: request.method!,
+    });
+  }
+
   function candidatesOf(
     { route, service, rank }: RoutedRequest,
     { tried, knownFull }: Progress,
@@ -199,7 +221,7 @@
     return decideNextStep({
       verdict,
       status: answer?.status,
-      requestClass: routed.route.requestClass,
+      requestClass: requestClassOf(routed),
       upstreamsReached: progress.upstreamsReached + (wasReached ? 1 : 0),
       maxAttempts: routed.route.maxAttempts,
       timeLeftMs: routed.deadlineAtMs - now(),
@@ -246,7 +268,7 @@
         (silentMs) => {
           if (!isSilent) reports.markUnreachable(chosen.id);
           isSilent = true;
-          if (route.requestClass !== "idempotent") return;
+          if (requestClassOf(routed) !== "idempotent") return;
           step = stepAfterSilence(routed, { chosen, progress, silentMs });
           if (step !== undefined) run.cancel();
         },
@@ -318,7 +340,7 @@
       upstreamId: chosen.id,
       service: routed.service,
       route: route.name,
-      requestClass: route.requestClass,
+      requestClass: requestClassOf(routed),
       rank: routed.rank,
       timeLeftMs: routed.deadlineAtMs - nowMs,
       objectiveLeftMs: routed.objectiveAtMs - nowMs,
--- a/packages/sidecar/src/serve_request_test.ts
+++ b/packages/sidecar/src/serve_request_test.ts
@@ -112,6 +112,7 @@
     }),
     sendQueue: { wait: () => Promise.resolve() },
     isStopping: () => isStopping,
+    isConfigurationCurrent: () => true,
     onPeerState: () => {},
   });
   return { serve, sent, reports, startUpstream };
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -328,6 +328,7 @@
     budgets,
     sendQueue,
     isStopping,
+    isConfigurationCurrent: () => sync.isCurrent,
     onPeerState: handlePeerState,
   });
   const callers = createCallerHandler({
@@ -412,6 +413,7 @@
         ...createChannelHandler({
           owner,
           accepts,
+          catalog,
           state: ownerState,
           onForwarded: (result) => observer.onForwarded(result),
           onHandlerFailed: (error) =>
