Share the requests of two tests in a fixture

The tests of outdated routes and of served requests build the same routed request and the same entries. Their checks are unchanged. A request of the fixture now has a Host field, which a route is looked up by.

--- a/packages/sidecar/src/route_change_test.ts
+++ b/packages/sidecar/src/route_change_test.ts
@@ -1,34 +1,18 @@
-import { IncomingMessage, ServerResponse } from "node:http";
-import { Socket } from "node:net";
 import t from "tap";
 import { Catalog } from "@tanagercove/catalog";
 import { UpstreamReports } from "@tanagercove/placement";
 import { ServiceBudgets } from "@tanagercove/retries";
 import type { Route } from "@tanagercove/types";
-import type { RoutedRequest } from "./caller_request.ts";
 import { runForwarded } from "./forwarded_requests.ts";
 import { LeavingUpstreams } from "./leaving_upstreams.ts";
 import type { OwnedRequest, OwnedResult } from "./owner.ts";
 import { decideRequestClass } from "./request_class.ts";
+import { ROUTE, routedRequest, upstreamTaken } from "./request_fixture.ts";
 import { createRequestServer } from "./serve_request.ts";
 
-const HOST = "shop.example";
-
-const BROWSE: Route = {
-  name: "browse",
-  host: HOST,
-  prefix: "/browse/",
-  requestClass: "idempotent",
-  latencyObjectiveMs: 500,
-  priority: 1,
-  targets: [{ service: "shop", weight: 1 }],
-  timeoutMs: 4_000,
-  maxAttempts: 2,
-};
-
 /** A route of the second version, below that of the first one. */
 const PAY: Route = {
-  ...BROWSE,
+  ...ROUTE,
   name: "pay",
   prefix: "/browse/pay/",
   requestClass: "non_idempotent",
@@ -44,22 +28,8 @@
 /** A catalog with two upstreams, which are on other VMs, and the routes of a version. */
 function catalogAt(version: 1 | 2): Catalog {
   const catalog = new Catalog();
-  for (const [i, id] of ["u0", "u1"].entries()) {
-    catalog.apply([{
-      kind: "upstream",
-      revision: i + 1,
-      entry: {
-        id,
-        service: "shop",
-        address: `10.0.0.${i + 1}`,
-        port: 80,
-        zone: "a",
-        slots: 4,
-        state: "ready",
-        coldMs: 0,
-        bornMs: 1,
-      },
-    }]);
+  for (const index of [0, 1]) {
+    catalog.apply([upstreamTaken({ index, revision: index + 1 })]);
   }
   takeVersion(catalog, version);
   return catalog;
@@ -71,7 +41,7 @@
     revision: 10 + version,
     configuration: {
       version,
-      routes: version === 1 ? [BROWSE] : [BROWSE, PAY],
+      routes: version === 1 ? [ROUTE] : [ROUTE, PAY],
       services: [],
       limits: {
         maxHeaderBytes: 1_000,
@@ -137,33 +107,10 @@
     onPeerState() {},
     random: () => 0.5,
   });
-  return { serve: (method: string) => serve(routed(method)), runs };
-}
-
-/** A request for the route of the second version, at a daemon that holds the first one. */
-function routed(method: string): RoutedRequest {
-  const request = new IncomingMessage(new Socket());
-  Object.assign(request, { method, url: "/browse/pay/x" });
-  request.headers.host = HOST;
-  const nowMs = performance.now();
+  const path = "/browse/pay/x";
   return {
-    request,
-    response: new ServerResponse(request),
-    requestId: "r1",
-    startedMs: nowMs,
-    attempts: [],
-    isDisconnected: false,
-    cancel: undefined,
-    route: BROWSE,
-    version: 1,
-    service: "shop",
-    rank: 2,
-    headers: ["Host", HOST],
-    body: undefined,
-    deadlineAtMs: nowMs + 4_000,
-    objectiveAtMs: nowMs + 500,
-    waitedBeforeMs: 0,
-    isNested: false,
+    serve: (method: string) => serve(routedRequest({ method, path })),
+    runs,
   };
 }
 
--- a/packages/sidecar/src/serve_request_test.ts
+++ b/packages/sidecar/src/serve_request_test.ts
@@ -1,5 +1,3 @@
-import { IncomingMessage, ServerResponse } from "node:http";
-import { Socket } from "node:net";
 import t from "tap";
 import { Catalog } from "@tanagercove/catalog";
 import { UpstreamReports } from "@tanagercove/placement";
@@ -9,20 +7,9 @@
 import type { RoutedRequest } from "./caller_request.ts";
 import { LeavingUpstreams } from "./leaving_upstreams.ts";
 import type { ForwardOptions, ForwardResult } from "./peer_client.ts";
+import { routedRequest, upstreamTaken } from "./request_fixture.ts";
 import { createRequestServer } from "./serve_request.ts";
 
-const ROUTE: Route = {
-  name: "browse",
-  host: "shop.example",
-  prefix: "/browse/",
-  requestClass: "idempotent",
-  latencyObjectiveMs: 500,
-  priority: 1,
-  targets: [{ service: "shop", weight: 1 }],
-  timeoutMs: 4_000,
-  maxAttempts: 2,
-};
-
 const LOAD = { running: 1, slots: 4, waitingByRank: [0], serviceTimeMs: 50 };
 
 const ANSWERED: ForwardResult = {
@@ -56,22 +43,8 @@
   const { upstreams = 2, slack = 1_000, isStopping = false } = options;
   const catalog = new Catalog();
   let revision = 0;
-  const startUpstream = (i: number, bornMs: number) =>
-    catalog.apply([{
-      kind: "upstream",
-      revision: revision += 1,
-      entry: {
-        id: `u${i}`,
-        service: "shop",
-        address: `10.0.0.${i + 1}`,
-        port: 80,
-        zone: "a",
-        slots: 4,
-        state: "ready",
-        coldMs: 0,
-        bornMs,
-      },
-    }]);
+  const startUpstream = (index: number, bornMs: number) =>
+    catalog.apply([upstreamTaken({ index, revision: revision += 1, bornMs })]);
   for (let i = 0; i < upstreams; i += 1) startUpstream(i, 1);
   const reports = new UpstreamReports();
   const sent: SentRequest[] = [];
@@ -119,29 +92,7 @@
 }
 
 function routed(route: Partial<Route> = {}): RoutedRequest {
-  const request = new IncomingMessage(new Socket());
-  request.method = "GET";
-  request.url = "/browse/x";
-  const nowMs = performance.now();
-  return {
-    request,
-    response: new ServerResponse(request),
-    requestId: "r1",
-    startedMs: nowMs,
-    attempts: [],
-    isDisconnected: false,
-    cancel: undefined,
-    route: { ...ROUTE, ...route },
-    version: 1,
-    service: "shop",
-    rank: 2,
-    headers: [],
-    body: undefined,
-    deadlineAtMs: nowMs + 4_000,
-    objectiveAtMs: nowMs + 500,
-    waitedBeforeMs: 0,
-    isNested: false,
-  };
+  return routedRequest({ route });
 }
 
 const eventLoopTurn = () => new Promise((resolve) => setImmediate(resolve));
