--- a/packages/sidecar/src/zone_reading_test.ts
+++ b/packages/sidecar/src/zone_reading_test.ts
@@ -4,7 +4,7 @@
 import { waitFor } from "@tanagercove/test_helpers";
 import { configurationAt, ZONE, ZoneFixture } from "./zone_fixture.ts";
 
-/** Time within which a version must be in force (`config_apply_s`). */
+/** Time within which a version must be in force. */
 const APPLY_MS = 2_000;
 
 /** The VMs of a zone, in the order of their ranks while all links are equal. */
@@ -120,7 +120,7 @@
 /** Longer than a daemon avoids a reader without contact (4 s), so that readers are tried again meanwhile. */
 const OUTAGE_MS = 5_000;
 
-/** Share of a zone of 39 VMs among 195 in the calls that the platform takes (`reads_per_s` 2,000). */
+/** Share of a zone of 39 VMs among 195 in the calls that the platform takes. */
 const CALLS_PER_SECOND = 2_000 * 39 / 195;
 
 // Guards against daemons that call the platform too often because none of them may follow another one.
