Log what the verdict on a request rests on

On-call could not tell the three hypotheses on false refusals apart: the line of a refused request named the reason of each attempt, but neither the status that was read, nor the connection it was read on, nor whether the request had been sent at all.

forwarded_request_ended and the attempts of request_ended now say not_sent, no_answer, answer or answer_says_not_run, with the status, the local port of the connection to the upstream and the number of the exchange on it; the upstream sees the same port.

Whether a request may have been sent is now derived from the connection that it was given to, instead of a flag of its own.

--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -523,7 +523,7 @@
       unlogged_requests: "number",
     },
     meaning:
-      "A caller's request was refused, failed, was cancelled, was answered with a status of 500 or above, or needed more than one attempt. `attempts` lists each attempt: the upstream, the predictions by which it was chosen, and the result. Successes at the first attempt are not logged, only counted. `unlogged_requests` counts the lines that a limit of 100 per second suppressed before this one",
+      "A caller's request was refused, failed, was cancelled, was answered with a status of 500 or above, or needed more than one attempt. `attempts` lists each attempt: the upstream, the predictions by which it was chosen, the result, and what it rests on (`evidence`, as in `forwarded_request_ended`, or `owner_daemon` if that event of the upstream's VM tells it). Successes at the first attempt are not logged, only counted. `unlogged_requests` counts the lines that a limit of 100 per second suppressed before this one",
     action: "see docs/OPERATIONS.md",
   },
   forwarded_request_ended: {
@@ -534,6 +534,10 @@
       route: "text",
       outcome: "text",
       reason: "text",
+      evidence: "optional_text",
+      answer_status: "optional_number",
+      connection_port: "optional_number",
+      exchange_on_connection: "optional_number",
       rank: "number",
       configuration_version: "number",
       time_left_ms: "number",
@@ -545,7 +549,7 @@
       unlogged_requests: "number",
     },
     meaning:
-      "The daemon on an upstream's VM refused a request or got no complete response for it; `running` and `waiting` are the numbers of requests at the end",
+      "The daemon on an upstream's VM refused a request or got no complete response for it; `running` and `waiting` are the numbers of requests at the end. `evidence` tells what the outcome rests on: `not_sent` (no byte was given to an open connection), `no_answer`, `answer`, or `answer_says_not_run`. `connection_port` is the local port of the connection to the upstream, and `exchange_on_connection` counts the requests on it",
     action: "see docs/OPERATIONS.md",
   },
   log_lines_dropped: {
--- a/packages/sidecar/src/caller_request.ts
+++ b/packages/sidecar/src/caller_request.ts
@@ -2,6 +2,7 @@
 import type { Route } from "@tanagercove/types";
 import type { OwnerVerdict } from "./forwarding.ts";
 import type { RefusalReason } from "./refusals.ts";
+import type { VerdictEvidence } from "./verdict_evidence.ts";
 
 /** How a request of a caller ended. */
 export interface CallerResult {
@@ -24,6 +25,7 @@
   readonly upstreamId: string;
   readonly verdict: OwnerVerdict["kind"];
   readonly reason: string;
+  readonly evidence: VerdictEvidence;
   readonly predictedWaitMs: number;
   readonly predictedServiceMs: number;
   readonly durationMs: number;
--- a/packages/sidecar/src/channel_peers.ts
+++ b/packages/sidecar/src/channel_peers.ts
@@ -29,6 +29,7 @@
   PeerClient,
   UnreadableAnswer,
 } from "./peer_client.ts";
+import { evidenceOfLostVerdict } from "./verdict_evidence.ts";
 
 /** Time after the deadline in which the owner daemon's verdict may still arrive: only it says whether the request ran. */
 const VERDICT_GRACE_MS = 40;
@@ -98,6 +99,7 @@
         verdict: failedVerdict(end),
         answer: undefined,
         state: undefined,
+        evidence: evidenceOfLostVerdict(end),
       };
     }
     const decoded = decodeAnswer(end.message);
--- a/packages/sidecar/src/exchange.ts
+++ b/packages/sidecar/src/exchange.ts
@@ -19,6 +19,14 @@
   | "deadline"
   | "cancelled";
 
+/** A connection as used by one exchange. */
+export interface ConnectionUse {
+  /** Port of this end, which the other end sees too. */
+  readonly localPort: number;
+  /** Number of the exchange on the connection, from 1. */
+  readonly exchange: number;
+}
+
 /** Outcome of one request on one connection. */
 export type ExchangeEnd =
   | {
@@ -29,6 +37,7 @@
     readonly headers: Readonly<Record<string, string | string[] | undefined>>;
     readonly body: Buffer;
     readonly durationMs: number;
+    readonly connection?: ConnectionUse;
   }
   | {
     readonly kind: "failed";
@@ -36,6 +45,8 @@
     /** Whether bytes of the request may have been sent. */
     readonly mayHaveBeenSent: boolean;
     readonly durationMs: number;
+    /** The connection on which bytes may have been sent. */
+    readonly connection?: ConnectionUse;
   };
 
 /** Status and header fields of an answer; the names of fields are in lower case. */
@@ -90,11 +101,21 @@
 /** Framing that any answer may have; more than one read of a socket, by which the size of the body may lag behind. */
 const FRAMING_SLACK_BYTES = 64 * 1024;
 
+/** Number of exchanges that each open connection has carried. */
+const exchangeCounts = new WeakMap<Socket, number>();
+
+function useConnection(socket: Socket): ConnectionUse {
+  const exchange = (exchangeCounts.get(socket) ?? 0) + 1;
+  exchangeCounts.set(socket, exchange);
+  return { localPort: socket.localPort ?? 0, exchange };
+}
+
 /** Sends one request with a deadline; the answer is buffered until it is complete. */
 export function startExchange(options: ExchangeOptions): Exchange {
   const { maxHeadBytes = UPSTREAM_MAX_HEAD_BYTES } = options;
   const startedMs = performance.now();
-  let mayHaveBeenSent = false;
+  /** Set before the first byte of the request is given to the connection. */
+  let connection: ConnectionUse | undefined;
   let isSettled = false;
   let hasHead = false;
   let receivedBytes = 0;
@@ -136,12 +157,20 @@
     // After the end of the exchange, its connection may serve another one.
     if (isSettled) return;
     const durationMs = performance.now() - startedMs;
-    settle({ kind: "failed", failure, mayHaveBeenSent, durationMs });
+    const mayHaveBeenSent = connection !== undefined;
+    settle({
+      kind: "failed",
+      failure,
+      mayHaveBeenSent,
+      durationMs,
+      ...(connection && { connection }),
+    });
     // Without a reset, bytes that a broken path holds up would be delivered after it is mended.
     request.socket?.resetAndDestroy();
     request.destroy();
   }
-  const failConnection = () => fail(mayHaveBeenSent ? "cut" : "connect_failed");
+  const failConnection = () =>
+    fail(connection === undefined ? "connect_failed" : "cut");
 
   const request = createRequest({
     agent: options.agent,
@@ -158,7 +187,7 @@
     Math.max(0, options.timeoutMs),
   );
   const connectTimer = setTimeout(() => {
-    if (!mayHaveBeenSent) fail("connect_failed");
+    if (connection === undefined) fail("connect_failed");
   }, options.connectTimeoutMs);
   const silenceTimer = options.onSilent &&
     setInterval(
@@ -175,10 +204,10 @@
       socket.off("data", countBytes);
     });
     if (!socket.connecting) {
-      mayHaveBeenSent = true;
+      connection = useConnection(socket);
       return;
     }
-    socket.once("connect", () => mayHaveBeenSent = true);
+    socket.once("connect", () => connection = useConnection(socket));
   });
   request.on("error", failConnection);
   request.on("close", () => {
@@ -211,6 +240,7 @@
         rawHeaders: response.rawHeaders,
         body: end,
         durationMs: performance.now() - startedMs,
+        connection: connection!,
       });
     });
   });
--- a/packages/sidecar/src/forwarded_requests.ts
+++ b/packages/sidecar/src/forwarded_requests.ts
@@ -7,6 +7,7 @@
 } from "./forwarding.ts";
 import type { OwnedRequest, OwnedResult, OwnedRun, Owner } from "./owner.ts";
 import { isTakenForIdempotent } from "./request_class.ts";
+import { NOT_SENT, type VerdictEvidence } from "./verdict_evidence.ts";
 
 /**
  * Time after which the caller of a request whose route has changed may come back; its daemon fetches the newer version
@@ -21,6 +22,7 @@
   readonly verdict: OwnerVerdict;
   readonly load: ReportedLoad;
   readonly durationMs: number;
+  readonly evidence?: VerdictEvidence;
 }
 
 /** Options of `runForwarded`. */
@@ -49,6 +51,7 @@
       requestId,
       ticket,
       verdict: result.verdict,
+      ...(result.evidence && { evidence: result.evidence }),
       load: owner.load(),
       durationMs: performance.now() - startedMs,
     });
@@ -61,6 +64,7 @@
   const result: OwnedResult = {
     verdict: { kind: "not_run", reason, reachedUpstream: false, retryAfterMs },
     answer: undefined,
+    evidence: NOT_SENT,
   };
   return { ended: Promise.resolve(result), cancel: () => {} };
 }
--- a/packages/sidecar/src/observer.ts
+++ b/packages/sidecar/src/observer.ts
@@ -16,6 +16,7 @@
 import type { CallerResult } from "./caller_request.ts";
 import type { ForwardedResult } from "./forwarded_requests.ts";
 import type { LearntIdentity } from "./upstream_identity.ts";
+import { evidenceFields } from "./verdict_evidence.ts";
 
 /** Limit on log lines about callers' requests; the same limit applies separately to forwarded requests. */
 const REQUEST_LINES_PER_SECOND = 100;
@@ -202,6 +203,7 @@
       upstream_id: attempt.upstreamId,
       outcome: attempt.verdict,
       reason: attempt.reason,
+      ...evidenceFields(attempt.evidence),
       predicted_wait_ms: attempt.predictedWaitMs,
       predicted_service_ms: attempt.predictedServiceMs,
       duration_ms: attempt.durationMs,
@@ -211,7 +213,7 @@
 }
 
 function forwardedLine(
-  { requestId, ticket, verdict, load, durationMs }: ForwardedResult,
+  { requestId, ticket, verdict, load, durationMs, evidence }: ForwardedResult,
   reason: string,
   unlogged_requests: number,
 ): LogRecord {
@@ -222,6 +224,7 @@
     route: ticket.route,
     outcome: verdict.kind,
     reason,
+    ...evidenceFields(evidence),
     rank: ticket.rank,
     configuration_version: ticket.version,
     time_left_ms: Math.round(ticket.timeLeftMs - durationMs),
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -20,6 +20,11 @@
 } from "./upstream_answer.ts";
 import { UpstreamLimit } from "./upstream_limit.ts";
 import type { UpstreamIdentity } from "./upstream_identity.ts";
+import {
+  evidenceOfExchange,
+  NOT_SENT,
+  type VerdictEvidence,
+} from "./verdict_evidence.ts";
 
 /** A request for an upstream, with its ticket for the upstream's owner daemon. */
 export interface OwnedRequest {
@@ -36,6 +41,8 @@
 export interface OwnedResult {
   readonly verdict: OwnerVerdict;
   readonly answer: OwnedAnswer | undefined;
+  /** What the verdict rests on. */
+  readonly evidence?: VerdictEvidence;
 }
 
 /** An upstream's complete answer. */
@@ -190,12 +197,14 @@
   function refusedResult(
     reason: NotRunReason,
     ranked: RankedOwnedRequest,
-    reachedUpstream = false,
+    evidence = NOT_SENT,
   ): OwnedResult {
     const retryAfterMs = admission.retryAfterMs(ranked);
+    const reachedUpstream = evidence.kind === "answer";
     return {
       verdict: { kind: "not_run", reason, reachedUpstream, retryAfterMs },
       answer: undefined,
+      evidence,
     };
   }
 
@@ -205,6 +214,7 @@
     ranked: RankedOwnedRequest,
   ): OwnedResult {
     const { requestId } = request;
+    const evidence = evidenceOfExchange(end, options.names);
     const verdict = classifyUpstreamAnswer({
       end,
       requestId,
@@ -217,10 +227,10 @@
       if (verdict.reason === "upstream_changed") {
         void options.identity.refetchAfterRefusal(request.ticket.upstreamId);
       }
-      return refusedResult(verdict.reason, ranked, verdict.reachedUpstream);
+      return refusedResult(verdict.reason, ranked, evidence);
     }
     if (verdict.kind === "unknown") {
-      return { verdict, answer: undefined };
+      return { verdict, answer: undefined, evidence };
     }
     if (end.kind !== "answered") throw new Error("Exchange has no answer");
     const { status, body } = end;
@@ -229,11 +239,13 @@
       return {
         verdict: { kind: "unknown", reason: "malformed" },
         answer: undefined,
+        evidence,
       };
     }
     return {
       verdict: { kind: "answered", serviceMs: end.durationMs },
       answer: { status, headers, body },
+      evidence,
     };
   }
 
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -36,6 +36,10 @@
 import type { OwnedAnswer, OwnedRequest } from "./owner.ts";
 import { contentLengthField, endToEndHeaders } from "./passed_headers.ts";
 import { isSendableAnswer } from "./sendable_heads.ts";
+import {
+  evidenceOfLostVerdict,
+  type VerdictEvidence,
+} from "./verdict_evidence.ts";
 import type { LinkTable } from "./zone_links.ts";
 
 /** Path at which a daemon serves the upstreams that it holds to other daemons. */
@@ -80,6 +84,8 @@
   readonly answer: OwnedAnswer | undefined;
   /** State of the owner daemon, if its verdict arrived. */
   readonly state: OwnerState | undefined;
+  /** What the verdict rests on; absent if it is the owner daemon's. */
+  readonly evidence?: VerdictEvidence;
 }
 
 /** A forwarded request in flight. */
@@ -261,6 +267,7 @@
       verdict: failedVerdict(end),
       answer: undefined,
       state: undefined,
+      evidence: evidenceOfLostVerdict(end),
     };
   }
   const decoded = decodeOutcome(end);
--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -304,6 +304,7 @@
         : !mayWait && verdict.reason === "busy"
         ? "busy, no wait"
         : verdict.reason,
+      evidence: result.evidence ?? { kind: "owner_daemon" },
       predictedWaitMs: Math.round(chosen.waitMs),
       predictedServiceMs: Math.round(chosen.serviceMs),
       durationMs: Math.round(now() - sentAtMs),
