--- a/packages/sidecar/src/repeated_refusal_test.ts
+++ b/packages/sidecar/src/repeated_refusal_test.ts
@@ -94,3 +94,34 @@
   const second = await owner.run(owned("second")).ended;
   t.match(second.verdict, { kind: "unknown", reason: "malformed" });
 });
+
+// Guards against "not run" for a request that has run: the refusal of its first exchange is repeated where the answer to
+// its next one on the connection is due, as for an upstream that is back under a new id.
+t.test("should not take the refusal of an earlier exchange of the same request as the answer", async (t) => {
+  const refusals = {
+    upstream_refused: `HTTP/1.1 503 Busy\r\n${NAMES.notRun}: 1\r\n`,
+    upstream_changed: "HTTP/1.1 421 Misdirected Request\r\n",
+  };
+  for (const [reason, start] of Object.entries(refusals)) {
+    const refusal =
+      `${start}${NAMES.requestId}: same\r\nContent-Length: 0\r\n\r\n`;
+    const refusedOn = new Set<Socket>();
+    let arrivals = 0;
+    const owner = await setUp(t, (socket, requestId) => {
+      arrivals += 1;
+      if (arrivals === 1) {
+        refusedOn.add(socket);
+        socket.write(refusal);
+        return;
+      }
+      socket.write(
+        (refusedOn.has(socket) ? refusal : "") + answerTo(requestId),
+      );
+    });
+    const first = await owner.run(owned("same")).ended;
+    t.match(first.verdict, { kind: "not_run", reason });
+    const second = await owner.run(owned("same")).ended;
+    t.match(second.verdict, { kind: "answered" }, reason);
+    t.equal(arrivals, 2);
+  }
+});
