Send no request again on a connection on which it was refused

What callers saw: a non-idempotent request was answered 503 ("not run"), and ran.

Cause: an answer was attributed to an exchange by the id of its request alone. The id tells requests apart, not two exchanges of one request. An upstream that is back under a new id refuses the request for its former id (421); the request goes to the same process again, on the same connection, under the present id. If the upstream writes the refusal once more where the answer is due, the copy bears the right id, and counts as the refusal of what runs. The false refusal also lets the request go to another upstream, so that it may run twice.

The log of the two attempts names one connection_port and two exchanges.

Why this works: on one connection, a request now has at most one exchange after which the connection is kept, so the id names that exchange. It holds whoever sends the id again, another attempt, another daemon or the caller. Only the second exchange needs a connection of its own, closed after use. Weighed and not taken: to close each connection after a refusal (a new connection for each refusal, at the time when the upstream is full), and to send no request twice to one address (after a power loss the upstream under its present id may be the only one left).

The property test over all orders still fails, by the other fault.

--- a/packages/sidecar/src/connection_agent_test.ts
+++ b/packages/sidecar/src/connection_agent_test.ts
@@ -1,4 +1,4 @@
-import { createServer, type Socket } from "node:net";
+import { createServer, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import t from "tap";
 import type { RequestClass } from "@tanagercove/types";
@@ -52,3 +52,27 @@
   t.equal(await send("non_idempotent"), "answered");
   t.equal(agents.opened, 2);
 });
+
+// Guards against a new connection for each refusal of an upstream that is full, and against a memory of ids that grows
+// as long as a connection lives.
+t.test("should avoid a connection only for the requests that were refused on it", (t) => {
+  const agents = new ConnectionAgents({ maxIdleMs: 1_000 });
+  const socket = new Socket();
+  const shared = agents.forClass("non_idempotent");
+  const agentFor = (requestId: string) =>
+    agents.forRequest({ requestClass: "non_idempotent", requestId });
+  let kept = 0;
+  while (agents.recordRefusal(socket, `r${kept}`)) kept += 1;
+  t.equal(kept, 63);
+  t.not(agentFor("r0"), shared);
+  t.not(
+    agents.forRequest({ requestClass: "idempotent", requestId: "r0" }),
+    agents.forClass("idempotent"),
+    "whatever its class is now",
+  );
+  t.equal(agentFor("other"), shared);
+  socket.emit("close");
+  t.equal(agentFor("r0"), shared, "the connection is gone");
+  agents.close();
+  t.end();
+});
--- a/packages/sidecar/src/exchange.ts
+++ b/packages/sidecar/src/exchange.ts
@@ -79,7 +79,7 @@
    */
   readonly acceptsHead?: (head: AnswerHead) => boolean;
   /** Whether the connection is closed after an answer with this head. By default, it is kept if the server keeps it. */
-  readonly closesAfter?: (head: AnswerHead) => boolean;
+  readonly closesAfter?: (head: AnswerHead, socket: Socket) => boolean;
   /** Called every `silentIntervalMs` until the server responds, even if only with an interim answer. */
   readonly onSilent?: (silentMs: number) => void;
   readonly silentIntervalMs?: number;
@@ -220,7 +220,9 @@
     clearInterval(silenceTimer);
     const head = { status: response.statusCode!, headers: response.headers };
     if (options.acceptsHead?.(head) === false) return fail("malformed");
-    if (options.closesAfter?.(head)) request.shouldKeepAlive = false;
+    if (options.closesAfter?.(head, response.socket)) {
+      request.shouldKeepAlive = false;
+    }
     received = options.answerMemory?.receive(() => fail("too_large"));
     const declaredBytes = declaredBodyBytes(options.method, response);
     if (declaredBytes > options.maxAnswerBytes) return fail("too_large");
--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -1,9 +1,15 @@
+import type { Socket } from "node:net";
 import type { AnswerMemory } from "./answer_memory.ts";
 import type { ConnectionAgents } from "./connection_agent.ts";
 import { RankedAdmission, type RankedRequest } from "@tanagercove/admission";
 import type { ReportedLoad } from "@tanagercove/placement";
 import type { Endpoint } from "@tanagercove/types";
-import { type Exchange, type ExchangeEnd, startExchange } from "./exchange.ts";
+import {
+  type AnswerHead,
+  type Exchange,
+  type ExchangeEnd,
+  startExchange,
+} from "./exchange.ts";
 import type {
   ForwardTicket,
   NotRunReason,
@@ -149,7 +155,10 @@
         const { requestId } = request;
         const { names } = options;
         exchange = startExchange({
-          agent: options.agents.forClass(ticket.requestClass),
+          agent: options.agents.forRequest({
+            requestClass: ticket.requestClass,
+            requestId,
+          }),
           destination: options.upstream,
           localAddress: options.localAddress,
           method: request.method,
@@ -166,8 +175,8 @@
           answerMemory: options.answerMemory,
           acceptsHead: (head) =>
             classifyUpstreamHead({ head, requestId, names }).kind !== "unknown",
-          // Without an id, a repetition could not be told from the answer to the next request on the connection.
-          closesAfter: ({ headers }) => headers[names.requestId] === undefined,
+          closesAfter: (head, socket) =>
+            !mayKeepAfter(head, { socket, requestId }),
         });
         wasSent = true;
         runningIds.add(requestId);
@@ -194,6 +203,21 @@
     };
   }
 
+  /** Whether a connection may carry another request after an answer that may be written on it once more. */
+  function mayKeepAfter(
+    head: AnswerHead,
+    { socket, requestId }: {
+      readonly socket: Socket;
+      readonly requestId: string;
+    },
+  ): boolean {
+    const { agents, names } = options;
+    // Without an id, a repetition could not be told from the answer to the next request on the connection.
+    if (head.headers[names.requestId] === undefined) return false;
+    const { kind } = classifyUpstreamHead({ head, requestId, names });
+    return kind !== "not_run" || agents.recordRefusal(socket, requestId);
+  }
+
   function refusedResult(
     reason: NotRunReason,
     ranked: RankedOwnedRequest,
