Use no connection again after a health check

A refusal without an id (421) that an upstream wrote once more was taken for the answer to the next request on the connection, which had run. The test in repeated_refusal_test.ts failed before (not_run instead of answered).

The connection of a health check is now closed after its answer, as it is after any other answer without an id.

--- a/packages/sidecar/src/fetch_upstream_id.ts
+++ b/packages/sidecar/src/fetch_upstream_id.ts
@@ -34,6 +34,8 @@
     timeoutMs: TIMEOUT_MS,
     connectTimeoutMs: TIMEOUT_MS,
     maxAnswerBytes: MAX_ANSWER_BYTES,
+    // The answer names no request, so it could not be told from the one to the next request on the connection.
+    closesAfter: () => true,
   }).ended;
   if (end.kind !== "answered" || end.status !== 200) return undefined;
   const id = end.headers[options.idHeader];
--- a/packages/sidecar/src/repeated_refusal_test.ts
+++ b/packages/sidecar/src/repeated_refusal_test.ts
@@ -2,6 +2,7 @@
 import t, { type Test } from "tap";
 import { AnswerMemory } from "./answer_memory.ts";
 import { ConnectionAgents } from "./connection_agent.ts";
+import { fetchUpstreamId } from "./fetch_upstream_id.ts";
 import { createOwner, type OwnedRequest } from "./owner.ts";
 import { NAMES, TICKET } from "./peer_server_fixture.ts";
 import { SendQueue } from "./send_queue.ts";
@@ -10,7 +11,7 @@
 const MISDIRECTED =
   "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
 
-/** Starts an owner for an upstream that `onRequest` plays; it is called for each request with its number, from 0. */
+/** Starts an owner for an upstream that `onRequest` plays; it is called for each request with its id, "" without one. */
 async function setUp(
   t: Test,
   onRequest: (socket: Socket, requestId: string) => void,
@@ -18,7 +19,7 @@
   const server = createServer((socket) => {
     socket.on("error", () => {});
     socket.on("data", (bytes) => {
-      const requestId = /x-id: (\S+)/i.exec(bytes.toString())![1]!;
+      const requestId = /x-id: (\S+)/i.exec(bytes.toString())?.[1] ?? "";
       onRequest(socket, requestId);
     });
   });
@@ -44,7 +45,17 @@
     onLimit: () => {},
   });
   t.teardown(() => owner.close());
-  return owner;
+  return {
+    owner,
+    checkHealth: () =>
+      fetchUpstreamId({
+        agent: agents.forClass("idempotent"),
+        upstream: { address: "127.0.0.1", port },
+        localAddress: "127.0.0.1",
+        healthPath: "/health",
+        idHeader: NAMES.answeringUpstreamId,
+      }),
+  };
 }
 
 function owned(requestId: string): OwnedRequest {
@@ -68,7 +79,7 @@
 t.test("should not take an earlier refusal that is repeated as the answer to the next request", async (t) => {
   const refusedOn = new Set<Socket>();
   const ran: string[] = [];
-  const owner = await setUp(t, (socket, requestId) => {
+  const { owner } = await setUp(t, (socket, requestId) => {
     if (requestId === "first") {
       refusedOn.add(socket);
       socket.write(MISDIRECTED);
@@ -88,7 +99,7 @@
 t.test("should not take the refusal of another request as the answer", async (t) => {
   const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n" +
     `${NAMES.notRun}: 1\r\n${NAMES.requestId}: first\r\n\r\n`;
-  const owner = await setUp(t, (socket) => socket.write(refusal));
+  const { owner } = await setUp(t, (socket) => socket.write(refusal));
   const first = await owner.run(owned("first")).ended;
   t.match(first.verdict, { kind: "not_run", reason: "upstream_refused" });
   const second = await owner.run(owned("second")).ended;
@@ -107,7 +118,7 @@
       `${start}${NAMES.requestId}: same\r\nContent-Length: 0\r\n\r\n`;
     const refusedOn = new Set<Socket>();
     let arrivals = 0;
-    const owner = await setUp(t, (socket, requestId) => {
+    const { owner } = await setUp(t, (socket, requestId) => {
       arrivals += 1;
       if (arrivals === 1) {
         refusedOn.add(socket);
@@ -125,3 +136,18 @@
     t.equal(arrivals, 2);
   }
 });
+
+// Guards against "not run" for a request that has run: an upstream refuses a health check without an id, and writes the
+// refusal once more where the answer to the next request on the connection is due.
+t.test("should not take the refusal of a health check as the answer to the next request", async (t) => {
+  const refusedOn = new Set<Socket>();
+  const { owner, checkHealth } = await setUp(t, (socket, requestId) => {
+    if (requestId === "") refusedOn.add(socket);
+    socket.write(refusedOn.has(socket) ? MISDIRECTED : answerTo(requestId));
+  });
+  t.equal(await checkHealth(), undefined);
+  const request = owned("next");
+  const ticket = { ...request.ticket, requestClass: "idempotent" as const };
+  const { verdict } = await owner.run({ ...request, ticket }).ended;
+  t.match(verdict, { kind: "answered" });
+});
