Call an answer that the parser rejects malformed

An answer with a space in a field name used to be read and then found unsendable (malformed); this parser rejects it with HPE_INVALID_HEADER_TOKEN, which counted as a broken connection (cut).

Bytes that are no answer now end an exchange as malformed, whichever part of the program finds them; the log names that reason then. Whether the request may have run is decided as before.

--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -17,6 +17,7 @@
 } from "./caller_request.ts";
 import { answerFailedRequest } from "./failed_request.ts";
 import type { OwnedAnswer, Owner } from "./owner.ts";
+import { isParserError } from "./parser_errors.ts";
 import { endToEndHeaders, ownFieldNames } from "./passed_headers.ts";
 import { readBody } from "./read_body.ts";
 import { decideRefusal, type RefusalReason } from "./refusals.ts";
@@ -48,9 +49,6 @@
   HPE_HEADER_OVERFLOW: 431,
 };
 
-/** Prefix of the error codes of Node's parser. */
-const PARSER_ERROR_PREFIX = "HPE_";
-
 /** Error code of a connection that ends within a request. */
 const EARLY_END_CODE = "HPE_INVALID_EOF_STATE";
 
@@ -174,7 +172,7 @@
     socket: Socket,
   ): void {
     const code = error.code ?? "";
-    const isFramingError = code.startsWith(PARSER_ERROR_PREFIX) ||
+    const isFramingError = isParserError(error) ||
       FRAMING_STATUSES[code] !== undefined;
     if (!isFramingError || code === EARLY_END_CODE || !socket.writable) {
       socket.destroy();
--- a/packages/sidecar/src/exchange.ts
+++ b/packages/sidecar/src/exchange.ts
@@ -9,6 +9,7 @@
 import { BodyBuffer } from "./body_buffer.ts";
 import type { UnknownReason } from "./forwarding.ts";
 import { UPSTREAM_MAX_HEAD_BYTES } from "./header_limits.ts";
+import { isParserError } from "./parser_errors.ts";
 
 /** Why an exchange ended without a complete answer. */
 export type ExchangeFailure =
@@ -209,7 +210,10 @@
     }
     socket.once("connect", () => connection = useConnection(socket));
   });
-  request.on("error", failConnection);
+  request.on(
+    "error",
+    (error) => isParserError(error) ? fail("malformed") : failConnection(),
+  );
   request.on("close", () => {
     // Once there is a head, the end of the body decides whether the answer is complete.
     if (!hasHead) failConnection();
