Use the id of an upstream again that is back under its first one

Cause: a daemon that has learnt the id behind a former one kept the replacement when the upstream started again under the former id. The id that it fetched after the next 421 was the former one, and was dropped as nothing new. PROTOCOL.md: "An instance may start again under the id that it had."

The replacement now ends when the upstream says that it has its former id. The new test in upstream_identity_test.ts failed before ("new" instead of "old").

--- a/packages/sidecar/src/upstream_identity.ts
+++ b/packages/sidecar/src/upstream_identity.ts
@@ -66,10 +66,19 @@
     this.#nextFetchAtMs = nowMs + MIN_FETCH_INTERVAL_MS;
     const id = await this.#options.fetchId();
     this.#isFetching = false;
-    if (id === undefined || id === formerId) return;
+    if (id === undefined) return;
+    if (id === formerId) return this.#forget(formerId);
     if (!this.#options.isUsable(id)) return;
     if (this.#learnt?.formerId === formerId && this.#learnt.id === id) return;
     this.#learnt = { formerId, id };
     this.#options.onLearnt?.(this.#learnt);
   }
+
+  /** Ends the replacement of an id under which the upstream has started again. */
+  #forget(formerId: string): void {
+    if (this.#learnt?.formerId !== formerId) return;
+    const meanwhile = this.#learnt.id;
+    this.#learnt = undefined;
+    this.#options.onLearnt?.({ formerId: meanwhile, id: formerId });
+  }
 }
--- a/packages/sidecar/src/upstream_identity_test.ts
+++ b/packages/sidecar/src/upstream_identity_test.ts
@@ -64,3 +64,16 @@
     t.equal(idFor("old"), id);
   }
 });
+
+// Guards against an upstream that gets no request any more: it is back under the id that it had at first, and requests for
+// it are still sent with the id that it had meanwhile.
+t.test("should use the former id again when the upstream is back under it", async (t) => {
+  const { clock, upstream, identity, idFor, learnt } = setUp();
+  await identity.refetchAfterRefusal("old");
+  t.equal(idFor("old"), "new");
+  upstream.id = "old";
+  clock.nowMs += 250;
+  await identity.refetchAfterRefusal("old");
+  t.equal(idFor("old"), "old");
+  t.same(learnt.at(-1), { formerId: "new", id: "old" });
+});
