--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -16,6 +16,8 @@
   readonly limits: LimitInterval[];
   /** Indexes of the VMs whose upstreams name a limit now. */
   readonly limited: Set<number>;
+  /** Indexes of the VMs whose upstreams have another id now. */
+  readonly renewed: Set<number>;
   publishNext(): void;
 }
 
@@ -37,6 +39,9 @@
 /** Time for which an upstream that has left is stopped before it starts anew. */
 const UPSTREAM_RESTART_MS = 500;
 
+/** Time for which the entry of a former id of an upstream stays. */
+const FORMER_ENTRY_MS = 1_500;
+
 /** Delay of a slow link in each direction, as on a congested link between regions. */
 const LINK_DELAY_MS = 150;
 
@@ -102,9 +107,9 @@
     });
     return () => rule.remove();
   },
-  drain_upstream({ fleet, leaving, draining }, { vm }) {
+  drain_upstream({ fleet, leaving, draining, renewed }, { vm }) {
     // A second drain could end before the first one and set the upstream ready while the first still counts it as leaving.
-    if (draining.has(vm)) return NO_OP;
+    if (draining.has(vm) || renewed.has(vm)) return NO_OP;
     draining.add(vm);
     const vmToDrain = fleet.vms[vm]!;
     const upstream = fleet.upstreams[vm]!;
@@ -113,7 +118,7 @@
     upstream.notices = { ...upstream.notices, isLeaving: true };
     return async () => {
       const untilMs = performance.now();
-      leaving.push({ upstreamId: upstream.id, fromMs, untilMs });
+      leaving.push({ upstreamId: upstream.vmId, fromMs, untilMs });
       upstream.notices = { ...upstream.notices, isLeaving: false };
       await sleep(UPSTREAM_RESTART_MS);
       draining.delete(vm);
@@ -130,7 +135,8 @@
     return () => {
       limited.delete(vm);
       const untilMs = performance.now();
-      limits.push({ upstreamId: upstream.id, limitPerSecond, fromMs, untilMs });
+      const upstreamId = upstream.vmId;
+      limits.push({ upstreamId, limitPerSecond, fromMs, untilMs });
       upstream.notices = { ...upstream.notices, limitPerSecond: undefined };
     };
   },
@@ -148,6 +154,25 @@
   },
   hang_upstream: upstreamFault("hang"),
   lose_answers: upstreamFault("cut"),
+  misreport_upstream: upstreamFault("misreport"),
+  /** Restarts an upstream twice under other ids at its address; the entry of each former id stays for a while. */
+  renew_upstream({ fleet, draining, renewed }, { vm }) {
+    if (draining.has(vm) || renewed.has(vm)) return NO_OP;
+    renewed.add(vm);
+    const upstream = fleet.upstreams[vm]!;
+    const renewedVm = { ...fleet.vms[vm]!, id: `${upstream.vmId}-renewed` };
+    upstream.repeatsRefusals = true;
+    upstream.restartAs(renewedVm.id);
+    fleet.store.setUpstream(renewedVm, "ready");
+    return async () => {
+      upstream.restartAs(upstream.vmId);
+      fleet.store.setUpstream(fleet.vms[vm]!, "ready");
+      await sleep(FORMER_ENTRY_MS);
+      fleet.store.removeUpstream(renewedVm.id);
+      upstream.repeatsRefusals = false;
+      renewed.delete(vm);
+    };
+  },
   shed_upstream: upstreamFault("shed"),
   kill: daemonFault((fleet, daemon) => {
     const killed = fleet.kill(daemon);
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -14,8 +14,10 @@
   "limit_upstream",
   "lose_answers",
   "lose_connections",
+  "misreport_upstream",
   "pause",
   "reload",
+  "renew_upstream",
   "restart",
   "shed_upstream",
   "silence_link",
@@ -54,10 +56,16 @@
 const MEAN_GAP_MS = 900;
 
 /** Kinds that are planned apart from the others, whose plan for a seed thus stays the same. */
-const SEPARATE_KINDS: ReadonlySet<FaultKind> = new Set(["limit_upstream"]);
+interface SeparatePlan {
+  readonly kinds: readonly FaultKind[];
+  readonly meanGapMs: number;
+}
 
-/** Mean time between the starts of two faults that are planned apart; they last longer. */
-const SEPARATE_MEAN_GAP_MS = 4_000;
+const SEPARATE_PLANS: readonly SeparatePlan[] = [
+  // They last longer than the others.
+  { kinds: ["limit_upstream"], meanGapMs: 4_000 },
+  { kinds: ["misreport_upstream", "renew_upstream"], meanGapMs: 1_500 },
+];
 
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 3_000;
@@ -74,18 +82,16 @@
 export function planFaults(
   { kinds = FAULT_KINDS, ...options }: PlanFaultsOptions,
 ): readonly PlannedFault[] {
-  const faults = [
-    ...planKinds({
-      ...options,
-      kinds: kinds.filter((kind) => !SEPARATE_KINDS.has(kind)),
-      meanGapMs: MEAN_GAP_MS,
-    }),
-    ...planKinds({
+  const separate = SEPARATE_PLANS.flatMap((plan) => plan.kinds);
+  const others = kinds.filter((kind) => !separate.includes(kind));
+  const plans = [{ kinds: others, meanGapMs: MEAN_GAP_MS }, ...SEPARATE_PLANS];
+  const faults = plans.flatMap((plan) =>
+    planKinds({
       ...options,
-      kinds: kinds.filter((kind) => SEPARATE_KINDS.has(kind)),
-      meanGapMs: SEPARATE_MEAN_GAP_MS,
-    }),
-  ];
+      kinds: plan.kinds.filter((kind) => kinds.includes(kind)),
+      meanGapMs: plan.meanGapMs,
+    })
+  );
   return faults.toSorted((a, b) => a.atMs - b.atMs);
 }
 
--- a/packages/soak/src/ports.ts
+++ b/packages/soak/src/ports.ts
@@ -1,8 +1,9 @@
 /**
  * How the stand-in of an upstream handles requests: `shed` refuses them before they run, `cut` runs them and
- * closes the connection without an answer, `hang` runs them and never answers.
+ * closes the connection without an answer, `hang` runs them and never answers, `misreport` runs those that are not
+ * idempotent and answers with a status for requests that have not run.
  */
-export type UpstreamMode = "answer" | "shed" | "cut" | "hang";
+export type UpstreamMode = "answer" | "shed" | "cut" | "hang" | "misreport";
 
 /** One execution of a request on an upstream. */
 export interface UpstreamRun {
@@ -21,10 +22,14 @@
 
 /** Stand-in of an upstream, in the soak's own process. */
 export interface SoakUpstream {
-  readonly id: string;
+  readonly vmId: string;
   readonly runs: readonly UpstreamRun[];
   mode: UpstreamMode;
   notices: UpstreamNotices;
+  /** Whether each refusal is written once more where the next answer on its connection is due. */
+  repeatsRefusals: boolean;
+  /** Starts anew under another id, at the same address; at first, the id is that of the VM. */
+  restartAs(id: string): void;
   close(): void;
 }
 
@@ -35,8 +40,9 @@
    * and of recent earlier versions.
    */
   publish(version: number): void;
-  /** Writes the entry of a VM's upstream; one that is ready after it was draining has started anew. */
+  /** Writes the entry of a VM's upstream; each time that it is ready, it has started anew. */
   setUpstream(vm: SoakVm, state: "ready" | "draining"): void;
+  removeUpstream(id: string): void;
   setMode(mode: "answer" | "refuse" | "silent"): void;
   dropHistory(): void;
   close(): void;
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -118,6 +118,7 @@
       draining: new Set<number>(),
       limits: [],
       limited: new Set<number>(),
+      renewed: new Set<number>(),
       publishNext,
     };
     const faults = await injectFaults(target, { plan, progress });
@@ -200,7 +201,7 @@
     DELAYS_PROPAGATION.has(fault.kind)
   );
   const runsOf = (upstreamId: string) =>
-    upstreams.find(({ id }) => id === upstreamId)!.runs;
+    upstreams.find(({ vmId }) => vmId === upstreamId)!.runs;
   const restarts = [...halts, ...stops];
   const excusedFromLeaving = { calls, allRuns: runs, excuses: restarts };
   const excusedFromLimits: NoticeContext = {
@@ -214,8 +215,8 @@
     ...findMismatchedAnswers(calls),
     ...findLateAnswers(calls, { deadlineMs: DEADLINE_MS, halts }),
     ...findRequestsCutByStops(calls, { stops, halts }),
-    ...upstreams.flatMap(({ id, runs }) =>
-      findLateStarts(runs, id, { leaving, faults: propagationFaults })
+    ...upstreams.flatMap(({ vmId, runs }) =>
+      findLateStarts(runs, vmId, { leaving, faults: propagationFaults })
     ),
     ...leaving.flatMap((interval) =>
       findStartsAfterLeavingNotice(
--- a/scripts/soak_broken.mjs
+++ b/scripts/soak_broken.mjs
@@ -1,4 +1,4 @@
-// Usage: node scripts/soak_broken.mjs [PROMISE]: checks that the soak detects builds that break a promise.
+// Usage: node scripts/soak_broken.mjs [BUILD]: checks that the soak detects builds that break a promise.
 import { spawnSync } from "node:child_process";
 import { readFileSync } from "node:fs";
 import { resolve } from "node:path";
@@ -6,8 +6,8 @@
 import { buildSoak } from "./soak.mjs";
 
 /**
- * For each promise: a source change that breaks it, and the seed with which the soak detects the change. `kinds`
- * limits the soak to these kinds of fault.
+ * Source changes, each with the promise that it breaks (its name, unless `promise` names it) and the seed with which the
+ * soak detects it. `kinds` limits the soak to these kinds of fault.
  */
 const BROKEN_BUILDS = {
   runs_at_most_once: {
@@ -22,6 +22,22 @@
     to: "cut: {\n    status: 503,",
     seed: 1,
   },
+  not_run_is_true_if_repeated: {
+    promise: "not_run_is_true",
+    file: "packages/sidecar/src/connection_agent.ts",
+    from: "if (ids.has(requestId)) return this.#singleUse;",
+    to: "",
+    seed: 1,
+    kinds: "renew_upstream,shed_upstream",
+  },
+  not_run_is_true_if_misreported: {
+    promise: "not_run_is_true",
+    file: "packages/sidecar/src/refusals.ts",
+    from: 'return requestClass === "idempotent" || !PROMISES.has(status);',
+    to: "return true;",
+    seed: 1,
+    kinds: "misreport_upstream",
+  },
   answer_of_own_request: {
     file: "platform/stand_ins.ts",
     from: "response.end(this.answerBody(requestId));",
@@ -87,8 +103,8 @@
 
 const only = process.argv[2];
 let missed = 0;
-for (const [promise, patch] of Object.entries(BROKEN_BUILDS)) {
-  if (only !== undefined && only !== promise) continue;
+for (const [name, patch] of Object.entries(BROKEN_BUILDS)) {
+  if (only !== undefined && only !== name) continue;
   const plugins = [createPatchPlugin(patch)];
   await buildSidecar({ outfile: "build/broken/sidecar.cjs", plugins });
   await buildSoak({ outfile: "build/broken/soak.mjs", plugins });
@@ -99,8 +115,8 @@
     `--seed=${patch.seed}`,
     ...(patch.kinds === undefined ? [] : [`--kinds=${patch.kinds}`]),
   ], { encoding: "utf8" });
-  const found = stdout.includes(`  ${promise}: `);
-  console.log(`${promise}: ${found ? "found" : "MISSED"}`);
+  const found = stdout.includes(`  ${patch.promise ?? name}: `);
+  console.log(`${name}: ${found ? "found" : "MISSED"}`);
   if (!found) missed += 1;
 }
 process.exitCode = missed === 0 ? 0 : 1;
