--- a/packages/sidecar/src/refusals_test.ts
+++ b/packages/sidecar/src/refusals_test.ts
@@ -24,7 +24,7 @@
   deadline: 504,
 };
 
-const PROMISES = [408, 421, 429, 503];
+const NOT_RUN_STATUSES = [408, 421, 429, 503];
 
 // Guards against a promise without evidence, whatever the reason of the last attempt is.
 t.test("should promise that a request has not run only if each attempt shows it", (t) => {
@@ -40,8 +40,8 @@
     for (const other of others) {
       for (const attempts of [[other], [other, notRun], [notRun, other]]) {
         const refusal = decideRefusal(reason, attempts);
-        t.notOk(PROMISES.includes(refusal.status), reason);
-        if (!PROMISES.includes(status)) t.equal(refusal.reason, reason);
+        t.notOk(NOT_RUN_STATUSES.includes(refusal.status), reason);
+        if (!NOT_RUN_STATUSES.includes(status)) t.equal(refusal.reason, reason);
       }
     }
   }
@@ -53,7 +53,7 @@
   for (const status of [200, 204, 302, 400, 404, 409, 500, 502, 504]) {
     t.ok(isDeliverable(status, "non_idempotent"), String(status));
   }
-  for (const status of PROMISES) {
+  for (const status of NOT_RUN_STATUSES) {
     t.notOk(isDeliverable(status, "non_idempotent"), String(status));
     t.ok(isDeliverable(status, "idempotent"), String(status));
   }
