--- a/packages/sidecar/src/owner.ts
+++ b/packages/sidecar/src/owner.ts
@@ -203,7 +203,10 @@
     };
   }
 
-  /** Whether a connection may carry another request after an answer that may be written on it once more. */
+  /**
+   * Whether a connection may carry another request after an answer that may be written on it once more; a refusal is
+   * recorded.
+   */
   function mayKeepAfter(
     head: AnswerHead,
     { socket, requestId }: {
