Show that a cut zone runs POST requests of an unsafe route twice

The followers of a reader that has lost the platform take each other for being in contact, 1.5 s for each rank, and meanwhile repeat requests by the outdated version.

--- a/review/stand-ins-2.mjs
+++ b/review/stand-ins-2.mjs
@@ -8,7 +8,7 @@
   request as sendRequest,
   STATUS_CODES,
 } from "node:http";
-import { createServer as createTcpServer } from "node:net";
+import { connect, createServer as createTcpServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join, resolve } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -225,6 +225,7 @@
     };
     this.runs.push(run);
     this.running += 1;
+    let timer;
     const finish = (end) => {
       if (run.end !== undefined) return;
       run.end = end;
@@ -239,7 +240,7 @@
     }
     const { workMs = 20, status = 200 } = plan;
     const atDeadline = run.deadlineMs < workMs;
-    const timer = setTimeout(() => {
+    timer = setTimeout(() => {
       if (response.destroyed) return finish("connection closed");
       const answerBody = plan.body ?? `${this.id} ${requestId}`;
       const answerStatus = atDeadline ? 504 : status;
@@ -370,6 +371,7 @@
   #lines = [];
   #processes = new Set();
   #closers = [];
+  sidecars = [];
   #startedAtMs = Date.now();
   #folder = mkdtempSync(join(tmpdir(), "tanagercove-review-"));
 
@@ -418,6 +420,7 @@
       stream.on("data", (chunk) => sidecar.output += chunk);
     }
     this.#processes.add(child);
+    this.sidecars.push(sidecar);
     this.log(`process ${name} is started`);
     return sidecar;
   }
@@ -440,6 +443,13 @@
 /** Runs a script; one that throws could not run. */
 export async function runScript(importUrl, run) {
   const script = new Script(importUrl);
+  process.on(
+    "uncaughtException",
+    (error) => script.end(COULD_NOT_RUN, `could not run: ${error.stack}`),
+  );
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.on(signal, () => script.end(COULD_NOT_RUN, `ended by ${signal}`));
+  }
   const watchdog = setTimeout(
     () => script.end(COULD_NOT_RUN, "could not run: took over 115 s"),
     115_000,
@@ -461,12 +471,60 @@
   return run.split(" ");
 }
 
+/**
+ * The path to some ports of a machine. `passes` decides by the address of the other end whether bytes pass; while they
+ * do not, both directions are silent, and what was held up is lost.
+ */
+export class Path {
+  passes = () => true;
+  #servers = [];
+  #sockets = new Set();
+
+  constructor({ address, target, ports }) {
+    Object.assign(this, { address, target, ports });
+  }
+
+  async open() {
+    for (const port of this.ports) {
+      const server = createTcpServer((near) => this.#join(near, port));
+      await listen(server, this.address, port);
+      this.#servers.push(server);
+    }
+  }
+
+  close() {
+    for (const server of this.#servers) server.close();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  #join(near, port) {
+    const source = near.remoteAddress;
+    const far = connect({ host: this.target, port, localAddress: source });
+    let isLost = false;
+    const pass = (from, to) => {
+      this.#sockets.add(from);
+      from.on("error", () => {});
+      from.on("data", (bytes) => {
+        isLost ||= !this.passes(source);
+        if (!isLost && to.writable) to.write(bytes);
+      });
+      from.on("close", () => {
+        this.#sockets.delete(from);
+        if (!isLost && this.passes(source)) to.destroy();
+      });
+    };
+    pass(near, far);
+    pass(far, near);
+  }
+}
+
 /** Settings of a machine, as the users' page on deployments shows them, with the bounds of the small deployments. */
 export function settings({
   name,
   zone,
   zones,
   address,
+  listenAddress = address,
   service,
   ports,
   seeds = [],
@@ -510,10 +568,10 @@
     "self.limits.disk_mb=0",
     `self.app_addr=${address}:${ports.app}`,
     `self.service=${service}`,
-    `network.listen.inbound=${address}:${ports.inbound}`,
-    `network.listen.outbound=${address}:${ports.outbound}`,
-    `network.listen.ready=${address}:${ports.ready}`,
-    `network.listen.control=${address}:${ports.control}`,
+    `network.listen.inbound=${listenAddress}:${ports.inbound}`,
+    `network.listen.outbound=${listenAddress}:${ports.outbound}`,
+    `network.listen.ready=${listenAddress}:${ports.ready}`,
+    `network.listen.control=${listenAddress}:${ports.control}`,
     `network.internal_ports=${ports.internal},${ports.internal}`,
     `network.seeds=${seeds.join(",")}`,
     ...zones.map((other) => `network.zones.${other}=r`),
@@ -556,7 +614,9 @@
   const endAtMs = Date.now() + timeoutMs;
   for (;;) {
     const ready = await Promise.all(
-      machines.map(({ address, ports }) => isReady(address, ports.ready)),
+      machines.map(({ address, listenAddress = address, ports }) =>
+        isReady(listenAddress, ports.ready)
+      ),
     );
     if (ready.every(Boolean)) return;
     if (Date.now() > endAtMs) throw new Error("The sidecars are not ready");
@@ -587,9 +647,9 @@
     clearInterval(this.#timer);
   }
 
-  async #check({ name, address, ports }, log) {
+  async #check({ name, address, listenAddress = address, ports }, log) {
     const before = this.#misses.get(name) ?? 0;
-    const after = await isReady(address, ports.ready) ? 0 : before + 1;
+    const after = await isReady(listenAddress, ports.ready) ? 0 : before + 1;
     this.#misses.set(name, after);
     if (after === 2) log(`${name} is out: two readiness checks were missed`);
     if (after === 0 && before >= 2) log(`${name} is in again`);
