--- /dev/null
+++ b/review/7/case.mjs
@@ -0,0 +1,7 @@
+import { cutZoneScenario } from "../cut-zone-2.mjs";
+import { runScript } from "../stand-ins-2.mjs";
+
+await runScript(
+  import.meta.url,
+  cutZoneScenario({ method: "GET", network: "127.63" }),
+);
