--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -3,5 +3,5 @@
 
 await runScript(
   import.meta.url,
-  cutZoneScenario({ method: "GET", network: "127.63" }),
+  cutZoneScenario({ method: "POST", network: "127.62" }),
 );
--- a/review/cut-zone-2.mjs
+++ b/review/cut-zone-2.mjs
@@ -1,4 +1,4 @@
-// The scenario of cases 6 and 7. A zone is cut off from the other zone and from the platform; its machines and clients go
+// The scenario of cases 7 and 8. A zone is cut off from the other zone and from the platform; its machines and clients go
 // on. Just after the cut begins, the operator adds an unsafe route below a safe one. Instances answer requests of it with
 // 500 after they ran them, since a call that they make into the other zone fails. The check: none runs more than once.
 import {
--- a/review/stand-ins-2.mjs
+++ b/review/stand-ins-2.mjs
@@ -384,7 +384,8 @@
   }
 
   log = (line) => {
-    this.#lines.push(`${this.elapsedS.toFixed(3).padStart(8)}  ${line}`);
+    const text = line.replaceAll(ROOT, ".");
+    this.#lines.push(`${this.elapsedS.toFixed(3).padStart(8)}  ${text}`);
   };
 
   /** Time of a moment in the record. */
@@ -445,7 +446,7 @@
   const script = new Script(importUrl);
   process.on(
     "uncaughtException",
-    (error) => script.end(COULD_NOT_RUN, `could not run: ${error.stack}`),
+    (error) => script.end(COULD_NOT_RUN, `could not run: ${error.stack.replaceAll(ROOT, ".")}`),
   );
   for (const signal of ["SIGINT", "SIGTERM"]) {
     process.on(signal, () => script.end(COULD_NOT_RUN, `ended by ${signal}`));
@@ -459,7 +460,7 @@
     const { exitCode, verdict } = await run(script);
     await script.end(exitCode, verdict);
   } catch (error) {
-    await script.end(COULD_NOT_RUN, `could not run: ${error.stack}`);
+    await script.end(COULD_NOT_RUN, `could not run: ${error.stack.replaceAll(ROOT, ".")}`);
   }
 }
 
