--- a/review/stand-ins-2.mjs
+++ b/review/stand-ins-2.mjs
@@ -446,7 +446,11 @@
   const script = new Script(importUrl);
   process.on(
     "uncaughtException",
-    (error) => script.end(COULD_NOT_RUN, `could not run: ${error.stack.replaceAll(ROOT, ".")}`),
+    (error) =>
+      script.end(
+        COULD_NOT_RUN,
+        `could not run: ${error.stack.replaceAll(ROOT, ".")}`,
+      ),
   );
   for (const signal of ["SIGINT", "SIGTERM"]) {
     process.on(signal, () => script.end(COULD_NOT_RUN, `ended by ${signal}`));
@@ -460,7 +464,10 @@
     const { exitCode, verdict } = await run(script);
     await script.end(exitCode, verdict);
   } catch (error) {
-    await script.end(COULD_NOT_RUN, `could not run: ${error.stack.replaceAll(ROOT, ".")}`);
+    await script.end(
+      COULD_NOT_RUN,
+      `could not run: ${error.stack.replaceAll(ROOT, ".")}`,
+    );
   }
 }
 
