Go on when a value in the store or a peer's answer cannot be read

What callers saw: one entry of another writer, whose field "info" was a list nested 100,000 deep, ended all sidecars (code 70) and cut the requests at work, again after each restart.

Cause: the message about the malformed field wrote the whole value, and JSON.stringify throws a RangeError on a list that JSON.parse reads. The decoder caught only expected errors, and the loop of CatalogSync let any other one end the process.

Answers of other daemons had the same cause: a change's kind that is nested lists, and limits without numbers.

--- a/packages/catalog/src/catalog_sync.ts
+++ b/packages/catalog/src/catalog_sync.ts
@@ -81,6 +81,8 @@
   /** Daemons of the same zone that precede this one in the ranking of readers of the platform, in that order. */
   readonly higherRankedReaders: () => readonly string[];
   readonly onEvent: (event: CatalogSyncEvent) => void;
+  /** Called with an error that a fault in this program allows; the synchronization goes on with a full read. */
+  readonly onUnexpectedError: (error: unknown) => void;
   /** Called at the end of each response of the platform. */
   readonly onTransfer?: (transfer: CatalogTransfer) => void;
   /** Whether readers that do not tell which zones are evacuated are passed over; false by default. */
@@ -274,7 +276,8 @@
   async #followPlatform(): Promise<void> {
     let pauseMs = RETRY_MS;
     while (!this.#closing.signal.aborted) {
-      const result = await this.#syncOnce();
+      const result = await this.#syncOnce()
+        .catch((error) => this.#recordUnexpectedError(error));
       if (result === "ok") {
         pauseMs = RETRY_MS;
         continue;
@@ -284,6 +287,21 @@
     }
   }
 
+  /**
+   * All daemons read the same values, so an error that one of them causes would end them all, and again after each
+   * restart. An update may have been applied in part, so everything is read anew.
+   */
+  #recordUnexpectedError(error: unknown): "failed" {
+    this.#options.onUnexpectedError(error);
+    this.#needsFullRead = true;
+    this.#recordFailure({ kind: "malformed", message: String(error) });
+    if (this.#reader !== undefined) {
+      this.#feedPositions.delete(this.#reader);
+      this.#recordFailedReader(this.#reader);
+    }
+    return "failed";
+  }
+
   /**
    * Performs one update. The first one comes from the platform. Later ones come from the reader that `chooseReader`
    * finds, or from the platform if there is none.
@@ -574,7 +592,8 @@
       if (this.#platformLostAtMs === undefined) continue;
       const peers = this.#options.peers();
       if (peers.length === 0) continue;
-      await this.#fetchFromPeer(peers[nextIndex % peers.length]!);
+      await this.#fetchFromPeer(peers[nextIndex % peers.length]!)
+        .catch((error) => this.#options.onUnexpectedError(error));
       nextIndex += 1;
     }
   }
--- a/packages/catalog/src/catalog_sync_test.ts
+++ b/packages/catalog/src/catalog_sync_test.ts
@@ -140,6 +140,7 @@
   const source = new FakeSource();
   const catalog = new Catalog();
   const events: CatalogSyncEvent[] = [];
+  const unexpectedErrors: unknown[] = [];
   const sync = new CatalogSync({
     catalog,
     source,
@@ -153,11 +154,59 @@
     peers: () => ["peer:1"],
     higherRankedReaders: options.higherRankedReaders ?? (() => []),
     onEvent: (event) => events.push(event),
+    onUnexpectedError: (error) => unexpectedErrors.push(error),
   });
   t.teardown(() => sync.close());
-  return { source, catalog, events, sync };
+  return { source, catalog, events, unexpectedErrors, sync };
 }
 
+// Guards against the end of all processes at once, and again after each start, by one value that all of them read.
+t.test("should read everything again after an error that it does not expect", async (t) => {
+  const { source, catalog, events, unexpectedErrors, sync } = setUp();
+  sync.start();
+  await waitFor(() => source.watches === 1);
+  const { version: _version, ...malformed } = configurationAt(2);
+  Object.defineProperty(malformed, "version", {
+    get: () => {
+      throw new RangeError("Maximum call stack size exceeded");
+    },
+  });
+  const change = { ...configurationChange(2, 8), configuration: malformed };
+  source.readAnswer = Result.ok({
+    revision: 9,
+    changes: [upstreamAt("u1", 8)],
+  });
+  source.publish(Result.ok({ revision: 8, changes: [change as never] }));
+  await waitFor(() => catalog.upstreams.has("u1"));
+  t.match(unexpectedErrors, [{ name: "RangeError" }]);
+  t.equal(unexpectedErrors.length, 1);
+  t.match(events[0], { kind: "platform_lost" }, "it holds what it had");
+  t.equal(sync.platformLostAtMs, undefined, "until the read");
+});
+
+// Guards against the same by an answer of another daemon, and against a loop that asks it again and again.
+t.test("should read the platform after an error that an answer of its reader causes", async (t) => {
+  let isMalformed = true;
+  const { source, catalog, unexpectedErrors, sync } = setUp({
+    higherRankedReaders: () => ["reader:1"],
+    followPeer() {
+      const entry = isMalformed ? undefined : upstreamAt("u1", 8).entry;
+      isMalformed = false;
+      const change = { ...upstreamAt("u1", 8), entry };
+      return Promise.resolve(
+        feedResponse({ position: 1, revision: 8, changes: [change as never] }),
+      );
+    },
+  });
+  source.readAnswer = Result.ok({
+    revision: 9,
+    changes: [upstreamAt("u2", 9)],
+  });
+  sync.start();
+  await waitFor(() => catalog.upstreams.has("u2"));
+  t.equal(unexpectedErrors.length, 1);
+});
+
 t.test("should read everything again when the platform has dropped its history", async (t) => {
   const { source, catalog, events, sync } = setUp();
   sync.start();
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -478,7 +478,7 @@
       unlogged_failures: "number",
     },
     meaning:
-      "An error in one operation, which is a fault in this program; a request is answered with 500, and the process continues",
+      "An error in one operation, which is a fault in this program; a request is answered with 500, and the process continues. After one in `catalog_sync` the daemon counts as without contact to the platform until it has read everything again",
     action: "report the stack",
   },
   daemon_answer_unreadable: {
--- a/packages/sidecar/src/decode_peer_answers.ts
+++ b/packages/sidecar/src/decode_peer_answers.ts
@@ -134,7 +134,8 @@
 
 function isChange(value: unknown): boolean {
   return isObject(value) && isNumber(value.revision) &&
-    (CHANGE_CHECKS.get(String(value.kind))?.(value) ?? false);
+    typeof value.kind === "string" &&
+    (CHANGE_CHECKS.get(value.kind)?.(value) ?? false);
 }
 
 function isUpstreamEntry(value: unknown): boolean {
@@ -146,14 +147,25 @@
 function isConfiguration(value: unknown): boolean {
   return isObject(value) && isNumber(value.version) &&
     isListOf(value.routes, isRoute) && isListOf(value.services, isObject) &&
-    isObject(value.limits);
+    isLimits(value.limits);
 }
 
 function isDelta(value: unknown): boolean {
   return isObject(value) && isNumber(value.version) &&
     isNumber(value.fromVersion) && isListOf(value.changed, isRoute) &&
     isListOf(value.removed, isText) && isListOf(value.services, isObject) &&
-    isObject(value.limits);
+    isLimits(value.limits);
+}
+
+/** Node refuses a timeout of a connection that is no number, which would end the process. */
+function isLimits(value: unknown): boolean {
+  return isObject(value) &&
+    [
+      value.maxHeaderBytes,
+      value.maxBodyBytes,
+      value.headerTimeoutMs,
+      value.idleTimeoutMs,
+    ].every(isNumber);
 }
 
 function isRoute(value: unknown): boolean {
--- a/packages/sidecar/src/failure_log.ts
+++ b/packages/sidecar/src/failure_log.ts
@@ -7,6 +7,7 @@
 export type FailedOperation =
   | "request"
   | "forwarded_request"
+  | "catalog_sync"
   | "catch_up"
   | "fetch_upstream_id";
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -260,6 +260,8 @@
         linkMbpsOf: (address) => links.linkMbpsOf(address),
       }).map((address) => `${address}:${peerPort}`),
     onEvent: (event) => observer.onSync(event),
+    onUnexpectedError: (error) =>
+      failures.onOperationFailed("catalog_sync", error),
     onTransfer: (transfer) => observer.onTransfer(transfer),
   });
   let stoppingSinceMs: number | undefined;
--- a/packages/sidecar/src/zone_fixture.ts
+++ b/packages/sidecar/src/zone_fixture.ts
@@ -212,6 +212,9 @@
               : (linkMbpsOf ?? this.links.linkMbpsOf.bind(this.links))(other),
         }).map(peerAt),
       onEvent: (event) => this.events.push(event),
+      onUnexpectedError(error) {
+        throw error;
+      },
     });
   }
 
