Trust a version only as long as the platform's last answer vouches for it

Cause: contact to the platform was a state that lasted until a call failed. Readers told it to their followers, and while a read of their own was failing they still did; each daemon of the zone in turn (1.5 s each).

Change: a lease. Each answer of the platform confirms the version for one instant; readers tell their followers how long ago that was, and the time only grows on the way, by the greater of the steady clock and the time of day. A request that may have run is sent again only while it is below config_apply_s. A follower's poll is answered at each new confirmation, so the hops of a zone add milliseconds. Metrics: configuration_age_ms and repeats_withheld.

Why it works: whether a newer version may have to be in force depends on time alone, so no order of events, chain of readers or silence needs a rule of its own.

--- a/packages/catalog/src/catalog_feed.ts
+++ b/packages/catalog/src/catalog_feed.ts
@@ -14,6 +14,8 @@
   /** Id of the feed that `position` belongs to; each run of the followed daemon has its own. */
   readonly feedId: string;
   readonly position: number;
+  /** Age of the newest confirmation that the follower knows of; absent before the first, and in earlier versions. */
+  readonly confirmedAgeMs?: number;
   /** Timeout after which the response is sent even without a change. */
   readonly waitMs: number;
 }
@@ -37,6 +39,11 @@
   readonly revision: number;
   /** Version in force. A follower that holds an older one fetches the configuration separately. */
   readonly version: number;
+  /**
+   * Time from the platform's last confirmation of this version until the long poll arrived; negative if it came during
+   * the wait. An earlier version does not tell.
+   */
+  readonly confirmedBeforeMs?: number;
 }
 
 /** Options of `answerFeedRequest`. */
@@ -47,6 +54,8 @@
   readonly isInContact: () => boolean;
   /** Readers of this daemon. */
   readonly readers: () => ReaderChain;
+  /** Time since the platform last confirmed the version in force here; infinite before the first time. */
+  readonly confirmedAgeMs: () => number;
 }
 
 /**
@@ -57,16 +66,23 @@
  */
 const BATCH_WINDOW_MS = 100;
 
+/**
+ * A follower whose confirmation is older than this daemon's by at least this time has missed one, and gets the response
+ * at once. The delay of its link is part of the difference, so a shorter time would have it poll without a pause.
+ */
+const MISSED_CONFIRMATION_MS = 400;
+
 /**
  * Responds to a follower's long poll. A follower that is behind gets the response at once. Any other follower gets it
- * `BATCH_WINDOW_MS` after the next change, or at the timeout. Loss of contact to the platform and a change of the readers
+ * `BATCH_WINDOW_MS` after the next change, at once after the next confirmation, or at the timeout. Loss of contact to the platform and a change of the readers
  * are reported at once. Daemons that follow each other in a circle therefore learn it within a round of responses,
  * although each of them answers the next one.
  */
 export async function answerFeedRequest(
   options: AnswerFeedOptions,
 ): Promise<FeedResponse> {
-  const { catalog, feedId, request, readers } = options;
+  const { catalog, feedId, request, readers, confirmedAgeMs } = options;
+  const receivedAtMs = performance.now();
   const isUpToDate = () =>
     request.feedId === feedId && request.position === catalog.position &&
     request.version >= catalog.version;
@@ -75,7 +91,12 @@
   const isInContact = () =>
     options.isInContact() &&
     (request.follower === undefined || !readers().includes(request.follower));
-  if (isUpToDate() && knowsReaders() && isInContact()) {
+  const knowsConfirmation = () =>
+    request.confirmedAgeMs === undefined ||
+    request.confirmedAgeMs - confirmedAgeMs() < MISSED_CONFIRMATION_MS;
+  const hasNothingToTell = isUpToDate() && knowsReaders() && isInContact() &&
+    knowsConfirmation();
+  if (hasNothingToTell) {
     await catalog.whenChanged(request.waitMs);
     if (!isUpToDate() && isInContact()) await sleep(BATCH_WINDOW_MS);
   }
@@ -84,6 +105,8 @@
     : undefined;
   const changes = loggedChanges?.changes ?? [];
   const upstreamChanges = changes.filter(({ kind }) => kind !== "evacuation");
+  const heldMs = performance.now() - receivedAtMs;
+  const confirmedBeforeMs = confirmedAgeMs() - heldMs;
   return {
     feedId,
     position: catalog.position,
@@ -95,5 +118,6 @@
       { evacuations: catalog.evacuations }),
     revision: catalog.revision,
     version: catalog.version,
+    ...(Number.isFinite(confirmedBeforeMs) && { confirmedBeforeMs }),
   };
 }
--- a/packages/catalog/src/catalog_sync.ts
+++ b/packages/catalog/src/catalog_sync.ts
@@ -5,6 +5,13 @@
 import type { FeedRequest, FeedResponse } from "./catalog_feed.ts";
 import type { CatalogTransfer } from "./catalog_transfer.ts";
 import { chooseReader } from "./choose_reader.ts";
+import {
+  ConfigurationLease,
+  decideWatchConfirmation,
+  type Instant,
+  type ReadClocks,
+  shiftInstant,
+} from "./configuration_lease.ts";
 import {
   chooseNextRead,
   type FinishedRead,
@@ -89,16 +96,29 @@
   readonly needsEvacuations?: boolean | undefined;
   /** Timeout of a watch without changes, after which it is renewed. */
   readonly watchWaitMs?: number;
+  /** Time after its acknowledgement within which a version must be in force; 2 s by default. */
+  readonly configurationApplyMs?: number | undefined;
+  readonly readClocks?: ReadClocks;
 }
 
 /**
- * Default for `watchWaitMs`. Bounds the time until a daemon that reads the platform
- * notices that its connection to the platform has stopped responding. Until then
- * the daemon reports to its followers that it is in contact.
+ * Default for `watchWaitMs`. The version in force is confirmed at the end of each watch, or for its begin if a change
+ * ended it. So the age of a confirmation reaches twice this time and the delays of two calls, which is to be less than
+ * the time within which a version must be in force. It also bounds the time until a daemon that reads the platform
+ * notices that its connection to the platform has stopped responding.
  */
-const WATCH_WAIT_MS = 1_000;
+const WATCH_WAIT_MS = 750;
+
+/** Default for `configurationApplyMs`. */
+const CONFIGURATION_APPLY_MS = 2_000;
+
+/** A confirmation that is later than the last one by less than this is not told to followers by itself. */
+const MIN_TOLD_CONFIRMATION_MS = 50;
 
-/** Timeout of a follower's long poll; bounds the time until a reader that has stopped responding is detected. */
+/**
+ * Timeout of a follower's long poll; bounds the time until a reader that has stopped responding is detected. Above
+ * `WATCH_WAIT_MS`, so that mostly the next confirmation ends the poll.
+ */
 const FOLLOW_POLL_MS = 800;
 
 /** Time during which a reader that did not answer or lost contact to the platform is not followed. */
@@ -171,6 +191,9 @@
     full_read: () => this.#readAll(),
     catch_up_read: () => this.#catchUp(),
   };
+  readonly #lease: ConfigurationLease;
+  /** Whether the platform holds a configuration that cannot be read, so that the version in force is not its newest one. */
+  #isConfigurationUnreadable = false;
   #platformLostAtMs: number | undefined;
   #settleUntilMs = 0;
   /** End of the time in which an entry that a new era of the platform's store lacks may be written again. */
@@ -201,6 +224,7 @@
 
   constructor(options: CatalogSyncOptions) {
     this.#options = options;
+    this.#lease = new ConfigurationLease(options);
   }
 
   /**
@@ -211,10 +235,21 @@
     return this.#platformLostAtMs;
   }
 
-  /** Whether this daemon has contact to the platform and knows of no newer version than the one in force. */
+  /**
+   * Whether no newer version than the one in force needs to be in force yet, as far as this daemon can know: the platform
+   * has confirmed it so lately that one acknowledged since then has time left, and no other daemon is known to hold one.
+   */
   get isCurrent(): boolean {
+    const { catalog, configurationApplyMs = CONFIGURATION_APPLY_MS } =
+      this.#options;
     return this.#platformLostAtMs === undefined &&
-      this.#newestKnownVersion <= this.#options.catalog.version;
+      this.#lease.ageMs < configurationApplyMs &&
+      this.#newestKnownVersion <= catalog.version;
+  }
+
+  /** Time since the platform last confirmed that the version in force is the newest one; infinite before the first time. */
+  get confirmedAgeMs(): number {
+    return this.#lease.ageMs;
   }
 
   /** Whether the version in force is at least the one that other daemons held when this one started. */
@@ -336,9 +371,12 @@
     const feedPosition = this.#feedPositions.get(reader);
     const isNewReader = reader !== this.#readers[0];
     const knownReaders = isNewReader ? undefined : this.#readers.slice(1);
+    const startedAt = this.#lease.now();
+    const { confirmedAgeMs } = this;
     const response = await followPeer(reader, {
       follower: ownPeer,
       ...(knownReaders && { readers: knownReaders }),
+      ...(Number.isFinite(confirmedAgeMs) && { confirmedAgeMs }),
       version: catalog.version,
       feedId: feedPosition?.feedId ?? "",
       position: feedPosition?.position ?? 0,
@@ -370,9 +408,22 @@
     await this.#fetchConfiguration(reader, response.version);
     if (catalog.version < response.version) return await this.#readAll();
     catalog.advance(response.revision);
+    const { confirmedBeforeMs } = response;
+    if (confirmedBeforeMs !== undefined) {
+      this.#confirm(shiftInstant(startedAt, -confirmedBeforeMs));
+    }
     return "ok";
   }
 
+  /** Records that the version in force was the newest one at an instant, and lets followers know. */
+  #confirm(at: Instant): void {
+    if (this.#isConfigurationUnreadable) return;
+    const gainMs = this.#lease.confirm(at);
+    if (gainMs >= MIN_TOLD_CONFIRMATION_MS) {
+      this.#options.catalog.wakeFollowers();
+    }
+  }
+
   /**
    * Whether a reader does not tell which zones are evacuated, as daemons of earlier versions don't. These don't know of
    * eras either, and their revisions would count as outdated in any but the first one.
@@ -421,6 +472,7 @@
     const { source } = this.#options;
     const timer = this.#timeTransfers();
     const { onTransfer } = timer;
+    const startedAt = this.#lease.now();
     const result = await source.readAll({
       onTransfer,
       knownConfigurationRevision,
@@ -429,6 +481,8 @@
     this.#recordContact([]);
     this.#recordEra(result.value.revision);
     this.#options.catalog.replace(result.value, this.#removalOptions());
+    this.#recordReadability(result.value);
+    this.#confirm(startedAt);
     this.#settleDeferred();
     await this.#learnFloor();
     this.#recordRead(result.value, timer.transferMs());
@@ -444,9 +498,12 @@
     this.#watchAbort = new AbortController();
     const { signal } = this.#watchAbort;
     const timer = this.#timeTransfers();
+    const afterRevision = catalog.revision;
+    const waitMs = this.#options.watchWaitMs ?? WATCH_WAIT_MS;
+    const startedAt = this.#lease.now();
     const result: Result<CatalogUpdate, PlatformError> = await source.watch({
-      afterRevision: catalog.revision,
-      waitMs: this.#options.watchWaitMs ?? WATCH_WAIT_MS,
+      afterRevision,
+      waitMs,
       signal,
       onTransfer: timer.onTransfer,
     });
@@ -463,14 +520,31 @@
       // The backoff prevents continuous full reads of a platform that keeps no history at all.
       return "failed";
     }
+    const elapsedMs = this.#lease.now().steadyMs - startedAt.steadyMs;
     this.#recordContact([]);
-    catalog.apply(result.value.changes, this.#removalOptions());
+    const { changes, revision } = result.value;
+    catalog.apply(changes, this.#removalOptions());
+    this.#recordReadability(result.value);
     this.#settleDeferred();
-    catalog.advance(result.value.revision);
+    catalog.advance(revision);
+    const isUnchanged = changes.length === 0 && revision === afterRevision;
+    this.#confirm(
+      decideWatchConfirmation({ startedAt, elapsedMs, waitMs, isUnchanged }),
+    );
     this.#recordRead(result.value, timer.transferMs());
     return "ok";
   }
 
+  #recordReadability({ changes }: CatalogUpdate): void {
+    for (const change of changes) {
+      if (change.kind === "configuration") {
+        this.#isConfigurationUnreadable = false;
+      } else if (
+        change.kind === "unreadable" && change.upstreamId === undefined
+      ) this.#isConfigurationUnreadable = true;
+    }
+  }
+
   /** Adds up the times in which the bodies of a read's responses arrive. */
   #timeTransfers() {
     let transferMs = 0;
--- a/packages/catalog/src/catalog_sync_test.ts
+++ b/packages/catalog/src/catalog_sync_test.ts
@@ -485,6 +485,32 @@
   t.equal(sync.isCurrent, false);
 });
 
+// Guards against requests that are repeated by a route that a newer version, which cannot be read, may have replaced.
+t.test("should not count as current while the platform's configuration cannot be read", async (t) => {
+  const { source, catalog, sync } = setUp();
+  const unreadable = {
+    kind: "unreadable" as const,
+    key: "configuration",
+    upstreamId: undefined,
+    problem: "not JSON",
+  };
+  source.readAnswer = Result.ok({
+    revision: 2,
+    changes: [{ ...unreadable, revision: 2 }],
+  });
+  sync.start();
+  await waitFor(() => source.watches === 1);
+  t.equal(sync.isCurrent, false);
+  source.publish(Result.ok({ revision: 2, changes: [] }));
+  await waitFor(() => source.watches === 2);
+  t.equal(sync.isCurrent, false, "nor after an answer without a change");
+  source.publish(
+    Result.ok({ revision: 3, changes: [configurationChange(3, 3)] }),
+  );
+  await waitFor(() => catalog.version === 3);
+  t.equal(sync.isCurrent, true);
+});
+
 // Guards against a daemon that never hears of an evacuation, as its reader is of an earlier version.
 t.test("should not follow a reader that does not tell evacuations, if they are needed", async (t) => {
   const whole = { revision: 1, changes: [] };
--- a/packages/catalog/src/catalog_test.ts
+++ b/packages/catalog/src/catalog_test.ts
@@ -234,6 +234,7 @@
       request: { version, feedId, position, waitMs: 10 },
       isInContact: () => true,
       readers: () => [],
+      confirmedAgeMs: () => Infinity,
     });
   const first = await poll("", 0, 0);
   t.equal(first.whole?.changes.length, 1);
@@ -271,6 +272,7 @@
     },
     isInContact: () => true,
     readers: () => [],
+    confirmedAgeMs: () => Infinity,
   });
   catalog.apply([upstream("u2", 6)]);
   t.equal((await response).changes.length, 1);
@@ -286,6 +288,7 @@
     request: { version: 0, feedId: "f", position: 0, waitMs: 60_000 },
     isInContact: () => true,
     readers: () => [],
+    confirmedAgeMs: () => Infinity,
   });
   for (const revision of [1, 2, 3]) {
     catalog.apply([upstream(`u${revision}`, revision)]);
@@ -305,6 +308,7 @@
     request: { version: 0, feedId: "f", position: 0, waitMs: 60_000 },
     isInContact: () => isInContact,
     readers: () => [],
+    confirmedAgeMs: () => Infinity,
   });
   isInContact = false;
   catalog.wakeFollowers();
@@ -324,6 +328,7 @@
       request: { version: 0, feedId: "f", position, waitMs: 0 },
       isInContact: () => true,
       readers: () => [],
+      confirmedAgeMs: () => Infinity,
     });
   const { position } = catalog;
   catalog.apply([upstream("u1", 2)]);
--- a/packages/catalog/src/index.ts
+++ b/packages/catalog/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./reader_chain.ts";
 export * from "./revisions.ts";
 export * from "./choose_next_read.ts";
+export * from "./configuration_lease.ts";
--- a/packages/sidecar/src/decode_peer_answers.ts
+++ b/packages/sidecar/src/decode_peer_answers.ts
@@ -118,6 +118,8 @@
     [value.position, value.revision, value.version].every(isNumber) &&
     isListOf(value.changes, isChange) &&
     (value.readers === undefined || isListOf(value.readers, isText)) &&
+    (value.confirmedBeforeMs === undefined ||
+      isNumber(value.confirmedBeforeMs)) &&
     isOptionalEvacuationState(value.evacuations) &&
     (value.whole === undefined || isCatalogUpdate(value.whole));
 }
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -244,8 +244,10 @@
 }
 
 function feedPath(
-  { follower, readers, version, feedId, position, waitMs }: FeedRequest,
+  request: FeedRequest,
 ): string {
+  const { follower, readers, version, feedId, position, waitMs } = request;
+  const { confirmedAgeMs } = request;
   const query = new URLSearchParams({
     version: String(version),
     feed_id: feedId,
@@ -254,6 +256,9 @@
   });
   if (follower !== undefined) query.set("follower", follower);
   if (readers !== undefined) query.set("readers", readers.join(","));
+  if (confirmedAgeMs !== undefined) {
+    query.set("confirmed_age_ms", String(Math.round(confirmedAgeMs)));
+  }
   return `${FEED_PATH}?${query}`;
 }
 
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -92,6 +92,8 @@
   readonly isInContact: () => boolean;
   /** Daemons over which the platform's changes reach this one. */
   readonly readers: () => ReaderChain;
+  /** Time since the platform last confirmed the version in force here. */
+  readonly confirmedAgeMs: () => number;
   /** State of this daemon and of the upstream with an id, which is that of this VM or was. */
   readonly state: (upstreamId: string) => OwnerState;
   /** Whether a forwarded request may run on this VM's upstream. */
@@ -210,12 +212,14 @@
     const number = (name: string) => Number(searchParams.get(name));
     const follower = searchParams.get("follower");
     const readers = searchParams.get("readers");
+    const confirmedAge = searchParams.get("confirmed_age_ms");
     const answer = await answerFeedRequest({
       catalog: options.catalog,
       feedId: options.feedId,
       request: {
         ...(follower === null ? {} : { follower }),
         ...(readers === null ? {} : { readers: decodeReaders(readers) }),
+        ...(confirmedAge !== null && { confirmedAgeMs: Number(confirmedAge) }),
         version: number("version"),
         feedId: searchParams.get("feed_id") ?? "",
         position: number("position"),
@@ -223,6 +227,7 @@
       },
       isInContact: options.isInContact,
       readers: options.readers,
+      confirmedAgeMs: options.confirmedAgeMs,
     });
     respondJson(response, encodeJson(answer));
   }
--- a/packages/sidecar/src/peer_server_fixture.ts
+++ b/packages/sidecar/src/peer_server_fixture.ts
@@ -84,6 +84,7 @@
     feedId: "f",
     isInContact: () => true,
     readers: () => [],
+    confirmedAgeMs: () => Infinity,
     state: () => ({ load: LOAD, version: 1, revision: 1 }),
     accepts: () => true,
     isLeaving: () => false,
--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -12,6 +12,7 @@
 import type { RoutedRequest } from "./caller_request.ts";
 import {
   decideNextStep,
+  type DecideNextStepOptions,
   type NextStep,
   refusalReasonOf,
 } from "./decide_next_step.ts";
@@ -84,6 +85,8 @@
   readonly isStopping: () => boolean;
   /** Whether the configuration in force is the newest one, as far as this daemon can know. */
   readonly isConfigurationCurrent: () => boolean;
+  /** Called when a request is not sent again only because the configuration in force may be outdated. */
+  readonly onRepeatWithheld?: () => void;
   readonly onPeerState: (peer: Endpoint, state: OwnerState) => void;
   /** Monotonic time in milliseconds. */
   readonly nowMs?: () => number;
@@ -276,6 +279,7 @@
 
   function requestClassOf(
     { route, version, request }: RoutedRequest,
+    isConfigurationCurrent = options.isConfigurationCurrent(),
   ): RequestClass {
     const { index } = catalog;
     const currentRoute = index === undefined || catalog.version === version
@@ -287,7 +291,7 @@
     return decideRequestClass({
       routed: route.requestClass,
       current: currentRoute?.requestClass,
-      isConfigurationCurrent: options.isConfigurationCurrent(),
+      isConfigurationCurrent,
       method: request.method!,
     });
   }
@@ -346,10 +350,11 @@
     },
   ): NextStep {
     const wasReached = verdict.kind !== "not_run" || verdict.reachedUpstream;
-    return decideNextStep({
+    const requestClass = requestClassOf(routed);
+    const decision: DecideNextStepOptions = {
       verdict,
       status: answer?.status,
-      requestClass: requestClassOf(routed),
+      requestClass,
       upstreamsReached: progress.upstreamsReached + (wasReached ? 1 : 0),
       maxAttempts: routed.route.maxAttempts,
       timeLeftMs: routed.deadlineAtMs - now(),
@@ -368,7 +373,18 @@
           : untried.some((candidate) => isWorthTrying(routed, candidate));
       },
       takeToken: () => options.budgets.tryTake(routed.service),
-    });
+    };
+    const step = decideNextStep(decision);
+    const couldBeSentAgain = requestClassOf(routed, true) !== requestClass &&
+      decideNextStep({
+          ...decision,
+          requestClass: "idempotent",
+          takeToken: () => true,
+        }).kind === "try_another";
+    if (couldBeSentAgain && step.kind !== "try_another") {
+      options.onRepeatWithheld?.();
+    }
+    return step;
   }
 
   /** Whether a refusal after another wait would still come within half of the objective. */
--- a/packages/sidecar/src/settings.ts
+++ b/packages/sidecar/src/settings.ts
@@ -65,6 +65,8 @@
   readonly platform: Endpoint;
   /** Time from a stop signal until the process is killed. */
   readonly drainTimeoutMs: number;
+  /** Time after its acknowledgement within which a version must be in force; 2 s by default. */
+  readonly configurationApplyMs?: number | undefined;
   readonly retryBudgetRatio: number;
   readonly retryBudgetWindowMs: number;
   readonly retryBudgetSlack: number;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -244,6 +244,7 @@
     source,
     ownPeer: `${settings.address}:${peerPort}`,
     needsEvacuations: settings.evacuationMs !== undefined,
+    configurationApplyMs: settings.configurationApplyMs,
     fetchUpstreams: (peer, held) =>
       peers.fetchUpstreams(parseEndpoint(peer), held),
     fetchConfiguration: (peer, heldVersion) =>
@@ -441,6 +442,7 @@
     sendQueue,
     isStopping,
     isConfigurationCurrent: () => sync.isCurrent,
+    onRepeatWithheld: () => metrics.counter("repeats_withheld").add(),
     onPeerState: handlePeerState,
   });
   const callers = createCallerHandler({
@@ -516,6 +518,7 @@
         catalog.revision > 0 && sync.platformLostAtMs === undefined &&
         !isStopping(),
       readers: () => sync.readers,
+      confirmedAgeMs: () => sync.confirmedAgeMs,
       state: ownerState,
       accepts,
       isLeaving: () => !stopPhase().acceptsForwarded,
@@ -595,6 +598,7 @@
         sync.platformLostAtMs === undefined
           ? 0
           : performance.now() - sync.platformLostAtMs,
+      configuration_age_ms: () => configurationAgeMs() ?? -1,
       slots_running: () => owner.running,
       answer_bytes_buffered: () => answerMemory.usedBytes,
       caller_body_bytes: () => memory.usedBytes("caller_bodies"),
@@ -623,6 +627,12 @@
     }
   }
 
+  /** Time since the platform last confirmed the version in force; undefined before the first time. */
+  function configurationAgeMs(): number | undefined {
+    const ageMs = sync.confirmedAgeMs;
+    return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+  }
+
   /** Called when the upstream first tells how long work takes on its host. */
   function registerCapacityGauges(): void {
     const status = () => owner.capacityStatus()!;
@@ -646,6 +656,7 @@
       ready: isReady(),
       stopping: isStopping(),
       configuration: catalog.index?.configuration,
+      configuration_age_ms: configurationAgeMs(),
       catalog_revision: catalog.revision,
       readers: sync.readers,
       evacuated_zones: catalog.evacuatedZones,
--- a/packages/sidecar/src/zone_fixture.ts
+++ b/packages/sidecar/src/zone_fixture.ts
@@ -27,6 +27,10 @@
 /** Time after which a call to an address without an answer fails. */
 const SILENCE_MS = 300;
 
+/** Times after which calls to a silent platform fail, as in the client of the platform's store. */
+const READ_TIMEOUT_MS = 1_500;
+const WATCH_GRACE_MS = 400;
+
 /** A VM of a `ZoneFixture`. */
 export interface VmOptions {
   readonly address: string;
@@ -52,6 +56,8 @@
 export class FakePlatform {
   readonly calls: PlatformCall[] = [];
   isDown = false;
+  /** While true, calls get no answer. */
+  isSilent = false;
   #revision = 0;
   readonly #items = new Map<string, CatalogChange>();
   readonly #waiters = new Set<() => void>();
@@ -90,11 +96,19 @@
   /** The platform as the daemon at an address reads it. */
   sourceFor(from: string): CatalogSource {
     return {
-      readAll: () => Promise.resolve(this.#answer({ from, kind: "read" }, 0)),
+      readAll: async () => {
+        if (this.isSilent) return await timeoutAfter(READ_TIMEOUT_MS);
+        return this.#answer({ from, kind: "read" }, 0);
+      },
       watch: async ({ afterRevision, waitMs, signal }) => {
+        const startedMs = performance.now();
         if (!this.isDown && this.#revision <= afterRevision) {
           await this.#nextChange(waitMs, signal);
         }
+        if (this.isSilent) {
+          const elapsedMs = performance.now() - startedMs;
+          return await timeoutAfter(waitMs + WATCH_GRACE_MS - elapsedMs);
+        }
         return this.#answer({ from, kind: "watch" }, afterRevision);
       },
       close: () => Promise.resolve(),
@@ -235,6 +249,7 @@
       isInContact: () =>
         this.catalog.revision > 0 && this.sync.platformLostAtMs === undefined,
       readers: () => this.sync.readers,
+      confirmedAgeMs: () => this.sync.confirmedAgeMs,
     });
   }
 }
@@ -309,6 +324,13 @@
   }
 }
 
+async function timeoutAfter(
+  timeoutMs: number,
+): Promise<Result<never, PlatformError>> {
+  await sleep(Math.max(0, timeoutMs));
+  return Result.err({ kind: "timeout", timeoutMs });
+}
+
 /** A configuration without routes. */
 export function configurationAt(version: number): RouteConfiguration {
   return {
--- a/packages/sidecar/src/zone_links_test.ts
+++ b/packages/sidecar/src/zone_links_test.ts
@@ -143,6 +143,7 @@
       },
       isInContact: () => true,
       readers: () => daemons[Number(reader)]!.readers,
+      confirmedAgeMs: () => Infinity,
     });
     if (isInContact) {
       daemon.readers = [reader, ...readers];
