Repeat no GET by a route that may be outdated

Cause: decideRequestClass repeated GET, HEAD and OPTIONS whatever the daemon knew of the route. On the platform the route decides what may be repeated, not the method.

The new test of route_change_test.ts fails with the former decision.

Why it works: without a valid lease nothing that may have run is sent again, whatever its method. What has not run still goes to another upstream; a test asks for it.

The test "should repeat only safe methods while the configuration may be outdated" asked for two runs of a GET, which the rule TWICE forbids for an unsafe route. Its place is taken by one that asks for one run of each method.

--- a/packages/sidecar/src/request_class.ts
+++ b/packages/sidecar/src/request_class.ts
@@ -8,26 +8,19 @@
   readonly routed: RequestClass;
   /** Class by the route that the configuration in force gives it now; undefined if it gives none. */
   readonly current: RequestClass | undefined;
-  /** Whether the configuration in force is the newest one, as far as this daemon can know. */
+  /** Whether the configuration in force is the newest one that must be, as far as this daemon can know. */
   readonly isConfigurationCurrent: boolean;
-  readonly method: string;
 }
 
-/** Methods that change nothing on the upstream (RFC 9110, 9.2.1), whatever a route says. */
-const SAFE_METHODS: ReadonlySet<string> = new Set(["GET", "HEAD", "OPTIONS"]);
-
 /**
  * Decides whether a request may be sent again after an upstream may have run it. A newer version may have a longer prefix
- * for it whose requests must not be repeated. A daemon that may lack such a version repeats only safe methods.
+ * for it whose requests must not be repeated, whatever their method is.
  */
 export function decideRequestClass(
-  { routed, current, isConfigurationCurrent, method }:
-    DecideRequestClassOptions,
+  { routed, current, isConfigurationCurrent }: DecideRequestClassOptions,
 ): RequestClass {
-  if (routed === "non_idempotent" || current === "non_idempotent") {
-    return "non_idempotent";
-  }
-  return isConfigurationCurrent || SAFE_METHODS.has(method)
+  const isIdempotent = routed === "idempotent" && current !== "non_idempotent";
+  return isIdempotent && isConfigurationCurrent
     ? "idempotent"
     : "non_idempotent";
 }
--- a/packages/sidecar/src/route_change_test.ts
+++ b/packages/sidecar/src/route_change_test.ts
@@ -60,7 +60,10 @@
   readonly isConfigurationCurrent?: boolean;
   /** Called when an upstream has run the request. */
   readonly onRun?: (catalog: Catalog) => void;
+  /** What each upstream makes of the request; by default, its answer is lost. */
+  readonly outcome?: OwnedResult;
 }) {
+  let withheldCount = 0;
   const catalog = catalogAt(1);
   const ownerCatalog = catalogAt(options.ownerVersion);
   const runs: OwnedRequest[] = [];
@@ -82,7 +85,8 @@
             run(owned) {
               runs.push(owned);
               options.onRun?.(catalog);
-              return { ended: Promise.resolve(ANSWER_LOST), cancel() {} };
+              const ended = Promise.resolve(options.outcome ?? ANSWER_LOST);
+              return { ended, cancel() {} };
             },
           },
           accepts: () => true,
@@ -106,6 +110,7 @@
     sendQueue: { wait: () => Promise.resolve() },
     isStopping: () => false,
     isConfigurationCurrent: () => options.isConfigurationCurrent ?? true,
+    onRepeatWithheld: () => withheldCount += 1,
     onPeerState() {},
     random: () => 0.5,
   });
@@ -113,6 +118,7 @@
   return {
     serve: (method: string) => serve(routedRequest({ method, path })),
     runs,
+    withheld: () => withheldCount,
   };
 }
 
@@ -127,23 +133,42 @@
   }
 });
 
-// Guards against the same at a daemon that is cut off together with the upstreams.
-t.test("should repeat only safe methods while the configuration may be outdated", async (t) => {
+// Guards against the same at a daemon that is cut off together with the upstreams. The route decides what may be repeated,
+// not the method.
+t.test("should repeat nothing that may have run while the configuration may be outdated", async (t) => {
   const outdated = { ownerVersion: 1, isConfigurationCurrent: false } as const;
-  for (
-    const { method, count } of [
-      { method: "POST", count: 1 },
-      { method: "PUT", count: 1 },
-      { method: "GET", count: 2 },
-    ]
-  ) {
-    const { serve, runs } = setUp(outdated);
+  for (const method of ["POST", "PUT", "GET", "HEAD", "OPTIONS"]) {
+    const { serve, runs, withheld } = setUp(outdated);
     t.match(await serve(method), { kind: "refused", reason: "cut" });
-    t.equal(runs.length, count, method);
+    t.equal(runs.length, 1, method);
+    t.equal(withheld(), 1, "which is counted");
   }
-  const { serve, runs } = setUp({ ownerVersion: 1 });
-  await serve("POST");
-  t.equal(runs.length, 2, "a current configuration decides alone");
+  for (const method of ["POST", "GET"]) {
+    const { serve, runs, withheld } = setUp({ ownerVersion: 1 });
+    await serve(method);
+    t.equal(runs.length, 2, "a current configuration decides alone");
+    t.equal(withheld(), 0);
+  }
+});
+
+// Guards against requests that fail although a second upstream could serve them: what an upstream has not run may go on.
+t.test("should send a request that has not run to another upstream while the configuration may be outdated", async (t) => {
+  const { serve, runs, withheld } = setUp({
+    ownerVersion: 1,
+    isConfigurationCurrent: false,
+    outcome: {
+      verdict: {
+        kind: "not_run",
+        reason: "upstream_refused",
+        reachedUpstream: true,
+        retryAfterMs: 0,
+      },
+      answer: undefined,
+    },
+  });
+  t.match(await serve("GET"), { kind: "refused", reason: "upstream_refused" });
+  t.equal(runs.length, 2);
+  t.equal(withheld(), 0);
 });
 
 // Guards against the same for a request that is under way while the newer version arrives.
@@ -159,7 +184,7 @@
 t.test("should keep the class of a request whose route was removed", (t) => {
   const removed = { current: undefined, isConfigurationCurrent: true };
   for (const routed of ["idempotent", "non_idempotent"] as const) {
-    t.equal(decideRequestClass({ ...removed, routed, method: "GET" }), routed);
+    t.equal(decideRequestClass({ ...removed, routed }), routed);
   }
   t.end();
 });
--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -83,7 +83,7 @@
   readonly budgets: ServiceBudgets;
   readonly sendQueue: Pick<SendQueue, "wait">;
   readonly isStopping: () => boolean;
-  /** Whether the configuration in force is the newest one, as far as this daemon can know. */
+  /** Whether the configuration in force is the newest one that must be, as far as this daemon can know. */
   readonly isConfigurationCurrent: () => boolean;
   /** Called when a request is not sent again only because the configuration in force may be outdated. */
   readonly onRepeatWithheld?: () => void;
@@ -292,7 +292,6 @@
       routed: route.requestClass,
       current: currentRoute?.requestClass,
       isConfigurationCurrent,
-      method: request.method!,
     });
   }
 
