Take requests late in a stop only if they end before the drain

Cause: callers' requests were taken for 45 % of the grace, whatever their timeouts. With 6 s that is 2.7 s, before the 3 s up to which the rule allows a cut at the end of the grace; with 10 s it is 4.5 s.

Change: mayTakeWhileStopping. From 2.7 s on only requests are taken whose timeout or deadline ends before the drain; calls of runs at this VM that do are taken until the end, as their parents would fail without them.

Why it works: a request is cut at the end of the drain only if it was taken within 2.7 s, which the rule allows; a property checks this for graces of 3, 6, 10 and 30 s.

--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -97,13 +97,20 @@
   /** Whether this daemon does not know enough yet to serve requests. */
   readonly isStarting: () => boolean;
   readonly isStopping: () => boolean;
-  /** Whether new requests are refused because the process ends soon. */
-  readonly refusesNew: () => boolean;
+  /** Whether a request is taken although the process may end soon. */
+  readonly mayTake: (request: TimedRequest) => boolean;
   readonly onResult: (result: CallerResult) => void;
   /** Called with the error of a request that is answered with 500. */
   readonly onHandlerFailed: (error: unknown) => void;
 }
 
+/** What decides whether a stopping daemon takes a request. */
+export interface TimedRequest {
+  /** Time until the caller's deadline or the timeout of the route, whichever is first. */
+  readonly timeLeftMs: number;
+  readonly isNested: boolean;
+}
+
 /** What is known of a request before its body is read. */
 interface KnownBeforeBody {
   readonly index: RouteIndex | undefined;
@@ -240,9 +247,9 @@
     if (index === undefined || options.isStarting()) {
       return refuse(caller, "starting");
     }
-    if (options.refusesNew()) return refuse(caller, "stopping");
     const route = routeOf(request, index);
     if (route === undefined) return refuse(caller, "no_route");
+    if (!mayTake(caller, route)) return refuse(caller, "stopping");
     const service = options.shares.nextService(route);
     options.budgets.recordRequest(service);
     const { version } = index.configuration;
@@ -263,6 +270,19 @@
     refuse(routed, served.reason, served);
   }
 
+  /** Whether a request that has been read is taken, if this daemon is stopping. */
+  function mayTake(
+    { request, requestId, startedMs }: CallerRequest,
+    route: Route,
+  ): boolean {
+    const deadlineMs = decodeTimeLeft(request.headers[names.timeLeftMs]);
+    const endsAtMs = startedMs + Math.min(deadlineMs, route.timeoutMs);
+    return options.mayTake({
+      timeLeftMs: endsAtMs - performance.now(),
+      isNested: options.owner.runsParentOf(requestId),
+    });
+  }
+
   function recordCall(
     { requestId, service, deadlineAtMs }: RoutedRequest,
     served: ServedRequest,
@@ -309,12 +329,14 @@
     const { request, requestId } = caller;
     const { index } = catalog;
     if (
-      !hasBody(request) || requestId === "" || options.refusesNew() ||
+      !hasBody(request) || requestId === "" ||
       decideRoomPolicy(index?.configuration) === "by_attempt"
     ) return undefined;
     const route = routeOf(request, index);
     if (route?.targets.length !== 1) return undefined;
-    if (route.hasLargeBodies !== true) return undefined;
+    if (route.hasLargeBodies !== true || !mayTake(caller, route)) {
+      return undefined;
+    }
     const { service } = route.targets[0]!;
     const { version } = index!.configuration;
     return headOf(caller, { route, service, version });
--- a/packages/sidecar/src/caller_handler_fixture.ts
+++ b/packages/sidecar/src/caller_handler_fixture.ts
@@ -4,7 +4,10 @@
 import { TargetShares } from "@tanagercove/routing";
 import type { Route } from "@tanagercove/types";
 import { createMemory } from "./memory_fixture.ts";
-import { createCallerHandler } from "./caller_handler.ts";
+import {
+  createCallerHandler,
+  type CreateCallerHandlerOptions,
+} from "./caller_handler.ts";
 import { NAMES } from "./peer_server_fixture.ts";
 import type { RoutedRequest } from "./caller_request.ts";
 import type { RequestServer, ServeRequest } from "./serve_request.ts";
@@ -16,6 +19,7 @@
   readonly knownShortage?: RequestServer["knownShortage"];
   readonly route?: Partial<Route>;
   readonly memory?: MemoryBudget;
+  readonly mayTake?: CreateCallerHandlerOptions["mayTake"];
 }
 
 /** Creates a handler for one route; `served` lists the requests that it serves if there is no other `serve`. */
@@ -26,6 +30,7 @@
     knownShortage = () => undefined,
     route = {},
     memory = createMemory(),
+    mayTake = () => true,
   }: SetUpCallerHandlerOptions = {},
 ) {
   catalog.apply([{
@@ -80,7 +85,7 @@
     }),
     isStarting: () => false,
     isStopping: () => false,
-    refusesNew: () => false,
+    mayTake,
     onResult: () => {},
     onHandlerFailed(error) {
       throw error;
--- a/packages/sidecar/src/decisions_test.ts
+++ b/packages/sidecar/src/decisions_test.ts
@@ -1,9 +1,10 @@
+import fc from "fast-check";
 import t from "tap";
 import {
   decideNextStep,
   type DecideNextStepOptions,
 } from "./decide_next_step.ts";
-import { decideStopPhase } from "./drain.ts";
+import { decideStopPhase, mayTakeWhileStopping } from "./drain.ts";
 import type { ExchangeEnd } from "./exchange.ts";
 import {
   decodeTicket,
@@ -218,3 +219,65 @@
   t.same(phaseAfter(2_800), { acceptsForwarded: false, acceptsNew: false });
   t.end();
 });
+
+/** Time after the stop signal up to which a request may be sent that is cut in the last sixth of the grace. */
+const MAY_BE_CUT_MS = 3_000;
+
+// Guards against requests that are cut although the platform allows it only for those that were sent early.
+t.test("should take no request whose run might be cut when it may not be", (t) => {
+  fc.assert(
+    fc.property(
+      fc.constantFrom(3_000, 6_000, 10_000, 30_000),
+      fc.integer({ min: 0, max: 30_000 }),
+      fc.integer({ min: 0, max: 20_000 }),
+      fc.boolean(),
+      fc.boolean(),
+      (drainTimeoutMs, stoppingForMs, timeLeftMs, isNested, isDrained) => {
+        const isTaken = mayTakeWhileStopping({
+          drainTimeoutMs,
+          stoppingForMs,
+          timeLeftMs,
+          isNested,
+          isDrained,
+        });
+        const drainEndMs = drainTimeoutMs - 400;
+        const mightBeCut = stoppingForMs + timeLeftMs > drainEndMs;
+        const isEarly = stoppingForMs < MAY_BE_CUT_MS;
+        if (isTaken && isDrained) return false;
+        return !isTaken || !mightBeCut ||
+          isEarly && drainEndMs >= drainTimeoutMs * 5 / 6;
+      },
+    ),
+    { seed: 20261207, numRuns: 5_000 },
+  );
+  t.end();
+});
+
+t.test("should take requests in a stop by what is left of the drain", (t) => {
+  const mayTake = (
+    drainTimeoutMs: number,
+    stoppingForMs: number,
+    timeLeftMs: number,
+    isNested = false,
+  ) =>
+    mayTakeWhileStopping({
+      drainTimeoutMs,
+      stoppingForMs,
+      timeLeftMs,
+      isNested,
+      isDrained: false,
+    });
+  t.equal(mayTake(3_000, 1_300, 8_000), true, "clients have not seen it yet");
+  t.equal(mayTake(3_000, 1_400, 500), false);
+  t.equal(mayTake(6_000, 2_600, 8_000), true);
+  t.equal(mayTake(6_000, 2_800, 500), false, "the stop is to end");
+  t.equal(mayTake(6_000, 4_900, 500, true), true, "its parent still runs");
+  t.equal(mayTake(6_000, 5_100, 500, true), false, "cut before its deadline");
+  t.equal(mayTake(10_000, 2_600, 8_000), true);
+  t.equal(mayTake(10_000, 2_800, 8_000), false);
+  t.equal(mayTake(10_000, 2_800, 6_000), true);
+  t.equal(mayTake(10_000, 4_600, 500), false);
+  t.equal(mayTake(30_000, 12_000, 8_000), true);
+  t.equal(mayTake(30_000, 12_000, 18_000), false);
+  t.end();
+});
--- a/packages/sidecar/src/drain.ts
+++ b/packages/sidecar/src/drain.ts
@@ -31,6 +31,16 @@
 /** Share of the drain timeout after which callers' new requests are refused. */
 const REFUSE_NEW_SHARE = 0.45;
 
+/**
+ * Time from the stop signal in which callers' requests are accepted that may still be running when the drain ends. By
+ * then clients have seen two failed readiness checks. The platform counts requests that are cut at the end of the drain
+ * as lost if they were sent more than 3 s after the signal; the rest of that is for a signal that is handled late.
+ */
+const ACCEPT_ANY_MS = 2_700;
+
+/** Time before the end of the drain by which a request that is accepted later must have reached its deadline. */
+const DEADLINE_MARGIN_MS = 100;
+
 /** How often a stopping daemon checks for requests in flight. */
 const STOP_CHECK_MS = 50;
 
@@ -83,7 +93,7 @@
 export interface StopPhase {
   /** Whether it accepts requests that other daemons forward to its upstream. */
   readonly acceptsForwarded: boolean;
-  /** Whether it accepts new requests of its own callers. */
+  /** Whether it accepts new requests of its own callers, if they end in time (`mayTakeWhileStopping`). */
   readonly acceptsNew: boolean;
 }
 
@@ -115,3 +125,29 @@
     acceptsNew: isBefore(refuseNewAfterMs(drainTimeoutMs)),
   };
 }
+
+/** Options of `mayTakeWhileStopping`. */
+export interface MayTakeWhileStoppingOptions extends DecideStopPhaseOptions {
+  /** Time until the caller's deadline or the timeout of the route, whichever is first. */
+  readonly timeLeftMs: number;
+  /** Whether an upstream sends the request as part of handling another one, which fails without it. */
+  readonly isNested: boolean;
+}
+
+/**
+ * Decides whether a stopping daemon takes a request of its own callers. From `ACCEPT_ANY_MS` on it takes only those that
+ * end before the drain does, with an answer or at their deadline: any other one might be cut while its upstream is at
+ * work. Nested requests that do are taken until the end, since their parents are still running.
+ */
+export function mayTakeWhileStopping(
+  options: MayTakeWhileStoppingOptions,
+): boolean {
+  const { stoppingForMs, drainTimeoutMs, isDrained, timeLeftMs } = options;
+  if (isDrained) return false;
+  const { acceptsNew } = decideStopPhase(options);
+  if (acceptsNew && stoppingForMs < ACCEPT_ANY_MS) return true;
+  const drainEndMs = drainTimeoutMs - STOP_MARGIN_MS;
+  const endsInTime =
+    stoppingForMs + timeLeftMs <= drainEndMs - DEADLINE_MARGIN_MS;
+  return endsInTime && (acceptsNew || options.isNested);
+}
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -51,6 +51,7 @@
 } from "./daemon_addresses.ts";
 import {
   decideStopPhase,
+  mayTakeWhileStopping,
   refuseForwardedAfterMs,
   refuseNewAfterMs,
   type StopPhase,
@@ -284,14 +285,14 @@
   const isStarting = () =>
     catalog.index === undefined || !sync.isFloorKnown || !knowsEvacuations();
   const isStopping = () => stoppingSinceMs !== undefined;
-  const stopPhase = (): StopPhase =>
-    decideStopPhase({
-      stoppingForMs: stoppingSinceMs === undefined
-        ? 0
-        : performance.now() - stoppingSinceMs,
-      drainTimeoutMs: settings.drainTimeoutMs,
-      isDrained,
-    });
+  const stopState = () => ({
+    stoppingForMs: stoppingSinceMs === undefined
+      ? 0
+      : performance.now() - stoppingSinceMs,
+    drainTimeoutMs: settings.drainTimeoutMs,
+    isDrained,
+  });
+  const stopPhase = (): StopPhase => decideStopPhase(stopState());
   const handlePeerState = (peer: Endpoint, state: OwnerState) =>
     void sync.catchUpIfBehind(`${peer.address}:${peer.port}`, state)
       .catch((error) => failures.onOperationFailed("catch_up", error));
@@ -455,7 +456,7 @@
     budgets,
     isStarting,
     isStopping,
-    refusesNew: () => !stopPhase().acceptsNew,
+    mayTake: (request) => mayTakeWhileStopping({ ...stopState(), ...request }),
     onResult: (result) => observer.onResult(result),
     onHandlerFailed: (error) => failures.onOperationFailed("request", error),
   });
