Give up no attempt for silence in a stopping daemon

Cause: an idempotent request whose owner daemon was silent for 450 ms was cancelled for another attempt, also in a stop; if that failed, the caller had lost its answer.

Why it works: a stopping daemon cancels an attempt only with its drain.

--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -497,7 +497,10 @@
     }
   }
 
-  /** Decides the next step while the owner daemon has sent nothing; undefined to keep waiting for it. */
+  /**
+   * Decides the next step while the owner daemon has sent nothing; undefined to keep waiting for it. A stopping daemon
+   * keeps waiting: the upstream may be at work, and if the other attempt failed, the caller would have lost its answer.
+   */
   function stepAfterSilence(
     routed: RoutedRequest,
     { chosen, progress, silentMs }: {
@@ -506,10 +509,11 @@
       readonly silentMs: number;
     },
   ): NextStep | undefined {
+    if (options.isStopping()) return undefined;
     const verdict: OwnerVerdict = { kind: "unknown", reason: "cut" };
     const attempt = { verdict, answer: undefined };
     const step = nextStep(routed, { attempt, chosen, progress });
-    const shouldKeepWaiting = options.isStopping() || silentMs < MAX_SILENCE_MS;
+    const shouldKeepWaiting = silentMs < MAX_SILENCE_MS;
     return step.kind === "refuse" && shouldKeepWaiting ? undefined : step;
   }
 
--- a/packages/sidecar/src/serve_request_test.ts
+++ b/packages/sidecar/src/serve_request_test.ts
@@ -168,6 +168,21 @@
   t.equal((await servedWhileStopping).kind, "answered");
 });
 
+// Guards against 502 for a request whose upstream is at work: the attempt was cut for another one, which failed.
+t.test("should not give up a silent attempt for another one in a stopping daemon", async (t) => {
+  const { serve, sent } = setUp({ isStopping: true });
+  const served = serve(routed());
+  await eventLoopTurn();
+  for (const silentMs of [450, 900, 1_350]) {
+    sent[0]!.onSilent(silentMs);
+    await eventLoopTurn();
+  }
+  t.notOk(sent[0]!.isCancelled());
+  t.equal(sent.length, 1);
+  sent[0]!.answer(ANSWERED);
+  t.equal((await served).kind, "answered");
+});
+
 // Guards against "no upstream" for a request that would have got a slot a little later.
 t.test("should report a busy upstream rather than one that is leaving", async (t) => {
   const { serve, sent } = setUp();
