Give up a silent attempt although its configuration may be outdated

What callers would see: since nothing that may have run is repeated without a valid lease, a safe request at a dark VM would wait until its deadline, where it was given up after 1.2 s before.

Cause: the silence of an owner daemon was looked at for idempotent requests only, and without a lease no request counts as one.

Change: a request that is idempotent by the version in force is given up after 1.2 s of silence with 502, which promises nothing; it is not sent again. repeats_withheld counts a request once.

Evidence: the new test of serve_request_test.ts fails on the commit before.

--- a/packages/sidecar/src/serve_request.ts
+++ b/packages/sidecar/src/serve_request.ts
@@ -47,7 +47,8 @@
  * Time without any response from the owner daemon after which this daemon gives
  * up an idempotent request that it can't retry: the caller still can. Ten times
  * `CONFIRM_AFTER_MS`, by which a healthy owner daemon has responded. A stopping
- * daemon keeps waiting, since it must answer the requests in flight.
+ * daemon keeps waiting, since it must answer the requests in flight. A request
+ * that only a newer version might make non-idempotent is given up too.
  */
 const MAX_SILENCE_MS = 1_200;
 
@@ -129,6 +130,8 @@
   /** Upstreams that were full when the request came and might not wait. */
   readonly knownFull: Set<string>;
   upstreamsReached: number;
+  /** Whether the request was not sent again only because the configuration may be outdated. */
+  isRepeatWithheld: boolean;
 }
 
 interface Attempt {
@@ -204,6 +207,7 @@
       tried: new Set(),
       knownFull: new Set(),
       upstreamsReached: 0,
+      isRepeatWithheld: false,
     };
     let fallback: OwnedAnswer | undefined;
     let retryAfterMs = DEFAULT_RETRY_AFTER_MS;
@@ -264,6 +268,7 @@
       reason = preferBusy(reason, latest);
       if (step.kind === "refuse") break;
     }
+    if (progress.isRepeatWithheld) options.onRepeatWithheld?.();
     if (fallback !== undefined) {
       if (isDeliverable(fallback.status, requestClassOf(routed))) {
         return { kind: "answered", answer: fallback };
@@ -380,9 +385,7 @@
           requestClass: "idempotent",
           takeToken: () => true,
         }).kind === "try_another";
-    if (couldBeSentAgain && step.kind !== "try_another") {
-      options.onRepeatWithheld?.();
-    }
+    progress.isRepeatWithheld = couldBeSentAgain && step.kind !== "try_another";
     return step;
   }
 
@@ -427,7 +430,7 @@
         (silentMs) => {
           if (!isSilent) reports.markUnreachable(chosen.id);
           isSilent = true;
-          if (requestClassOf(routed) !== "idempotent") return;
+          if (requestClassOf(routed, true) !== "idempotent") return;
           step = stepAfterSilence(routed, { chosen, progress, silentMs });
           if (step !== undefined) run.cancel();
         },
--- a/packages/sidecar/src/serve_request_test.ts
+++ b/packages/sidecar/src/serve_request_test.ts
@@ -39,12 +39,13 @@
     readonly upstreams?: number;
     readonly slack?: number;
     readonly isStopping?: boolean;
+    readonly isConfigurationCurrent?: boolean;
     /** Zone of the upstream with an index; the zone of the callers by default. */
     readonly zoneOf?: (index: number) => string;
   } = {},
 ) {
   const { upstreams = 2, slack = 1_000, isStopping = false } = options;
-  const { zoneOf = () => "a" } = options;
+  const { zoneOf = () => "a", isConfigurationCurrent = true } = options;
   const catalog = new Catalog();
   let revision = 0;
   const startUpstream = (index: number, bornMs: number) =>
@@ -97,7 +98,7 @@
     }),
     sendQueue: { wait: () => Promise.resolve() },
     isStopping: () => isStopping,
-    isConfigurationCurrent: () => true,
+    isConfigurationCurrent: () => isConfigurationCurrent,
     onPeerState: () => {},
   });
   const evacuate = (zone: string, isEvacuated = true) =>
@@ -168,6 +169,19 @@
   t.equal((await servedWhileStopping).kind, "answered");
 });
 
+// Guards against callers that wait until their deadline for a VM that is dark, since their daemon may not ask another one.
+t.test("should fail an idempotent request after a long silence although its configuration may be outdated", async (t) => {
+  const { serve, sent } = setUp({ isConfigurationCurrent: false });
+  const served = serve(routed());
+  await eventLoopTurn();
+  sent[0]!.onSilent(900);
+  await eventLoopTurn();
+  t.notOk(sent[0]!.isCancelled());
+  sent[0]!.onSilent(1_350);
+  t.match(await served, { kind: "refused", reason: "cut" });
+  t.equal(sent.length, 1, "another upstream would run it a second time");
+});
+
 // Guards against 502 for a request whose upstream is at work: the attempt was cut for another one, which failed.
 t.test("should not give up a silent attempt for another one in a stopping daemon", async (t) => {
   const { serve, sent } = setUp({ isStopping: true });
