Let the soak bring unreadable entries and versions that no daemon sees

Change: the fault write_malformed_entry, the fault change_version_unseen, a path in each version whose requests the version before takes for idempotent, and the promise process_goes_on.

--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -50,6 +50,12 @@
 
 /** Added to the duration of a cold time, so that it has several seconds. */
 const COLD_EXTRA_MS = 1_500;
+/** Added to the duration of a change that no daemon sees, so that it outlasts the bound for versions. */
+const UNSEEN_EXTRA_MS = 4_000;
+
+/** Time after which no watch waits at the store that began before it fell silent; one that does is told the version. */
+const UNSEEN_DELAY_MS = 1_000;
+
 /** Added to the duration of an evacuation, so that it outlasts its bound also if a fault of the store delays it. */
 const EVACUATION_EXTRA_MS = 9_000;
 
@@ -67,6 +73,7 @@
 
 /** Time added to the planned duration of a fault, by kind. */
 const EXTRA_MS: Partial<Record<FaultKind, number>> = {
+  change_version_unseen: UNSEEN_EXTRA_MS,
   cold_upstream: COLD_EXTRA_MS,
   drain_upstream: DRAIN_EXTRA_MS,
   evacuate_zone: EVACUATION_EXTRA_MS,
@@ -87,6 +94,7 @@
 
 /** Faults during which new versions and upstream states may reach some daemons late or not at all. */
 export const DELAYS_PROPAGATION: ReadonlySet<FaultKind> = new Set<FaultKind>([
+  "change_version_unseen",
   "cut_link",
   "cut_one_way",
   "cut_zone",
@@ -110,6 +118,14 @@
     target.publishNext();
     return NO_OP;
   },
+  change_version_unseen({ fleet, publishNext }) {
+    fleet.store.setMode("silent");
+    const timer = setTimeout(publishNext, UNSEEN_DELAY_MS);
+    return () => {
+      clearTimeout(timer);
+      fleet.store.setMode("answer");
+    };
+  },
   cold_upstream({ fleet, coldTimes, cold, draining, renewed }, fault) {
     const { vm } = fault;
     if (cold.has(vm) || draining.has(vm) || renewed.has(vm)) return NO_OP;
@@ -248,6 +264,10 @@
     };
   }),
   pause: daemonFault((fleet, daemon) => fleet.pause(daemon)),
+  write_malformed_entry({ fleet }) {
+    fleet.store.setMalformedEntry(true);
+    return () => fleet.store.setMalformedEntry(false);
+  },
   reload: daemonFault((_fleet, daemon) => {
     daemon.process!.reload();
     return NO_OP;
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -1,7 +1,12 @@
 import { Agent, request as httpRequest } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Random } from "@tanagercove/emulator";
-import type { SoakPlatform, SoakVm } from "./ports.ts";
+import {
+  ONCE_SUFFIX,
+  oncePath,
+  type SoakPlatform,
+  type SoakVm,
+} from "./ports.ts";
 import type { CallRecord } from "./promises.ts";
 
 /** Deadline of each request of the soak. */
@@ -19,6 +24,9 @@
 /** Share of a caller's requests that are not idempotent. */
 const POST_SHARE = 0.4;
 
+/** Share of a caller's requests to a path whose requests an earlier version takes for idempotent. */
+const ONCE_SHARE = 0.2;
+
 /** Options of `runCaller`. */
 export interface RunCallerOptions {
   readonly platform: SoakPlatform;
@@ -28,6 +36,8 @@
   readonly random: Random;
   /** Whether the daemon is between its stop signal and the end of its process; the caller then opens no new connection. */
   readonly isStopping: () => boolean;
+  /** Newest version that must be in force. */
+  readonly newestInForce: () => number | undefined;
   readonly onCall: (call: CallRecord) => void;
   readonly signal: AbortSignal;
 }
@@ -39,15 +49,22 @@
   while (!options.signal.aborted) {
     const hasConnection = Object.keys(agent.freeSockets).length > 0;
     if (hasConnection || !options.isStopping()) {
-      const id = `${options.name}-${sent += 1}`;
+      const number = `${options.name}-${sent += 1}`;
       const isPost = options.random() < POST_SHARE;
+      const onceVersion = options.random() < ONCE_SHARE
+        ? options.newestInForce()
+        : undefined;
+      const id = onceVersion === undefined ? number : `${number}${ONCE_SUFFIX}`;
+      const prefix = onceVersion === undefined
+        ? (isPost ? "/buy/" : "/browse/")
+        : oncePath(onceVersion);
       const call = await sendCall({
         platform: options.platform,
         vm: options.vm,
         id,
         agent,
         method: isPost ? "POST" : "GET",
-        path: isPost ? `/buy/${id}` : `/browse/${id}`,
+        path: `${prefix}${id}`,
       });
       options.onCall(call);
     }
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -3,6 +3,7 @@
 /** Kinds of fault; `applyFault` has a handler for each. */
 export const FAULT_KINDS = [
   "change_version",
+  "change_version_unseen",
   "cold_upstream",
   "cut_link",
   "cut_one_way",
@@ -26,6 +27,7 @@
   "silence_link",
   "silence_platform",
   "stop_platform",
+  "write_malformed_entry",
 ] as const;
 
 export type FaultKind = typeof FAULT_KINDS[number];
@@ -37,7 +39,8 @@
   readonly forMs: number;
   /**
    * Index of the affected VM. For a link fault in one direction, it is the VM that opens the connections; for
-   * `cut_zone` and `evacuate_zone`, any VM of the zone. `change_version` and faults of the platform do not use it.
+   * `cut_zone` and `evacuate_zone`, any VM of the zone. changes of the version, `write_malformed_entry` and faults of the
+   * platform do not use it.
    */
   readonly vm: number;
   /** Index of the VM at the other end of a link fault. */
@@ -70,6 +73,8 @@
   { kinds: ["cold_upstream"], meanGapMs: 3_000 },
   { kinds: ["misreport_upstream", "renew_upstream"], meanGapMs: 1_500 },
   { kinds: ["evacuate_zone", "return_older_store"], meanGapMs: 3_000 },
+  { kinds: ["write_malformed_entry"], meanGapMs: 4_000 },
+  { kinds: ["change_version_unseen"], meanGapMs: 6_000 },
 ];
 
 const MIN_FAULT_MS = 200;
--- a/packages/soak/src/ports.ts
+++ b/packages/soak/src/ports.ts
@@ -45,13 +45,15 @@
 /** Stand-in of the platform's store, in the soak's own process. */
 export interface SoakStore {
   /**
-   * Publishes a version that routes `/browse/` (idempotent), `/buy/` (not idempotent), and `versionPath` of this
-   * and of recent earlier versions.
+   * Publishes a version that routes `/browse/` (idempotent), `/buy/` (not idempotent), and `versionPath` and `oncePath`
+   * of this and of recent earlier versions.
    */
   publish(version: number): void;
   /** Writes the entry of a VM's upstream; each time that it is ready, it has started anew. */
   setUpstream(vm: SoakVm, state: "ready" | "draining"): void;
   removeUpstream(id: string): void;
+  /** Writes an entry of another writer that cannot be read, or removes it. */
+  setMalformedEntry(isPresent: boolean): void;
   setMode(mode: "answer" | "refuse" | "silent"): void;
   dropHistory(): void;
   /** Writes that a zone is evacuated, or takes that back. */
@@ -93,6 +95,17 @@
   ): Readonly<Record<string, string>>;
 }
 
+/** End of the ids of requests to an `oncePath`. */
+export const ONCE_SUFFIX = "-once";
+
+/**
+ * Returns a path whose requests are not idempotent from `version` on, whatever their method is. By an earlier version
+ * they are idempotent, as all others of `/browse/`.
+ */
+export function oncePath(version: number): string {
+  return `/browse/once-${version}/`;
+}
+
 /** Returns a path that `version` routes and no earlier version does. */
 export function versionPath(version: number): string {
   return `/since-${version}/`;
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -1,5 +1,5 @@
 import type { PlannedFault } from "./plan.ts";
-import type { UpstreamRun } from "./ports.ts";
+import { ONCE_SUFFIX, type UpstreamRun } from "./ports.ts";
 
 /** Promises that the soak checks. */
 export type PromiseName =
@@ -7,6 +7,7 @@
   | "not_run_is_true"
   | "answer_of_own_request"
   | "answered_by_deadline"
+  | "process_goes_on"
   | "version_never_goes_back"
   | "version_in_force"
   | "leaving_gets_no_work"
@@ -94,6 +95,9 @@
  */
 export const IN_FORCE_BOUND_MS = 3_000;
 
+/** Bound in the platform's terms: time after which no request is handled by an older version. */
+export const APPLY_BOUND_MS = 2_000;
+
 /** Bound in the platform's terms: time after which the upstreams of an evacuated zone get no new request. */
 export const EVACUATION_BOUND_MS = 5_000;
 
@@ -109,20 +113,20 @@
  */
 const END_TOLERANCE_MS = 1_000;
 
-/** Finds non-idempotent requests that ran more than once. */
+/** Finds requests that ran more than once although they are not idempotent by the version that must be in force. */
 export function findSecondRuns(
   runs: readonly UpstreamRun[],
 ): readonly Violation[] {
   const countById = new Map<string, number>();
   for (const { requestId, method } of runs) {
-    if (method !== "POST") continue;
+    if (method !== "POST" && !requestId.endsWith(ONCE_SUFFIX)) continue;
     countById.set(requestId, (countById.get(requestId) ?? 0) + 1);
   }
   return [...countById].filter(([, count]) => count > 1).map(
     ([subject, count]) => ({
       promise: "runs_at_most_once",
       subject,
-      detail: `POST ran ${count} times`,
+      detail: `ran ${count} times`,
     }),
   );
 }
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -188,6 +188,7 @@
         name: `s${seed}-${daemon.vm.id}-c${i}`,
         random: seededRandom(seed + position * 100 + i),
         isStopping: () => daemon.state === "stopping",
+        newestInForce: () => versions.newestInForce,
         onCall,
         signal,
       })),
@@ -256,12 +257,27 @@
     ...coldTimes.flatMap((cold) =>
       findRunsAboveColdBound(runsOf(cold.upstreamId), cold, coldBounds)
     ),
+    ...findOwnEnds(fleet),
     ...versions.violations,
     ...versions.findLateVersions(propagationFaults, performance.now()),
     ...findUnserved(calls, faultsEndedAtMs + SERVED_AGAIN_BOUND_MS),
   ];
 }
 
+/** Finds processes that ended by themselves. */
+function findOwnEnds({ daemons }: SoakFleet): readonly Violation[] {
+  return daemons
+    .filter(({ state, process, log }) =>
+      state === "running" && !process!.isRunning ||
+      log.lines.some((line) => line.includes('"event":"invariant_broken"'))
+    )
+    .map(({ vm, process }) => ({
+      promise: "process_goes_on",
+      subject: vm.id,
+      detail: `the process ended by itself, exit code ${process!.exitCode}`,
+    }));
+}
+
 function upstreamsIn({ vms, upstreams }: SoakFleet, zone: string) {
   return upstreams.filter((_, i) => vms[i]!.zone === zone);
 }
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -57,6 +57,8 @@
 t.test("should find second runs of non-idempotent requests", (t) => {
   t.equal(findSecondRuns([run("a"), run("a")]).length, 1);
   t.same(findSecondRuns([run("a", 1, "GET"), run("a", 2, "GET")]), []);
+  const once = run("a-once", 1, "GET");
+  t.equal(findSecondRuns([once, once]).length, 1);
   t.end();
 });
 
--- a/packages/soak/src/version_watch.ts
+++ b/packages/soak/src/version_watch.ts
@@ -3,6 +3,7 @@
 import { type SoakPlatform, versionPath } from "./ports.ts";
 import {
   type AppliedFault,
+  APPLY_BOUND_MS,
   type CallRecord,
   propagationBoundAtMs,
   type Violation,
@@ -44,6 +45,13 @@
     return this.#newest;
   }
 
+  /** Newest version that must be in force, whatever fails; undefined if there is none yet. */
+  get newestInForce(): number | undefined {
+    const latestMs = performance.now() - APPLY_BOUND_MS;
+    return [...this.#publishedAtMs].findLast(([, atMs]) => atMs <= latestMs)
+      ?.[0];
+  }
+
   recordPublished(version: number): void {
     this.#newest = version;
     this.#publishedAtMs.set(version, performance.now());
--- a/scripts/soak_broken.mjs
+++ b/scripts/soak_broken.mjs
@@ -16,6 +16,22 @@
     to: "false",
     seed: 1,
   },
+  runs_at_most_once_by_newest_version: {
+    promise: "runs_at_most_once",
+    file: "packages/catalog/src/catalog_sync.ts",
+    from: "return this.#platformLostAtMs === undefined &&\n" +
+      "      this.#lease.ageMs < configurationApplyMs &&",
+    to: "return configurationApplyMs > 0 &&",
+    seed: 1,
+    kinds: "change_version_unseen,lose_answers",
+  },
+  process_goes_on: {
+    file: "platform/store_client.ts",
+    from: "const problem = problemOf(error);",
+    to: "process.exit(70);\n    const problem = problemOf(error);",
+    seed: 1,
+    kinds: "write_malformed_entry",
+  },
   not_run_is_true: {
     file: "packages/sidecar/src/refusals.ts",
     from: "cut: {\n    status: 502,",
