Number the confirmations instead of comparing their ages

What callers would see: a daemon that cannot confirm its version, or whose reader is far away, would poll its reader without a pause, and take its processor time from requests.

Cause: a reader answered a poll at once if the follower's age was 400 ms above its own. The delay of the way is part of that difference, and a follower that had itself read a configuration that it could not decode took no confirmation.

Change: a reader numbers its confirmations, and answers at once only a follower that has not been told of the newest one. A daemon that follows another one goes by the confirmations of that one. The deadline of a request is computed in one place.

--- a/packages/catalog/src/catalog_feed.ts
+++ b/packages/catalog/src/catalog_feed.ts
@@ -14,8 +14,8 @@
   /** Id of the feed that `position` belongs to; each run of the followed daemon has its own. */
   readonly feedId: string;
   readonly position: number;
-  /** Age of the newest confirmation that the follower knows of; absent before the first, and in earlier versions. */
-  readonly confirmedAgeMs?: number;
+  /** Number of the confirmation in the last response; absent before the first one, and in earlier versions. */
+  readonly confirmation?: number;
   /** Timeout after which the response is sent even without a change. */
   readonly waitMs: number;
 }
@@ -44,6 +44,8 @@
    * the wait. An earlier version does not tell.
    */
   readonly confirmedBeforeMs?: number;
+  /** Number of that confirmation, within this run of the followed daemon. */
+  readonly confirmation?: number;
 }
 
 /** Options of `answerFeedRequest`. */
@@ -56,6 +58,8 @@
   readonly readers: () => ReaderChain;
   /** Time since the platform last confirmed the version in force here; infinite before the first time. */
   readonly confirmedAgeMs: () => number;
+  /** Number of confirmations that followers were told of; a follower that has missed one is told at once. */
+  readonly confirmation: () => number;
 }
 
 /**
@@ -66,22 +70,16 @@
  */
 const BATCH_WINDOW_MS = 100;
 
-/**
- * A follower whose confirmation is older than this daemon's by at least this time has missed one, and gets the response
- * at once. The delay of its link is part of the difference, so a shorter time would have it poll without a pause.
- */
-const MISSED_CONFIRMATION_MS = 400;
-
 /**
  * Responds to a follower's long poll. A follower that is behind gets the response at once. Any other follower gets it
- * `BATCH_WINDOW_MS` after the next change, at once after the next confirmation, or at the timeout. Loss of contact to the platform and a change of the readers
- * are reported at once. Daemons that follow each other in a circle therefore learn it within a round of responses,
+ * `BATCH_WINDOW_MS` after the next change, at once after the next confirmation, or at the timeout. Loss of contact to the
+ * platform and a change of the readers are reported at once. Daemons that follow each other in a circle therefore learn it within a round of responses,
  * although each of them answers the next one.
  */
 export async function answerFeedRequest(
   options: AnswerFeedOptions,
 ): Promise<FeedResponse> {
-  const { catalog, feedId, request, readers, confirmedAgeMs } = options;
+  const { catalog, feedId, request, readers, confirmation } = options;
   const receivedAtMs = performance.now();
   const isUpToDate = () =>
     request.feedId === feedId && request.position === catalog.position &&
@@ -92,8 +90,8 @@
     options.isInContact() &&
     (request.follower === undefined || !readers().includes(request.follower));
   const knowsConfirmation = () =>
-    request.confirmedAgeMs === undefined ||
-    request.confirmedAgeMs - confirmedAgeMs() < MISSED_CONFIRMATION_MS;
+    request.confirmation === undefined ||
+    request.confirmation === confirmation();
   const hasNothingToTell = isUpToDate() && knowsReaders() && isInContact() &&
     knowsConfirmation();
   if (hasNothingToTell) {
@@ -106,7 +104,7 @@
   const changes = loggedChanges?.changes ?? [];
   const upstreamChanges = changes.filter(({ kind }) => kind !== "evacuation");
   const heldMs = performance.now() - receivedAtMs;
-  const confirmedBeforeMs = confirmedAgeMs() - heldMs;
+  const confirmedBeforeMs = options.confirmedAgeMs() - heldMs;
   return {
     feedId,
     position: catalog.position,
@@ -118,6 +116,7 @@
       { evacuations: catalog.evacuations }),
     revision: catalog.revision,
     version: catalog.version,
-    ...(Number.isFinite(confirmedBeforeMs) && { confirmedBeforeMs }),
+    ...(Number.isFinite(confirmedBeforeMs) &&
+      { confirmedBeforeMs, confirmation: confirmation() }),
   };
 }
--- a/packages/catalog/src/catalog_sync.ts
+++ b/packages/catalog/src/catalog_sync.ts
@@ -192,6 +192,7 @@
     catch_up_read: () => this.#catchUp(),
   };
   readonly #lease: ConfigurationLease;
+  #confirmation = 0;
   /** Whether the platform holds a configuration that cannot be read, so that the version in force is not its newest one. */
   #isConfigurationUnreadable = false;
   #platformLostAtMs: number | undefined;
@@ -213,7 +214,7 @@
   /** Feed position at each reader, so that following a previous reader again needs no full snapshot. */
   readonly #feedPositions = new Map<
     string,
-    { feedId: string; position: number }
+    { feedId: string; position: number; confirmation: number | undefined }
   >();
   readonly #avoidedUntilMs = new Map<string, number>();
   /** When a reader first failed since the last contact to the platform. */
@@ -247,6 +248,11 @@
       this.#newestKnownVersion <= catalog.version;
   }
 
+  /** Number of confirmations that followers were told of. */
+  get confirmation(): number {
+    return this.#confirmation;
+  }
+
   /** Time since the platform last confirmed that the version in force is the newest one; infinite before the first time. */
   get confirmedAgeMs(): number {
     return this.#lease.ageMs;
@@ -372,11 +378,11 @@
     const isNewReader = reader !== this.#readers[0];
     const knownReaders = isNewReader ? undefined : this.#readers.slice(1);
     const startedAt = this.#lease.now();
-    const { confirmedAgeMs } = this;
+    const confirmation = feedPosition?.confirmation;
     const response = await followPeer(reader, {
       follower: ownPeer,
       ...(knownReaders && { readers: knownReaders }),
-      ...(Number.isFinite(confirmedAgeMs) && { confirmedAgeMs }),
+      ...(confirmation !== undefined && { confirmation }),
       version: catalog.version,
       feedId: feedPosition?.feedId ?? "",
       position: feedPosition?.position ?? 0,
@@ -396,9 +402,12 @@
     this.#feedPositions.set(reader, {
       feedId: response.feedId,
       position: response.position,
+      confirmation: response.confirmation,
     });
     this.#recordContact([reader, ...readers]);
     this.#hasFollowed = true;
+    // The reader confirms nothing while it cannot read the newest configuration.
+    this.#isConfigurationUnreadable = false;
     this.#recordEra(response.revision);
     if (response.whole !== undefined) this.#replaceFromPeer(response.whole);
     catalog.apply(response.changes);
@@ -419,9 +428,9 @@
   #confirm(at: Instant): void {
     if (this.#isConfigurationUnreadable) return;
     const gainMs = this.#lease.confirm(at);
-    if (gainMs >= MIN_TOLD_CONFIRMATION_MS) {
-      this.#options.catalog.wakeFollowers();
-    }
+    if (gainMs < MIN_TOLD_CONFIRMATION_MS) return;
+    this.#confirmation += 1;
+    this.#options.catalog.wakeFollowers();
   }
 
   /**
--- a/packages/catalog/src/catalog_test.ts
+++ b/packages/catalog/src/catalog_test.ts
@@ -235,6 +235,7 @@
       isInContact: () => true,
       readers: () => [],
       confirmedAgeMs: () => Infinity,
+      confirmation: () => 0,
     });
   const first = await poll("", 0, 0);
   t.equal(first.whole?.changes.length, 1);
@@ -273,6 +274,7 @@
     isInContact: () => true,
     readers: () => [],
     confirmedAgeMs: () => Infinity,
+    confirmation: () => 0,
   });
   catalog.apply([upstream("u2", 6)]);
   t.equal((await response).changes.length, 1);
@@ -289,6 +291,7 @@
     isInContact: () => true,
     readers: () => [],
     confirmedAgeMs: () => Infinity,
+    confirmation: () => 0,
   });
   for (const revision of [1, 2, 3]) {
     catalog.apply([upstream(`u${revision}`, revision)]);
@@ -309,6 +312,7 @@
     isInContact: () => isInContact,
     readers: () => [],
     confirmedAgeMs: () => Infinity,
+    confirmation: () => 0,
   });
   isInContact = false;
   catalog.wakeFollowers();
@@ -329,6 +333,7 @@
       isInContact: () => true,
       readers: () => [],
       confirmedAgeMs: () => Infinity,
+      confirmation: () => 0,
     });
   const { position } = catalog;
   catalog.apply([upstream("u1", 2)]);
--- a/packages/catalog/src/configuration_lease_test.ts
+++ b/packages/catalog/src/configuration_lease_test.ts
@@ -175,6 +175,7 @@
   options: {
     readonly request?: Partial<FeedRequest>;
     readonly confirmedAgeMs: () => number;
+    readonly confirmation?: number;
   },
 ) {
   return answerFeedRequest({
@@ -184,6 +185,7 @@
     isInContact: () => true,
     readers: () => [],
     confirmedAgeMs: options.confirmedAgeMs,
+    confirmation: () => options.confirmation ?? 1,
   });
 }
 
@@ -206,13 +208,26 @@
 // Guards against a follower that misses a confirmation between two of its polls, and waits for the next one.
 t.test("should answer a follower at once that has missed a confirmation", async (t) => {
   const startedMs = performance.now();
-  const { confirmedBeforeMs } = await answer(new Catalog(), {
-    request: { confirmedAgeMs: 700 },
+  const told = await answer(new Catalog(), {
+    request: { confirmation: 6 },
     confirmedAgeMs: () => 100,
+    confirmation: 7,
   });
   t.ok(performance.now() - startedMs < 400);
-  t.ok(Math.abs(confirmedBeforeMs! - 100) < 100);
-  t.end();
+  t.ok(Math.abs(told.confirmedBeforeMs! - 100) < 100);
+  t.equal(told.confirmation, 7);
+});
+
+// Guards against a follower that polls without a pause while it has no use for the confirmation, or counts a long way as
+// its age.
+t.test("should let a follower wait that knows the newest confirmation", async (t) => {
+  const startedMs = performance.now();
+  await answer(new Catalog(), {
+    request: { confirmation: 7, waitMs: 300 },
+    confirmedAgeMs: () => 100,
+    confirmation: 7,
+  });
+  t.ok(performance.now() - startedMs >= 290);
 });
 
 t.test("should tell no confirmation before the first one", async (t) => {
--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -271,18 +271,22 @@
   }
 
   /** Whether a request that has been read is taken, if this daemon is stopping. */
-  function mayTake(
-    { request, requestId, startedMs }: CallerRequest,
-    route: Route,
-  ): boolean {
-    const deadlineMs = decodeTimeLeft(request.headers[names.timeLeftMs]);
-    const endsAtMs = startedMs + Math.min(deadlineMs, route.timeoutMs);
+  function mayTake(caller: CallerRequest, route: Route): boolean {
     return options.mayTake({
-      timeLeftMs: endsAtMs - performance.now(),
-      isNested: options.owner.runsParentOf(requestId),
+      timeLeftMs: deadlineAtMsOf(caller, route) - performance.now(),
+      isNested: options.owner.runsParentOf(caller.requestId),
     });
   }
 
+  /** End of the time until the caller's deadline or the timeout of the route, whichever is first. */
+  function deadlineAtMsOf(
+    { request, startedMs }: CallerRequest,
+    { timeoutMs }: Route,
+  ): number {
+    const deadlineMs = decodeTimeLeft(request.headers[names.timeLeftMs]);
+    return startedMs + Math.min(deadlineMs, timeoutMs);
+  }
+
   function recordCall(
     { requestId, service, deadlineAtMs }: RoutedRequest,
     served: ServedRequest,
@@ -297,12 +301,13 @@
 
   /** What is known of a request before its body is read. */
   function headOf(
-    { request, requestId, startedMs }: CallerRequest,
+    caller: CallerRequest,
     { route, service, version }: Pick<
       RoutedRequest,
       "route" | "service" | "version"
     >,
   ): RequestHead {
+    const { request, requestId, startedMs } = caller;
     const deadlineMs = decodeTimeLeft(request.headers[names.timeLeftMs]);
     const waitedBeforeMs = callerWaits.waitedMs(route.name, deadlineMs);
     const isNested = options.owner.runsParentOf(requestId);
@@ -313,7 +318,7 @@
       rank: isNested
         ? NESTED_RANK
         : 1 + Math.min(MAX_PRIORITY, Math.floor(route.priority)),
-      deadlineAtMs: startedMs + Math.min(deadlineMs, route.timeoutMs),
+      deadlineAtMs: deadlineAtMsOf(caller, route),
       objectiveAtMs: startedMs + route.latencyObjectiveMs - waitedBeforeMs,
       waitedBeforeMs,
       isNested,
--- a/packages/sidecar/src/decode_peer_answers.ts
+++ b/packages/sidecar/src/decode_peer_answers.ts
@@ -118,8 +118,9 @@
     [value.position, value.revision, value.version].every(isNumber) &&
     isListOf(value.changes, isChange) &&
     (value.readers === undefined || isListOf(value.readers, isText)) &&
-    (value.confirmedBeforeMs === undefined ||
-      isNumber(value.confirmedBeforeMs)) &&
+    [value.confirmedBeforeMs, value.confirmation].every((field) =>
+      field === undefined || isNumber(field)
+    ) &&
     isOptionalEvacuationState(value.evacuations) &&
     (value.whole === undefined || isCatalogUpdate(value.whole));
 }
--- a/packages/sidecar/src/peer_client.ts
+++ b/packages/sidecar/src/peer_client.ts
@@ -247,7 +247,7 @@
   request: FeedRequest,
 ): string {
   const { follower, readers, version, feedId, position, waitMs } = request;
-  const { confirmedAgeMs } = request;
+  const { confirmation } = request;
   const query = new URLSearchParams({
     version: String(version),
     feed_id: feedId,
@@ -256,8 +256,8 @@
   });
   if (follower !== undefined) query.set("follower", follower);
   if (readers !== undefined) query.set("readers", readers.join(","));
-  if (confirmedAgeMs !== undefined) {
-    query.set("confirmed_age_ms", String(Math.round(confirmedAgeMs)));
+  if (confirmation !== undefined) {
+    query.set("confirmation", String(confirmation));
   }
   return `${FEED_PATH}?${query}`;
 }
--- a/packages/sidecar/src/peer_server.ts
+++ b/packages/sidecar/src/peer_server.ts
@@ -94,6 +94,8 @@
   readonly readers: () => ReaderChain;
   /** Time since the platform last confirmed the version in force here. */
   readonly confirmedAgeMs: () => number;
+  /** Number of confirmations that followers were told of. */
+  readonly confirmation: () => number;
   /** State of this daemon and of the upstream with an id, which is that of this VM or was. */
   readonly state: (upstreamId: string) => OwnerState;
   /** Whether a forwarded request may run on this VM's upstream. */
@@ -212,14 +214,14 @@
     const number = (name: string) => Number(searchParams.get(name));
     const follower = searchParams.get("follower");
     const readers = searchParams.get("readers");
-    const confirmedAge = searchParams.get("confirmed_age_ms");
+    const confirmation = searchParams.get("confirmation");
     const answer = await answerFeedRequest({
       catalog: options.catalog,
       feedId: options.feedId,
       request: {
         ...(follower === null ? {} : { follower }),
         ...(readers === null ? {} : { readers: decodeReaders(readers) }),
-        ...(confirmedAge !== null && { confirmedAgeMs: Number(confirmedAge) }),
+        ...(confirmation !== null && { confirmation: Number(confirmation) }),
         version: number("version"),
         feedId: searchParams.get("feed_id") ?? "",
         position: number("position"),
@@ -228,6 +230,7 @@
       isInContact: options.isInContact,
       readers: options.readers,
       confirmedAgeMs: options.confirmedAgeMs,
+      confirmation: options.confirmation,
     });
     respondJson(response, encodeJson(answer));
   }
--- a/packages/sidecar/src/peer_server_fixture.ts
+++ b/packages/sidecar/src/peer_server_fixture.ts
@@ -85,6 +85,7 @@
     isInContact: () => true,
     readers: () => [],
     confirmedAgeMs: () => Infinity,
+    confirmation: () => 0,
     state: () => ({ load: LOAD, version: 1, revision: 1 }),
     accepts: () => true,
     isLeaving: () => false,
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -520,6 +520,7 @@
         !isStopping(),
       readers: () => sync.readers,
       confirmedAgeMs: () => sync.confirmedAgeMs,
+      confirmation: () => sync.confirmation,
       state: ownerState,
       accepts,
       isLeaving: () => !stopPhase().acceptsForwarded,
--- a/packages/sidecar/src/zone_fixture.ts
+++ b/packages/sidecar/src/zone_fixture.ts
@@ -250,6 +250,7 @@
         this.catalog.revision > 0 && this.sync.platformLostAtMs === undefined,
       readers: () => this.sync.readers,
       confirmedAgeMs: () => this.sync.confirmedAgeMs,
+      confirmation: () => this.sync.confirmation,
     });
   }
 }
--- a/packages/sidecar/src/zone_links_test.ts
+++ b/packages/sidecar/src/zone_links_test.ts
@@ -144,6 +144,7 @@
       isInContact: () => true,
       readers: () => daemons[Number(reader)]!.readers,
       confirmedAgeMs: () => Infinity,
+      confirmation: () => 0,
     });
     if (isInContact) {
       daemon.readers = [reader, ...readers];
