--- a/review/stand-ins-3.mjs
+++ b/review/stand-ins-3.mjs
@@ -191,7 +191,11 @@
         "Instance-Id": this.id,
       }).end();
     }
-    this.runs.push({ id, at: now(), method, path, body });
+    const run = { id, at: now(), method, path, body, brokenOffAt: undefined };
+    this.runs.push(run);
+    response.on("close", () => {
+      if (!response.writableFinished) run.brokenOffAt = now();
+    });
     setTimeout(() => {
       response.writeHead(200, {
         "Attempt-Id": id,
