Tell the entry of the VM's own upstream from others with its address

What callers saw: another writer's entries have the addresses of sound instances, under other ids, for a service that nobody names, draining.

Cause: whoever wrote an entry with the upstream's address, last, was the upstream: live in the order of the writes, after a start in the order of the keys. Its state, slots, cold time and removal counted as the upstream's own.

Why it works: three facts are used. An entry without born names no upstream; one of another service than the settings name is never the VM's own; among the others the upstream's own id decides, which a health check tells and which is asked for only while there are several. Until then the latest start counts. The id that the upstream has told is sent for requests to the other entries, and several refused ids are remembered in place of one. An upstream whose entry is removed is leaving until a later start or its own return, or until it says that it is one of the others; an id that has left gets no work in place of others.

New: upstream_address_shared, entries_at_upstream_address.

--- a/packages/catalog/src/catalog.ts
+++ b/packages/catalog/src/catalog.ts
@@ -542,6 +542,5 @@
 }
 
 function isEarlierStart(a: UpstreamEntry, b: UpstreamEntry): boolean {
-  return a.bornMs !== undefined && b.bornMs !== undefined &&
-    a.bornMs < b.bornMs;
+  return a.bornMs < b.bornMs;
 }
--- a/packages/logs/src/events.ts
+++ b/packages/logs/src/events.ts
@@ -502,6 +502,20 @@
       "The upstream of this VM has started again under another id, and its entry is not known yet",
     action: NOTHING,
   },
+  upstream_address_shared: {
+    level: "info",
+    fields: {
+      upstream_id: "text",
+      service: "text",
+      state: "text",
+      own_upstream_id: "optional_text",
+      unlogged_changes: "number",
+    },
+    meaning:
+      "An entry has the address of this VM's upstream and is not taken for its own",
+    action:
+      "nothing after a restart of the upstream; otherwise find out who writes the entry",
+  },
   upstream_leaving: {
     level: "info",
     fields: { upstream_id: "text" },
--- a/packages/sidecar/src/decode_peer_answers.ts
+++ b/packages/sidecar/src/decode_peer_answers.ts
@@ -22,7 +22,7 @@
 ): PeerAnswerResult<UpstreamsSnapshot> {
   return decodeJson(body).andThen((value) =>
     isUpstreamsSnapshot(value)
-      ? Result.ok(value)
+      ? Result.ok({ ...value, changes: withReadableStarts(value.changes) })
       : Result.err("The answer is not a list of upstreams")
   );
 }
@@ -44,7 +44,7 @@
 ): PeerAnswerResult<FeedResponse> {
   return decodeJson(body).andThen((value) =>
     isFeedResponse(value)
-      ? Result.ok(value)
+      ? Result.ok(withReadableFeed(value))
       : Result.err("The answer is not a feed response")
   );
 }
@@ -64,6 +64,31 @@
   });
 }
 
+function withReadableFeed(feed: FeedResponse): FeedResponse {
+  const { changes, whole } = feed;
+  return {
+    ...feed,
+    changes: withReadableStarts(changes),
+    ...(whole && {
+      whole: { ...whole, changes: withReadableStarts(whole.changes) },
+    }),
+  };
+}
+
+/** Daemons of earlier versions pass on entries that do not tell their start, which are another writer's. */
+function withReadableStarts(
+  changes: readonly CatalogChange[],
+): readonly CatalogChange[] {
+  return changes.map((change) => {
+    if (change.kind !== "upstream" || isNumber(change.entry.bornMs)) {
+      return change;
+    }
+    const { revision, entry: { id } } = change;
+    const problem = "Expected the start to be a number";
+    return { kind: "unreadable", revision, key: id, upstreamId: id, problem };
+  });
+}
+
 function isLink(value: unknown): boolean {
   return isNumber(value) ||
     isObject(value) && isNumber(value.linkMbps) &&
--- a/packages/sidecar/src/decode_peer_answers_test.ts
+++ b/packages/sidecar/src/decode_peer_answers_test.ts
@@ -138,3 +138,25 @@
   );
   t.end();
 });
+
+// Guards against another writer's entry, without a start, that a daemon of an earlier version passes on.
+t.test("should take an entry without its start for one that names no upstream", (t) => {
+  const [taken] = UPDATE.changes;
+  const unborn = structuredClone(upstreamTaken({ index: 3, revision: 9 }));
+  if (unborn.kind !== "upstream") return t.fail("no entry");
+  Reflect.deleteProperty(unborn.entry, "bornMs");
+  const changes = [taken, unborn];
+  const body = { ...UPDATE, changes };
+  const kinds = (list: readonly { readonly kind: string }[]) =>
+    list.map(({ kind }) => kind);
+  const snapshot = decodeUpstreamsSnapshot(Buffer.from(JSON.stringify(body)));
+  const feed = decodeFeedResponse(
+    Buffer.from(JSON.stringify({ ...SOUND_ANSWERS[1], changes, whole: body })),
+  );
+  if (snapshot.isErr || feed.isErr) return t.fail("not decoded");
+  const expected = ["upstream", "unreadable"];
+  t.same(kinds(snapshot.value.changes), expected);
+  t.same(kinds(feed.value.changes), expected);
+  t.same(kinds(feed.value.whole!.changes), expected);
+  t.end();
+});
--- a/packages/sidecar/src/leaving_upstreams.ts
+++ b/packages/sidecar/src/leaving_upstreams.ts
@@ -8,7 +8,7 @@
 export class LeavingUpstreams {
   readonly #catalog: Pick<Catalog, "upstreams">;
   /** Start of each leaving upstream, by id. */
-  readonly #bornMsById = new Map<string, number | undefined>();
+  readonly #bornMsById = new Map<string, number>();
 
   constructor(catalog: Pick<Catalog, "upstreams">) {
     this.#catalog = catalog;
@@ -16,15 +16,13 @@
 
   /** Records that the start of an upstream that an entry describes is leaving; returns whether that is new. */
   add({ id, bornMs }: Pick<UpstreamEntry, "id" | "bornMs">): boolean {
-    const isKnown = this.#bornMsById.has(id) &&
-      (this.#bornMsById.get(id) ?? 0) >= (bornMs ?? 0);
-    if (isKnown) return false;
+    if ((this.#bornMsById.get(id) ?? -Infinity) >= bornMs) return false;
     this.#bornMsById.set(id, bornMs);
     return true;
   }
 
   has({ id, bornMs }: Pick<UpstreamEntry, "id" | "bornMs">): boolean {
-    return this.#bornMsById.has(id) && this.#bornMsById.get(id) === bornMs;
+    return this.#bornMsById.get(id) === bornMs;
   }
 
   /** Forgets upstreams that the catalog no longer lists. */
--- a/packages/sidecar/src/observer.ts
+++ b/packages/sidecar/src/observer.ts
@@ -12,6 +12,7 @@
   type LogRecord,
 } from "@tanagercove/logs";
 import type { Metrics } from "@tanagercove/metrics";
+import type { UpstreamEntry } from "@tanagercove/types";
 import type { UpstreamEjection } from "@tanagercove/placement";
 import type {
   CapacityStatus,
@@ -53,6 +54,8 @@
   onForwarded(result: ForwardedResult): void;
   onEventLoopLag(lag: EventLoopLag): void;
   onUpstreamLeaving(upstreamId: string): void;
+  /** Called with an entry that has the address of this VM's upstream and is not taken for its own. */
+  onAddressShared(entry: UpstreamEntry, ownId: string | undefined): void;
   /** Called when the configuration allows bodies for which this VM has no memory. */
   onBodiesExceedMemory(maxBodyBytes: number, roomBytes: number): void;
   /** Called with the limit that the upstream of this VM names now; undefined for none. */
@@ -177,6 +180,16 @@
       metrics.counter("upstreams_leaving").add();
       logEvent(log, { event: "upstream_leaving", upstream_id: upstreamId });
     },
+    onAddressShared({ id, service, state }, ownId) {
+      logChange((unlogged_changes) => ({
+        event: "upstream_address_shared",
+        upstream_id: id,
+        service,
+        state,
+        own_upstream_id: ownId,
+        unlogged_changes,
+      }));
+    },
     onLimit(limitPerSecond) {
       logChange((unlogged_changes) => ({
         event: "upstream_limit_changed",
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -24,11 +24,7 @@
 import { ServiceBudgets } from "@tanagercove/retries";
 import { TargetShares } from "@tanagercove/routing";
 import { EvacuatedZones } from "./evacuated_zones.ts";
-import type {
-  Endpoint,
-  ServiceDefinition,
-  UpstreamEntry,
-} from "@tanagercove/types";
+import type { Endpoint, ServiceDefinition } from "@tanagercove/types";
 import { watchEventLoop } from "./event_loop_watch.ts";
 import { createFailureLog } from "./failure_log.ts";
 import { coldStartGauges, ColdStarts } from "./cold_starts.ts";
@@ -66,8 +62,10 @@
 import { createObserver } from "./observer.ts";
 import { startOperatorsListener } from "./operators_listener.ts";
 import { createOwner, type OwnedRequest } from "./owner.ts";
+import { OwnUpstream, type OwnUpstreamChange } from "./own_upstream.ts";
 import { createPeerClient } from "./peer_client.ts";
 import { type PeerServer, startPeerServer } from "./peer_server.ts";
+import { RetryWhile } from "./retry_while.ts";
 import { decideRoomPolicy } from "./room_policy.ts";
 import { createShareKeys } from "./share_keys.ts";
 import { createRequestServer } from "./serve_request.ts";
@@ -101,6 +99,12 @@
  */
 const PEER_MAX_BODY_BYTES = 256 * 1024 * 1024;
 
+/** Shortest time after which the upstream is asked for its id once more, if several entries have its address. */
+const IDENTIFY_DELAY_MS = 1_000;
+
+/** Limit on that time, which doubles. */
+const MAX_IDENTIFY_DELAY_MS = 16_000;
+
 /** Options of `startSidecar`. */
 export interface StartSidecarOptions {
   readonly settings: SidecarSettings;
@@ -183,6 +187,7 @@
     service: settings.service,
     fetchId: async () => (await checkOwnUpstream())?.id,
     isUsable: isOwnServiceId,
+    idInPlaceOf: (id) => ownUpstream.idInPlaceOf(id),
     onLearnt: (learnt) => observer.onIdentityLearnt(learnt),
   });
   const eventLoopWatch = watchEventLoop({
@@ -268,7 +273,14 @@
   });
   let stoppingSinceMs: number | undefined;
   let isDrained = false;
-  let ownEntry: UpstreamEntry | undefined;
+  const ownUpstream = new OwnUpstream(settings);
+  const identifyOwnUpstream = new RetryWhile({
+    isNeeded: () =>
+      ownUpstream.isAmbiguous && ownDefinition() !== undefined && !isStopping(),
+    attempt: () => void checkOwnUpstream(),
+    minDelayMs: IDENTIFY_DELAY_MS,
+    maxDelayMs: MAX_IDENTIFY_DELAY_MS,
+  });
   let isUpstreamLeaving = false;
   let toldMaxBodyBytes: number | undefined;
 
@@ -303,6 +315,7 @@
       const policy = decideRoomPolicy(catalog.index!.configuration);
       owner.setOrder(policy === "by_knowledge" ? "by_share" : "by_rank");
       coldStarts?.start();
+      identifyOwnUpstream.check();
       return applyLimits();
     }
     if (event.kind === "evacuation_taken" && event.zone === settings.zone) {
@@ -310,27 +323,34 @@
     }
     if (event.kind === "evacuation_taken") applyLeaving();
     shareKeys.forgetZones();
-    if (event.kind === "upstream_taken") links.refresh();
-    if (event.kind === "upstream_taken" && isOwnUpstream(event.entry)) {
+    if (event.kind === "upstream_taken") {
       const { entry } = event;
-      // The entry of an earlier start of the upstream may arrive after the current entry.
-      if ((entry.bornMs ?? 0) < (ownEntry?.bornMs ?? 0)) return;
-      ownEntry = entry;
-      coldStarts?.recordEntry(entry);
-      owner.setSlots(entry.slots);
-      isUpstreamLeaving = entry.state === "draining" || leaving.has(entry);
-      applyLeaving();
+      links.refresh();
+      applyOwnChange(ownUpstream.take(entry));
+      if (ownUpstream.isOther(entry)) {
+        observer.onAddressShared(entry, ownUpstream.entry?.id);
+      }
+      identifyOwnUpstream.check();
     }
     if (event.kind === "upstream_removed") {
-      if (event.id === ownEntry?.id) {
-        isUpstreamLeaving = true;
-        applyLeaving();
-      }
+      applyOwnChange(ownUpstream.remove(event.id));
+      identifyOwnUpstream.check();
       reports.retain((id) => catalog.upstreams.has(id));
       leaving.forgetRemoved();
     }
   }
 
+  function applyOwnChange(change: OwnUpstreamChange | undefined): void {
+    if (change === undefined) return;
+    if (change.kind === "entry_changed") {
+      coldStarts?.recordEntry(change.entry);
+      owner.setSlots(change.entry.slots);
+    }
+    isUpstreamLeaving = change.kind === "left" ||
+      change.entry.state === "draining" || leaving.has(change.entry);
+    applyLeaving();
+  }
+
   function isLeaving(upstreamId: string): boolean {
     const entry = catalog.upstreams.get(upstreamId)?.entry;
     return entry !== undefined && leaving.has(entry);
@@ -341,7 +361,7 @@
     const entry = catalog.upstreams.get(upstreamId)?.entry;
     if (entry === undefined || !leaving.add(entry)) return;
     observer.onUpstreamLeaving(upstreamId);
-    if (upstreamId !== ownEntry?.id) return;
+    if (upstreamId !== ownUpstream.entry?.id) return;
     isUpstreamLeaving = true;
     applyLeaving();
   }
@@ -391,6 +411,10 @@
     // The address may have been given to an upstream of another service.
     const isOwn = health?.id === undefined || isOwnServiceId(health.id);
     if (health !== undefined && isOwn) coldStarts?.recordHealth(health);
+    if (health?.id !== undefined) {
+      applyOwnChange(ownUpstream.recordReportedId(health.id));
+      identifyOwnUpstream.check();
+    }
     return health;
   }
 
@@ -399,17 +423,12 @@
    * service, or not at all. False while stopping, as the address may then be another upstream's.
    */
   function isOwnServiceId(id: string): boolean {
-    if (isStopping()) return false;
+    if (isStopping() || ownUpstream.hasLeft(id)) return false;
     const entry = catalog.upstreams.get(id)?.entry;
     return entry === undefined ||
       entry.service === settings.service && entry.state === "ready";
   }
 
-  function isOwnUpstream(entry: Endpoint): boolean {
-    return entry.address === settings.upstream.address &&
-      entry.port === settings.upstream.port;
-  }
-
   function accepts({ ticket, callerAddress }: OwnedRequest): boolean {
     if (!stopPhase().acceptsForwarded) return false;
     if (!knowsEvacuations()) {
@@ -615,6 +634,7 @@
       bodies_refused_unsent: () => incomingBodies.refusals,
       requests_before_send: () => sendQueue.length,
       slots_waiting: () => owner.waiting,
+      entries_at_upstream_address: () => ownUpstream.entriesAtAddress,
       zones_evacuated: () => catalog.evacuatedZones.length,
       operator_values_unreadable: () => operatorValues.list().length,
       callers_in_flight: () => callers.inFlight,
@@ -697,6 +717,7 @@
     isDrained = true;
     owner.close();
     coldStarts?.close();
+    identifyOwnUpstream.close();
     callers.cancelAll();
     await whenSent({
       timeLeftMs: stoppingSinceMs + drainTimeoutMs - performance.now(),
--- a/packages/sidecar/src/upstream_identity.ts
+++ b/packages/sidecar/src/upstream_identity.ts
@@ -9,6 +9,8 @@
    * the daemon is stopping.
    */
   readonly isUsable: (id: string) => boolean;
+  /** Id that the upstream has told, if an entry with its address and another id is known not to be its own. */
+  readonly idInPlaceOf?: (id: string) => string | undefined;
   readonly onLearnt?: (learnt: LearntIdentity) => void;
   /** Monotonic time in milliseconds. */
   readonly nowMs?: () => number;
@@ -20,11 +22,15 @@
   readonly id: string;
 }
 
+/** Limit on the ids that are replaced; beyond it, the first one is sent as it is again. */
+const MAX_FORMER_IDS = 256;
+
 /** Minimum time between two fetches of the id, since each may take one of the upstream's slots. */
 const MIN_FETCH_INTERVAL_MS = 200;
 
 /**
- * Current id of this VM's upstream while the catalog still lists its former id.
+ * Current id of this VM's upstream while the catalog still lists others for its
+ * address: its former id, or those of another writer's entries.
  * After a power loss, upstreams restart with new ids seconds before their
  * entries are updated, and refuse all requests for the former ids. Only this
  * VM's daemon can reach the upstream, and it knows the service from its
@@ -33,7 +39,9 @@
 export class UpstreamIdentity {
   readonly #options: UpstreamIdentityOptions;
   readonly #nowMs: () => number;
-  #learnt: LearntIdentity | undefined;
+  /** Ids that the upstream has refused, and in place of which `#id` is sent. */
+  readonly #formerIds = new Set<string>();
+  #id: string | undefined;
   #isFetching = false;
   #nextFetchAtMs = -Infinity;
 
@@ -49,10 +57,11 @@
       readonly service: string;
     },
   ): string {
-    const learnt = this.#learnt;
-    const isFormer = learnt?.formerId === upstreamId &&
-      service === this.#options.service && this.#options.isUsable(learnt.id);
-    return isFormer ? learnt.id : upstreamId;
+    const { idInPlaceOf, isUsable } = this.#options;
+    if (service !== this.#options.service) return upstreamId;
+    const learntId = this.#formerIds.has(upstreamId) ? this.#id : undefined;
+    const id = learntId ?? idInPlaceOf?.(upstreamId);
+    return id !== undefined && isUsable(id) ? id : upstreamId;
   }
 
   /**
@@ -67,18 +76,24 @@
     const id = await this.#options.fetchId();
     this.#isFetching = false;
     if (id === undefined) return;
-    if (id === formerId) return this.#forget(formerId);
+    if (id === formerId) return this.#returnTo(id);
     if (!this.#options.isUsable(id)) return;
-    if (this.#learnt?.formerId === formerId && this.#learnt.id === id) return;
-    this.#learnt = { formerId, id };
-    this.#options.onLearnt?.(this.#learnt);
+    if (this.#formerIds.has(formerId) && this.#id === id) return;
+    this.#learn(formerId, id);
+  }
+
+  #learn(formerId: string, id: string): void {
+    this.#id = id;
+    this.#formerIds.delete(id);
+    this.#formerIds.add(formerId);
+    const [first] = this.#formerIds;
+    if (this.#formerIds.size > MAX_FORMER_IDS) this.#formerIds.delete(first!);
+    this.#options.onLearnt?.({ formerId, id });
   }
 
-  /** Ends the replacement of an id under which the upstream has started again. */
-  #forget(formerId: string): void {
-    if (this.#learnt?.formerId !== formerId) return;
-    const meanwhile = this.#learnt.id;
-    this.#learnt = undefined;
-    this.#options.onLearnt?.({ formerId: meanwhile, id: formerId });
+  /** Takes an id for the current one again under which the upstream has started once more. */
+  #returnTo(id: string): void {
+    if (!this.#formerIds.has(id)) return;
+    this.#learn(this.#id!, id);
   }
 }
--- a/packages/sidecar/src/upstream_identity_test.ts
+++ b/packages/sidecar/src/upstream_identity_test.ts
@@ -77,3 +77,19 @@
   t.equal(idFor("old"), "old");
   t.same(learnt.at(-1), { formerId: "new", id: "old" });
 });
+
+// Guards against an upstream that gets next to nothing since another writer has added several entries with its address:
+// each id that was refused took the place of the one before.
+t.test("should replace several ids that the upstream refuses", async (t) => {
+  const { clock, upstream, identity, idFor } = setUp();
+  const others = ["trial-1", "trial-2", "trial-3"];
+  for (const id of others) {
+    await identity.refetchAfterRefusal(id);
+    clock.nowMs += 250;
+  }
+  t.same(others.map((id) => idFor(id)), ["new", "new", "new"]);
+  upstream.id = "trial-2";
+  await identity.refetchAfterRefusal("trial-2");
+  const ids = [...others, "new"];
+  t.same(ids.map((id) => idFor(id)), ids.map(() => "trial-2"));
+});
--- a/packages/types/src/upstream_entry.ts
+++ b/packages/types/src/upstream_entry.ts
@@ -17,5 +17,5 @@
   /** Whether the entry tells a warm-up time that cannot be read; `coldMs` is 0 then, and does not mean that it is warm. */
   readonly isColdTimeUnreadable?: true;
   /** Unix time of the upstream's start; distinguishes two instances with the same id. */
-  readonly bornMs: number | undefined;
+  readonly bornMs: number;
 }
