Count the heap of requests in flight, and refuse those that do not fit

Cause: a waiting request kept three copies of its head, and no one counted them. With all fields read, heads of 16 KB hold more: with 2,300 fields the process ended at a load that it bore while fields were dropped.

Why it works: a request takes an estimate of its heap, above what was measured, before its body is read; a quarter of the heap limit is for them, three quarters of that for one use. What does not fit is answered 503 at once, before anything of it runs, and leaves only its place in the order of answers. Node's copy goes when the head is read, the fields when the request has been served.

--- a/packages/memory/src/memory_budget.ts
+++ b/packages/memory/src/memory_budget.ts
@@ -1,4 +1,5 @@
 import { AnswerMemory } from "./answer_memory.ts";
+import { HeadMemory } from "./head_memory.ts";
 import type { MemoryLimits } from "./memory_limits.ts";
 
 /** Whose request bodies take memory: those of this VM's callers, or those that other daemons forward. */
@@ -35,12 +36,13 @@
 }
 
 /**
- * The one owner of the memory that a daemon gives to bodies and answers. A body that does not fit is refused before it is
+ * The one owner of the memory that a daemon gives to heads, bodies and answers. A body that does not fit is refused before it is
  * read; an answer that does not fit is ended, since its length may not be known before.
  */
 export class MemoryBudget {
   readonly limits: MemoryLimits;
   readonly answers: AnswerMemory;
+  readonly heads: HeadMemory;
   readonly #usedBytes: Record<BodyUse, number> = {
     caller_bodies: 0,
     forwarded_bodies: 0,
@@ -54,6 +56,7 @@
   constructor(limits: MemoryLimits) {
     this.limits = limits;
     this.answers = new AnswerMemory(limits.answers);
+    this.heads = new HeadMemory(limits.heads);
   }
 
   /** Memory that a use takes. */
--- a/packages/memory/src/memory_budget_test.ts
+++ b/packages/memory/src/memory_budget_test.ts
@@ -7,6 +7,7 @@
 function setUp() {
   return new MemoryBudget({
     answers: { maxBufferedBytes: MB, maxAnswerBytes: MB },
+    heads: { headBytes: MB, headBytesOfUse: MB },
     bodyBytes: 100 * MB,
     bodyBytesOfUse: 75 * MB,
     replyBytes: MB,
--- a/packages/memory/src/memory_limits.ts
+++ b/packages/memory/src/memory_limits.ts
@@ -4,6 +4,7 @@
   answerLimits,
   DEFAULT_MEMORY_LIMIT_BYTES,
 } from "./answer_memory.ts";
+import { type HeadLimits, headLimits } from "./head_memory.ts";
 
 /** Memory of the process that is neither heap nor buffers: the program of Node.js itself, its threads and its code. */
 const RUNTIME_BYTES = 56 * 1024 * 1024;
@@ -46,6 +47,7 @@
 /** How the memory of a process is divided. */
 export interface MemoryLimits {
   readonly answers: AnswerLimits;
+  readonly heads: HeadLimits;
   /** Limit on request bodies of all uses together. */
   readonly bodyBytes: number;
   /** Limit on the bodies of one use. */
@@ -71,6 +73,7 @@
   );
   return {
     answers,
+    heads: headLimits(heapLimitBytes),
     bodyBytes,
     bodyBytesOfUse: Math.floor(bodyBytes * SINGLE_USE_SHARE),
     replyBytes: Math.min(
--- a/packages/sidecar/src/caller_connections.ts
+++ b/packages/sidecar/src/caller_connections.ts
@@ -110,6 +110,7 @@
     if (!pending.delete(caller)) return;
     this.#inFlight -= 1;
     caller.releaseAnswer?.();
+    caller.releaseHead?.();
     if (caller.response.writableFinished) return;
     caller.isDisconnected = true;
     caller.cancel?.();
--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -6,7 +6,7 @@
 import type { Socket } from "node:net";
 import { CallerWaits } from "@tanagercove/admission";
 import type { Catalog } from "@tanagercove/catalog";
-import type { MemoryBudget } from "@tanagercove/memory";
+import { type MemoryBudget, requestHeapBytes } from "@tanagercove/memory";
 import type { ServiceBudgets } from "@tanagercove/retries";
 import {
   matchRoute,
@@ -16,7 +16,12 @@
 import type { Route } from "@tanagercove/types";
 import type { Result } from "true-myth";
 import { CallerConnections } from "./caller_connections.ts";
-import { type CallerHead, readCallerHead } from "./caller_head.ts";
+import {
+  type CallerHead,
+  readCallerHead,
+  releaseNodeHead,
+  withoutFields,
+} from "./caller_head.ts";
 import type {
   CallerRequest,
   CallerResult,
@@ -165,11 +170,17 @@
       request.resume();
       return;
     }
+    const releaseHead = options.memory.heads.hold(
+      "caller_heads",
+      requestHeapBytes(request.rawHeaders),
+    );
     const head = readCallerHead(request, { names, ownNames });
+    releaseNodeHead(request);
     const caller: CallerRequest = {
       request,
       response,
-      head,
+      head: releaseHead === undefined ? withoutFields(head) : head,
+      releaseHead,
       requestId: head.requestId,
       startedMs: performance.now(),
       attempts: [],
@@ -177,6 +188,10 @@
       cancel: undefined,
     };
     connections.add(caller);
+    if (releaseHead === undefined) {
+      request.resume();
+      return refuse(caller, "no_memory");
+    }
     const index = catalog.index;
     const limits = index?.configuration.limits;
     const checked = headToCheck(caller);
@@ -258,6 +273,7 @@
     if (routed.isNested) recordCall(routed, served);
     // An answer that is read slowly would keep it.
     routed.body = undefined;
+    routed.head = withoutFields(routed.head);
     if (served.kind === "answered") return deliver(routed, served.answer);
     if (served.kind === "gone") return reportResult(routed, "gone", 0);
     refuse(routed, served.reason, served);
--- a/packages/sidecar/src/caller_head.ts
+++ b/packages/sidecar/src/caller_head.ts
@@ -27,6 +27,17 @@
   readonly ownNames: ReadonlySet<string>;
 }
 
+/** The same head without the fields that are passed on, which take most of its memory. */
+export function withoutFields(head: CallerHead): CallerHead {
+  return { ...head, headers: [] };
+}
+
+/** Drops the copies of a head that Node keeps for as long as its request is not answered. */
+export function releaseNodeHead(request: IncomingMessage): void {
+  request.rawHeaders = [];
+  request.headers = {};
+}
+
 /** Reads the head of a request. */
 export function readCallerHead(
   { headers, rawHeaders, url }: IncomingMessage,
--- a/packages/sidecar/src/caller_request.ts
+++ b/packages/sidecar/src/caller_request.ts
@@ -40,7 +40,8 @@
 export interface CallerRequest {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
-  readonly head: CallerHead;
+  /** Without the fields that are passed on when the request has been served. */
+  head: CallerHead;
   readonly requestId: string;
   readonly startedMs: number;
   readonly attempts: AttemptRecord[];
@@ -48,6 +49,8 @@
   cancel: (() => void) | undefined;
   /** Memory of the body, until the request has been served. */
   bodyLease?: BodyLease | undefined;
+  /** Gives back what the request takes of the heap; called when the answer has been sent or its connection has closed. */
+  readonly releaseHead?: (() => void) | undefined;
   /** Called when the answer has been sent or its connection has closed. */
   releaseAnswer?: () => void;
 }
--- a/packages/sidecar/src/channel_peers_test.ts
+++ b/packages/sidecar/src/channel_peers_test.ts
@@ -17,6 +17,7 @@
 import type { OwnerState } from "./forwarding.ts";
 import type { OwnedRequest, OwnedResult } from "./owner.ts";
 import type { ForwardOptions, ForwardResult } from "./peer_client.ts";
+import { createMemory } from "./memory_fixture.ts";
 import { TICKET } from "./peer_server_fixture.ts";
 
 const ADDRESS = "127.33.8.1";
@@ -135,6 +136,7 @@
       run: () => ({ ended: Promise.resolve().then(run), cancel: () => {} }),
       load: () => STATE.load,
     },
+    memory: createMemory(),
     catalog: new Catalog(),
     accepts: () => true,
     onForwarded: () => {},
--- a/packages/sidecar/src/forwarded_requests.ts
+++ b/packages/sidecar/src/forwarded_requests.ts
@@ -1,4 +1,5 @@
 import type { Catalog } from "@tanagercove/catalog";
+import { type MemoryBudget, requestHeapBytes } from "@tanagercove/memory";
 import type { ReportedLoad } from "@tanagercove/placement";
 import type {
   ForwardTicket,
@@ -29,6 +30,7 @@
 /** Options of `runForwarded`. */
 export interface RunForwardedOptions {
   readonly owner: Pick<Owner, "run" | "load">;
+  readonly memory: Pick<MemoryBudget, "heads">;
   /** Whether a request may run on this VM's upstream. */
   readonly accepts: (request: OwnedRequest) => boolean;
   readonly catalog: Pick<Catalog, "index">;
@@ -45,8 +47,12 @@
   const { owner, onForwarded } = options;
   const startedMs = performance.now();
   const { requestId, ticket } = request;
-  const run = startForwarded(request, options);
-  const ended = run.ended.then((result) => {
+  const release = options.memory.heads.hold(
+    "forwarded_heads",
+    requestHeapBytes(request.headers),
+  );
+  const run = startWithRoom(request, { ...options, release });
+  const ended = run.ended.finally(release).then((result) => {
     onForwarded({
       requestId,
       ticket,
@@ -60,6 +66,22 @@
   return { ended, cancel: () => run.cancel() };
 }
 
+/** Starts a request if there is heap for it. */
+function startWithRoom(
+  request: OwnedRequest,
+  { release, ...options }: RunForwardedOptions & {
+    readonly release: (() => void) | undefined;
+  },
+): OwnedRun {
+  if (release === undefined) return refusedRun("busy", 0);
+  try {
+    return startForwarded(request, options);
+  } catch (error) {
+    release();
+    throw error;
+  }
+}
+
 /** Decides on a request when it comes, and once more when its body has been received. */
 function startForwarded(
   request: OwnedRequest,
--- a/packages/sidecar/src/refusals.ts
+++ b/packages/sidecar/src/refusals.ts
@@ -35,7 +35,7 @@
   no_route: { status: 404, message: "No route matches host and path" },
   body_too_large: { status: 413, message: "The body is too large" },
   body_coded: { status: 501, message: "The coding of the body is unknown" },
-  no_memory: { status: 503, message: "Not run: no memory for the body" },
+  no_memory: { status: 503, message: "Not run: no memory for the request" },
   starting: { status: 503, message: "Not run: no configuration is known yet" },
   stopping: { status: 503, message: "Not run: this daemon is stopping" },
   no_upstream: { status: 503, message: "Not run: the service has no upstream" },
--- a/packages/sidecar/src/route_change_test.ts
+++ b/packages/sidecar/src/route_change_test.ts
@@ -9,6 +9,7 @@
 import type { OwnedRequest, OwnedResult } from "./owner.ts";
 import { decideRequestClass } from "./request_class.ts";
 import { ROUTE, routedRequest, upstreamTaken } from "./request_fixture.ts";
+import { createMemory } from "./memory_fixture.ts";
 import { createRequestServer } from "./serve_request.ts";
 
 /** A route of the second version, below that of the first one. */
@@ -89,6 +90,7 @@
               return { ended, cancel() {} };
             },
           },
+          memory: createMemory(),
           accepts: () => true,
           catalog: ownerCatalog,
           onForwarded() {},
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -563,6 +563,7 @@
         onProblem: ({ peer, problem }) => onChannelProblem(problem, peer),
         ...createChannelHandler({
           owner,
+          memory,
           accepts,
           catalog,
           incomingBodies,
@@ -622,6 +623,10 @@
       configuration_age_ms: () => configurationAgeMs() ?? -1,
       slots_running: () => owner.running,
       answer_bytes_buffered: () => answerMemory.usedBytes,
+      caller_head_bytes: () => memory.heads.usedBytes("caller_heads"),
+      caller_heads_refused: () => memory.heads.refusals("caller_heads"),
+      forwarded_head_bytes: () => memory.heads.usedBytes("forwarded_heads"),
+      forwarded_heads_refused: () => memory.heads.refusals("forwarded_heads"),
       caller_body_bytes: () => memory.usedBytes("caller_bodies"),
       caller_bodies_refused: () => memory.refusals("caller_bodies"),
       forwarded_body_bytes: () => memory.usedBytes("forwarded_bodies"),
