Close a connection after a request that offers another protocol

Cause: Node's parser stops behind a request without a body that offers another protocol. Without a listener the rest of the read is lost, and the connection was used on.

Why it works: the answer closes the connection and nothing behind the offer is taken, so no lost byte is acted on; what was sent behind counts as not read and is sent again.

--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -71,6 +71,9 @@
   HPE_HEADER_OVERFLOW: 431,
 };
 
+/** Status of the answer to a request for a tunnel (CONNECT). */
+const TUNNEL_STATUS = 501;
+
 /** Error code of a connection that ends within a request. */
 const EARLY_END_CODE = "HPE_INVALID_EOF_STATE";
 
@@ -141,6 +144,8 @@
   handle(request: IncomingMessage, response: ServerResponse): void;
   /** Handles an error of a connection, the event `clientError` of Node's server. */
   handleConnectionError(error: NodeJS.ErrnoException, socket: Socket): void;
+  /** Refuses a request for a tunnel, the event `connect` of Node's server. */
+  handleConnect(request: IncomingMessage, socket: Socket): void;
   /** Requests whose answers have not been sent completely. */
   readonly inFlight: number;
   /** Whether a caller may not have received its answer. */
@@ -188,6 +193,8 @@
       cancel: undefined,
     };
     connections.add(caller);
+    // Node's parser drops what it has read behind such a request, so nothing more is taken from the connection.
+    if (head.offersUpgrade) connections.closeAfterPending(request.socket);
     if (releaseHead === undefined) {
       request.resume();
       return refuse(caller, "no_memory");
@@ -384,8 +391,12 @@
     if (newest !== undefined && !newest.request.complete) {
       return refuse(newest, "bad_request");
     }
-    if (newest === undefined) {
-      const status = FRAMING_STATUSES[code] ?? 400;
+    refuseConnection(socket, FRAMING_STATUSES[code] ?? 400);
+  }
+
+  /** Takes nothing more from a connection; if no answer is due on it, it gets one with a status. */
+  function refuseConnection(socket: Socket, status: number): void {
+    if (connections.newestOn(socket) === undefined) {
       socket.write(
         `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
           "Connection: close\r\nContent-Length: 0\r\n\r\n",
@@ -478,6 +489,11 @@
         answerFailedRequest(response);
       }),
     handleConnectionError,
+    handleConnect(_request, socket) {
+      if (!connections.isClosing(socket)) {
+        refuseConnection(socket, TUNNEL_STATUS);
+      }
+    },
     get inFlight() {
       return connections.inFlight;
     },
--- a/packages/sidecar/src/caller_head.ts
+++ b/packages/sidecar/src/caller_head.ts
@@ -16,6 +16,8 @@
   readonly framing: BodyFraming;
   /** Whether the caller waits until it is asked for the body. */
   readonly expectsContinue: boolean;
+  /** Whether the caller offers to go on in another protocol. */
+  readonly offersUpgrade: boolean;
   /** Fields that are passed on, as alternating names and values. */
   readonly headers: readonly string[];
 }
@@ -51,6 +53,7 @@
     timeLeftMs: decodeTimeLeft(headers[names.timeLeftMs]),
     framing: bodyFraming(headers),
     expectsContinue: headers.expect !== undefined,
+    offersUpgrade: headers.upgrade !== undefined,
     headers: endToEndHeaders(rawHeaders, ownNames),
   };
 }
--- a/packages/sidecar/src/request_fixture.ts
+++ b/packages/sidecar/src/request_fixture.ts
@@ -35,6 +35,7 @@
     timeLeftMs: 4_000,
     framing: bodyFraming({}),
     expectsContinue: false,
+    offersUpgrade: false,
     headers: ["Host", ROUTE.host],
   };
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from "node:crypto";
 import { createServer } from "node:http";
+import type { Socket } from "node:net";
 import {
   Catalog,
   type CatalogEvent,
@@ -495,6 +496,10 @@
     socket.destroySoon = () => closeInStages(socket);
   });
   callerServer.on("clientError", callers.handleConnectionError);
+  callerServer.on(
+    "connect",
+    (request, socket) => callers.handleConnect(request, socket as Socket),
+  );
 
   function applyLimits(): void {
     const limits = catalog.index!.configuration.limits;
