Let the soak bring foreign entries and heads of many fields

write_foreign_entries puts entries of another writer, draining and of a later start, at the addresses of all upstreams; it is planned apart, so that other faults of a seed stay as they were. Each 16th request of a caller has 1,100 fields before the one that announces its body, and the new promise arrives_whole asks for the body and all fields.

--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -264,6 +264,12 @@
     };
   }),
   pause: daemonFault((fleet, daemon) => fleet.pause(daemon)),
+  write_foreign_entries({ fleet }) {
+    for (const vm of fleet.vms) fleet.store.setForeignEntry(vm, true);
+    return () => {
+      for (const vm of fleet.vms) fleet.store.setForeignEntry(vm, false);
+    };
+  },
   write_malformed_entry({ fleet }) {
     fleet.store.setMalformedEntry(true);
     return () => fleet.store.setMalformedEntry(false);
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -27,6 +27,13 @@
 /** Share of a caller's requests to a path whose requests an earlier version takes for idempotent. */
 const ONCE_SHARE = 0.2;
 
+/** One of this many requests has `MANY_FIELDS`, which come before the one that announces its body. */
+const MANY_FIELDS_INTERVAL = 16;
+
+const MANY_FIELDS: Readonly<Record<string, string>> = Object.fromEntries(
+  Array.from({ length: 1_100 }, (_, i) => [`x${i.toString(36)}`, "1"]),
+);
+
 /** Options of `runCaller`. */
 export interface RunCallerOptions {
   readonly platform: SoakPlatform;
@@ -65,6 +72,7 @@
         agent,
         method: isPost ? "POST" : "GET",
         path: `${prefix}${id}`,
+        fields: sent % MANY_FIELDS_INTERVAL === 0 ? MANY_FIELDS : {},
       });
       options.onCall(call);
     }
@@ -85,11 +93,14 @@
   readonly agent?: Agent;
   /** Body of a POST; `1` by default. */
   readonly body?: string;
+  /** Fields beside those that each request has. */
+  readonly fields?: Readonly<Record<string, string>>;
 }
 
 /** Sends one request to the daemon of a VM. */
 export function sendCall(options: SendCallOptions): Promise<CallRecord> {
-  const { platform, vm, id, method, path } = options;
+  const { platform, vm, id, method, path, fields = {} } = options;
+  const body = method === "POST" ? options.body ?? "1" : "";
   const sentAtMs = performance.now();
   return new Promise((resolve) => {
     const end = (
@@ -97,7 +108,16 @@
     ) => {
       clearTimeout(timer);
       const endedAtMs = performance.now();
-      resolve({ id, vmId: vm.id, method, sentAtMs, endedAtMs, ...result });
+      resolve({
+        id,
+        vmId: vm.id,
+        method,
+        sentBody: body,
+        sentFields: Object.keys(fields),
+        sentAtMs,
+        endedAtMs,
+        ...result,
+      });
     };
     const fail = (error: NodeJS.ErrnoException) =>
       end({ status: undefined, body: "", error: error.code ?? error.message });
@@ -110,6 +130,7 @@
       headers: {
         host: "shop.example",
         ...platform.requestHeaders({ id, timeLeftMs: DEADLINE_MS }),
+        ...fields,
       },
     }, (response) => {
       const chunks: Buffer[] = [];
@@ -127,6 +148,6 @@
       () => request.destroy(new Error("no complete response within 6 s")),
       CALLER_TIMEOUT_MS,
     );
-    request.end(method === "POST" ? options.body ?? "1" : undefined);
+    request.end(body === "" ? undefined : body);
   });
 }
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -27,6 +27,7 @@
   "silence_link",
   "silence_platform",
   "stop_platform",
+  "write_foreign_entries",
   "write_malformed_entry",
 ] as const;
 
@@ -39,7 +40,7 @@
   readonly forMs: number;
   /**
    * Index of the affected VM. For a link fault in one direction, it is the VM that opens the connections; for
-   * `cut_zone` and `evacuate_zone`, any VM of the zone. changes of the version, `write_malformed_entry` and faults of the
+   * `cut_zone` and `evacuate_zone`, any VM of the zone. changes of the version, entries of another writer and faults of the
    * platform do not use it.
    */
   readonly vm: number;
@@ -74,6 +75,7 @@
   { kinds: ["misreport_upstream", "renew_upstream"], meanGapMs: 1_500 },
   { kinds: ["evacuate_zone", "return_older_store"], meanGapMs: 3_000 },
   { kinds: ["write_malformed_entry"], meanGapMs: 4_000 },
+  { kinds: ["write_foreign_entries"], meanGapMs: 4_000 },
   { kinds: ["change_version_unseen"], meanGapMs: 6_000 },
 ];
 
--- a/packages/soak/src/ports.ts
+++ b/packages/soak/src/ports.ts
@@ -11,6 +11,10 @@
   readonly method: string;
   /** Time by `performance.now()` of the soak's process. */
   readonly startedAtMs: number;
+  /** Body of the request, as far as it has arrived. */
+  readonly body: string;
+  /** Names of the request's fields, in lower case. */
+  readonly fieldNames: ReadonlySet<string>;
 }
 
 /** What an upstream says about itself in its answers. */
@@ -54,6 +58,8 @@
   removeUpstream(id: string): void;
   /** Writes an entry of another writer that cannot be read, or removes it. */
   setMalformedEntry(isPresent: boolean): void;
+  /** Writes an entry of another writer with the address of a VM's upstream, draining and of a later start, or removes it. */
+  setForeignEntry(vm: SoakVm, isPresent: boolean): void;
   setMode(mode: "answer" | "refuse" | "silent"): void;
   dropHistory(): void;
   /** Writes that a zone is evacuated, or takes that back. */
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -6,6 +6,7 @@
   | "runs_at_most_once"
   | "not_run_is_true"
   | "answer_of_own_request"
+  | "arrives_whole"
   | "answered_by_deadline"
   | "process_goes_on"
   | "version_never_goes_back"
@@ -30,6 +31,9 @@
   readonly id: string;
   readonly vmId: string;
   readonly method: "GET" | "POST";
+  readonly sentBody: string;
+  /** Names of the fields beside those that each request has, in lower case. */
+  readonly sentFields: readonly string[];
   readonly sentAtMs: number;
   readonly endedAtMs: number;
   /** Undefined if the connection ended without a complete answer. */
@@ -161,6 +165,31 @@
     }));
 }
 
+/** Finds requests that were answered with 200 and ran with another body than was sent, or without some of their fields. */
+export function findChangedRequests(
+  calls: readonly CallRecord[],
+  runs: readonly UpstreamRun[],
+): readonly Violation[] {
+  const runsById = new Map<string, UpstreamRun[]>();
+  for (const run of runs) {
+    runsById.set(run.requestId, [...runsById.get(run.requestId) ?? [], run]);
+  }
+  return calls.flatMap(({ id, status, sentBody, sentFields }) => {
+    const ofCall = runsById.get(id) ?? [];
+    // A run that was cut may have got a part only.
+    const isWhole = ofCall.some(({ body, fieldNames }) =>
+      body === sentBody && sentFields.every((name) => fieldNames.has(name))
+    );
+    if (status !== 200 || ofCall.length === 0 || isWhole) return [];
+    const [{ body, fieldNames }] = ofCall as [UpstreamRun];
+    return [{
+      promise: "arrives_whole" as const,
+      subject: id,
+      detail: `ran with "${body.slice(0, 80)}" and ${fieldNames.size} fields`,
+    }];
+  });
+}
+
 /**
  * Finds requests that ended long after their deadline, or never, although their daemon was neither killed nor
  * paused meanwhile.
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -18,6 +18,7 @@
   type ColdInterval,
   type DaemonHalt,
   type EvacuationInterval,
+  findChangedRequests,
   findFalseRefusals,
   findLateAnswers,
   findLateStarts,
@@ -229,6 +230,7 @@
     ...findSecondRuns(runs),
     ...findFalseRefusals(calls, runs),
     ...findMismatchedAnswers(calls),
+    ...findChangedRequests(calls, runs),
     ...findLateAnswers(calls, { deadlineMs: DEADLINE_MS, halts }),
     ...findRequestsCutByStops(calls, { stops, halts }),
     ...upstreams.flatMap(({ vmId, runs }) =>
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -5,6 +5,7 @@
   type DaemonHalt,
   EVACUATION_BOUND_MS,
   FAULT_KINDS,
+  findChangedRequests,
   findFalseRefusals,
   findLateAnswers,
   findLateStarts,
@@ -24,6 +25,8 @@
   id: "r-1",
   vmId: "vm-0",
   method: "POST",
+  sentBody: "1",
+  sentFields: ["x1"],
   sentAtMs: 1_000,
   endedAtMs: 1_050,
   status: 200,
@@ -35,6 +38,8 @@
   requestId,
   startedAtMs,
   method,
+  body: "1",
+  fieldNames: new Set(["host", "x1"]),
 });
 
 // Guards against a failing seed that cannot be reproduced.
@@ -75,6 +80,18 @@
   t.end();
 });
 
+t.test("should find requests that ran without a part of them", (t) => {
+  const sound = run("r-1");
+  const withoutBody = { ...sound, body: "" };
+  const withoutField = { ...sound, fieldNames: new Set(["host"]) };
+  t.same(findChangedRequests([call({})], [sound]), []);
+  t.equal(findChangedRequests([call({})], [withoutBody]).length, 1);
+  t.equal(findChangedRequests([call({})], [withoutField]).length, 1);
+  t.same(findChangedRequests([call({})], [withoutBody, sound]), [], "cut run");
+  t.same(findChangedRequests([call({ status: 502 })], [withoutBody]), []);
+  t.end();
+});
+
 t.test("should find requests that end late on a daemon that was running", (t) => {
   const late = [call({ endedAtMs: 4_000 })];
   const options = { deadlineMs: 900, halts: [] };
@@ -211,7 +228,11 @@
 
 // Guards against seeds on record that no longer bring the faults that they brought.
 t.test("should plan evacuations and older stores apart from the other faults", (t) => {
-  const apart: readonly string[] = ["evacuate_zone", "return_older_store"];
+  const apart: readonly string[] = [
+    "evacuate_zone",
+    "return_older_store",
+    "write_foreign_entries",
+  ];
   const options = { seed: 7, durationMs: 30_000, vmCount: 6 };
   const kinds = FAULT_KINDS.filter((kind) => !apart.includes(kind));
   const plan = planFaults(options);
--- a/scripts/soak_broken.mjs
+++ b/scripts/soak_broken.mjs
@@ -32,6 +32,20 @@
     seed: 1,
     kinds: "write_malformed_entry",
   },
+  arrives_whole: {
+    file: "packages/headers/src/field_count.ts",
+    from: "ALL_FIELDS = 0",
+    to: "ALL_FIELDS = 1_000",
+    seed: 1,
+  },
+  served_beside_foreign_entries: {
+    promise: "served_after_faults",
+    file: "packages/sidecar/src/own_upstream.ts",
+    from: "return reported ?? latest;",
+    to: "return latest;",
+    seed: 1,
+    kinds: "write_foreign_entries",
+  },
   not_run_is_true: {
     file: "packages/sidecar/src/refusals.ts",
     from: "cut: {\n    status: 502,",
