Keep no head of a request that gets no answer

What callers saw: nothing yet. Requests behind one whose answer closes the connection are not taken, but Node keeps their heads until the connection has closed, which may last as long as the answer does. Found by reading, after offers of another protocol close connections.

Evidence: the new test of caller_handler_test.ts fails without the change (the head of the second request stays), and passes with it.

--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -172,6 +172,7 @@
   ): Promise<void> {
     // The connection closes after an earlier answer, so this request gets none. The caller retries on a new connection.
     if (connections.isClosing(request.socket)) {
+      releaseNodeHead(request);
       request.resume();
       return;
     }
--- a/packages/sidecar/src/caller_handler_test.ts
+++ b/packages/sidecar/src/caller_handler_test.ts
@@ -115,3 +115,30 @@
   socket.resume();
   await waitFor(() => memory.usedBytes("answers") === 0);
 });
+
+// Guards against heap that fills with the heads of requests behind one whose answer closes the connection.
+t.test("should keep no head of a request that gets no answer", async (t) => {
+  const { handler } = setUpCallerHandler({
+    serve: () => new Promise(() => {}),
+  });
+  const requests: IncomingMessage[] = [];
+  const server = createServer((request, response) => {
+    requests.push(request);
+    handler.handle(request, response);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const socket = connect(port, "127.0.0.1");
+  t.teardown(() => {
+    socket.destroy();
+    server.close();
+    server.closeAllConnections();
+  });
+  const head = "GET /browse/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: r\r\n";
+  socket.write(`${head}Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n`);
+  await waitFor(() => requests.length === 1);
+  socket.write(`${head}\r\n`);
+  await waitFor(() => requests.length === 2);
+  t.same(requests.map(({ rawHeaders }) => rawHeaders), [[], []]);
+  t.equal(handler.inFlight, 1);
+});
