Read heads with all their fields in the older daemon too

What callers saw: a POST with 1,100 fields whose Content-Length comes last runs without its body, as in the sidecar before.

Cause: the servers of packages/proxy for callers and for other daemons left the limit on the number of fields at Node's default.

Evidence: the new many_fields_test.ts fails without the change (the body and the last fields are lost) and passes with it; the other tests of packages/proxy pass (63). The sidecar's program does not contain this package.

--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -6,6 +6,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { ALL_FIELDS } from "@tanagercove/headers";
 import { createPlainTransport, type PeerTransport } from "@tanagercove/keys";
 import type { RoutingTable } from "@tanagercove/routing";
 import { createCallerHandler } from "./caller_handler.ts";
@@ -264,6 +265,7 @@
     const active = tracker.track(request, response);
     void handleCaller(active, isTrusted(request.socket));
   });
+  server.maxHeadersCount = ALL_FIELDS;
   const tracker = trackConnections(server);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
@@ -297,6 +299,7 @@
   return {
     callerPort: (server.address() as AddressInfo).port,
     attachPeerServer(peerServer) {
+      peerServer.maxHeadersCount = ALL_FIELDS;
       peerTracker = trackConnections(peerServer);
     },
     handleForwarded(request, response) {
