Doubt what the upstream has told at a new entry, in place of forgetting it

What callers saw: nothing yet. Another writer that adds a draining entry of a later start stops the work at a sound upstream until the upstream has been asked again, up to a second later, and once more with each entry.

Cause: a new start among the entries of the upstream's service made its told id void, so that the latest start counted. Found by reading the diff.

Why it works: the told id is only doubted. The upstream is asked as before; until it answers, a ready entry of a later start counts, as after a restart, but a draining one only if the upstream's own entry is not ready.

--- a/packages/sidecar/src/own_upstream.ts
+++ b/packages/sidecar/src/own_upstream.ts
@@ -17,25 +17,30 @@
 
 /** What tells the entry of an upstream from others with its address. */
 export interface OwnEntryEvidence {
-  /** Id that the upstream has told since the newest start that an entry tells of. */
+  /** Id that the upstream has told. */
   readonly reportedId?: string | undefined;
+  /** Whether the upstream may have started again since it told its id. */
+  readonly isDoubted?: boolean;
   /** Entry of the upstream that has been removed; those of its earlier starts may still be there. */
   readonly departed?: UpstreamEntry | undefined;
 }
 
 /**
  * Chooses the entry of an upstream among those of its service with its address, whatever their order: the one with the id
- * that the upstream has told, or else that of the latest start.
+ * that the upstream has told, or else that of the latest start. While the told id is doubted, the latest start counts
+ * unless it would stop the work of an upstream whose own entry is ready.
  */
 export function chooseOwnEntry(
   entries: readonly UpstreamEntry[],
-  { reportedId, departed }: OwnEntryEvidence = {},
+  { reportedId, isDoubted = false, departed }: OwnEntryEvidence = {},
 ): UpstreamEntry | undefined {
   const reported = entries.find(({ id }) => id === reportedId);
   const [latest] = entries.filter(({ id, bornMs }) =>
     departed === undefined || id === departed.id || bornMs >= departed.bornMs
   ).toSorted(compareStarts);
-  return reported ?? latest;
+  const isReplaced = isDoubted && latest !== undefined &&
+    (latest.state === "ready" || reported?.state === "draining");
+  return isReplaced ? latest : reported ?? latest;
 }
 
 /** Puts the latest start first; of two at the same time, the one that does not stop the work at the upstream. */
@@ -59,6 +64,7 @@
   /** Whether `#entry` is in the catalog. */
   #isPresent = false;
   #reportedId: string | undefined;
+  #isDoubted = false;
   #departed: UpstreamEntry | undefined;
 
   constructor(options: OwnUpstreamOptions) {
@@ -78,8 +84,9 @@
   /** Whether the upstream has to tell its id before it is known which entry is its own. */
   get isAmbiguous(): boolean {
     const { size } = this.#candidates;
-    return (this.#isPresent ? size > 1 : size > 0) &&
-      !this.#candidates.has(this.#reportedId ?? "");
+    const isTold = !this.#isDoubted &&
+      this.#candidates.has(this.#reportedId ?? "");
+    return (this.#isPresent ? size > 1 : size > 0) && !isTold;
   }
 
   /** Whether an entry has the address of the upstream and is not its own. */
@@ -98,7 +105,8 @@
   idInPlaceOf(id: string): string | undefined {
     const reportedId = this.#reportedId;
     const isKnown = reportedId !== undefined && id !== reportedId &&
-      this.#candidates.has(id) && this.#candidates.has(reportedId);
+      !this.#isDoubted && this.#candidates.has(id) &&
+      this.#candidates.has(reportedId);
     return isKnown ? reportedId : undefined;
   }
 
@@ -117,8 +125,7 @@
     const former = this.#candidates.get(entry.id);
     this.#candidates.set(entry.id, entry);
     const isStart = former?.bornMs !== entry.bornMs;
-    // The upstream may have started again since it told its id.
-    if (isStart && entry.id !== this.#reportedId) this.#reportedId = undefined;
+    if (isStart && entry.id !== this.#reportedId) this.#isDoubted = true;
     return this.#choose(entry.id);
   }
 
@@ -136,6 +143,7 @@
   /** Records the id that the upstream tells of itself. */
   recordReportedId(id: string): OwnUpstreamChange | undefined {
     this.#reportedId = id;
+    this.#isDoubted = false;
     return this.#choose();
   }
 
@@ -143,6 +151,7 @@
   #choose(changedId?: string): OwnUpstreamChange | undefined {
     const chosen = chooseOwnEntry([...this.#candidates.values()], {
       reportedId: this.#reportedId,
+      isDoubted: this.#isDoubted,
       departed: this.#departed,
     });
     if (chosen === undefined) return undefined;
--- a/packages/sidecar/src/own_upstream_test.ts
+++ b/packages/sidecar/src/own_upstream_test.ts
@@ -100,6 +100,27 @@
   t.end();
 });
 
+// Guards against another writer that stops the work at a sound upstream with each new entry, until the upstream has been
+// asked once more.
+t.test("should keep a ready entry beside a draining one of a later start, and ask the upstream", (t) => {
+  const own = withEntries(entry("i-1"));
+  own.recordReportedId("i-1");
+  for (const id of ["trial-1", "trial-2"]) {
+    const draining = entry(id, { state: "draining", bornMs: 9_000 });
+    t.equal(own.take(draining), undefined, id);
+    t.equal(own.entry?.id, "i-1");
+    t.ok(own.isAmbiguous);
+    t.equal(own.idInPlaceOf(id), undefined, "before it is asked");
+    own.recordReportedId("i-1");
+    t.notOk(own.isAmbiguous);
+    t.equal(own.idInPlaceOf(id), "i-1");
+  }
+  own.take(entry("i-1", { state: "draining" }));
+  own.take(entry("i-2", { bornMs: 10_000 }));
+  t.equal(own.entry?.id, "i-2", "a start after it has left");
+  t.end();
+});
+
 // Guards against work for an upstream that has left, because an entry of an earlier start of it is still there.
 t.test("should tell that the upstream leaves when its entry is removed, until a later start", (t) => {
   const own = withEntries(
--- a/scripts/soak_broken.mjs
+++ b/scripts/soak_broken.mjs
@@ -41,7 +41,7 @@
   served_beside_foreign_entries: {
     promise: "served_after_faults",
     file: "packages/sidecar/src/own_upstream.ts",
-    from: "return reported ?? latest;",
+    from: "return isReplaced ? latest : reported ?? latest;",
     to: "return latest;",
     seed: 1,
     kinds: "write_foreign_entries",
