Count the paths of requests in flight too

What callers saw: 57 clients that send 80 safe requests ahead with paths of 15 KB, within max_header_bytes, end the sidecar for lack of heap while its instance takes 3 s for each.

Cause: the estimate of a request's heap counted its fields and not its path, and the path stayed until the answer had been sent.

Why it works: the path's characters count like those of the fields, twice, and it is dropped with them.

--- a/packages/channel/src/message_codec.ts
+++ b/packages/channel/src/message_codec.ts
@@ -7,8 +7,8 @@
 
 /**
  * What this daemon understands beyond the first form of the protocol; a daemon of an earlier version tells no level,
- * which counts as 0. From 1 on, heads may have an extension; from 2 on, large bodies of requests are sent as granted; from
- * 3 on, heads may have more than `EARLY_HEAD_ITEMS` texts.
+ * which counts as 0. From 1 on, heads may have an extension; from 2 on, large bodies of requests are sent as granted;
+ * from 3 on, heads may have more than `EARLY_HEAD_ITEMS` texts.
  */
 export const PROTOCOL_LEVEL = 3;
 
--- a/packages/memory/src/head_memory.ts
+++ b/packages/memory/src/head_memory.ts
@@ -30,15 +30,21 @@
 /** Heap that a field takes beside its characters: two strings, and their places in the lists that hold them. */
 const FIELD_BYTES = 100;
 
-/** The characters of a field are in the heap as received and as sent on. */
+/** The characters of a head are in the heap as received and as sent on. */
 const COPIES = 2;
 
-/** Estimates the heap that a request with these fields takes while it waits and runs. */
-export function requestHeapBytes(rawHeaders: readonly string[]): number {
-  let characters = 0;
-  for (const text of rawHeaders) characters += text.length;
-  return REQUEST_BYTES + rawHeaders.length / 2 * FIELD_BYTES +
-    characters * COPIES;
+/** The parts of a request's head whose size its sender chooses. */
+export interface MeasuredHead {
+  readonly path: string;
+  /** Alternating names and values. */
+  readonly headers: readonly string[];
+}
+
+/** Estimates the heap that a request with this head takes while it waits and runs. */
+export function requestHeapBytes({ path, headers }: MeasuredHead): number {
+  let characters = path.length;
+  for (const text of headers) characters += text.length;
+  return REQUEST_BYTES + headers.length / 2 * FIELD_BYTES + characters * COPIES;
 }
 
 /** Counts the heap that requests in flight take; one that does not fit is refused before anything of it runs. */
--- a/packages/memory/src/head_memory_test.ts
+++ b/packages/memory/src/head_memory_test.ts
@@ -22,12 +22,18 @@
 // Guards against an estimate below what was measured: 11 KB with 10 fields and the connection, 76 KB with 1,700 short
 // fields, 80 KB with 1,000 fields of 17 KB.
 t.test("should estimate at least what waiting requests were measured to take", (t) => {
-  const fields = (count: number, value: string) =>
-    Array.from({ length: count }, (_, i) => [`x${i.toString(36)}`, value])
-      .flat();
+  const fields = (count: number, value: string, path = "/") => ({
+    path,
+    headers: Array.from(
+      { length: count },
+      (_, i) => [`x${i.toString(36)}`, value],
+    ).flat(),
+  });
   t.ok(requestHeapBytes(fields(10, "1")) > 8_000);
   t.ok(requestHeapBytes(fields(1_700, "1")) > 76_000);
   t.ok(requestHeapBytes(fields(1_000, "valuevalue")) > 80_000);
+  const longPath = fields(10, "1", `/${"p".repeat(15_000)}`);
+  t.ok(requestHeapBytes(longPath) > 30_000, "a path of 15 KB, twice");
   const { headBytesOfUse } = headLimits(48 * 1024 * 1024);
   t.ok(headBytesOfUse / requestHeapBytes(fields(10, "1")) > 900, "ordinary");
   t.end();
--- a/packages/memory/src/memory_budget.ts
+++ b/packages/memory/src/memory_budget.ts
@@ -36,8 +36,8 @@
 }
 
 /**
- * The one owner of the memory that a daemon gives to heads, bodies and answers. A body that does not fit is refused before it is
- * read; an answer that does not fit is ended, since its length may not be known before.
+ * The one owner of the memory that a daemon gives to heads, bodies and answers. A body that does not fit is refused before
+ * it is read; an answer that does not fit is ended, since its length may not be known before.
  */
 export class MemoryBudget {
   readonly limits: MemoryLimits;
--- a/packages/sidecar/src/caller_handler.ts
+++ b/packages/sidecar/src/caller_handler.ts
@@ -20,7 +20,7 @@
   type CallerHead,
   readCallerHead,
   releaseNodeHead,
-  withoutFields,
+  withoutTexts,
 } from "./caller_head.ts";
 import type {
   CallerRequest,
@@ -178,14 +178,14 @@
     }
     const releaseHead = options.memory.heads.hold(
       "caller_heads",
-      requestHeapBytes(request.rawHeaders),
+      requestHeapBytes({ path: request.url!, headers: request.rawHeaders }),
     );
     const head = readCallerHead(request, { names, ownNames });
     releaseNodeHead(request);
     const caller: CallerRequest = {
       request,
       response,
-      head: releaseHead === undefined ? withoutFields(head) : head,
+      head: releaseHead === undefined ? withoutTexts(head) : head,
       releaseHead,
       requestId: head.requestId,
       startedMs: performance.now(),
@@ -281,7 +281,7 @@
     if (routed.isNested) recordCall(routed, served);
     // An answer that is read slowly would keep it.
     routed.body = undefined;
-    routed.head = withoutFields(routed.head);
+    routed.head = withoutTexts(routed.head);
     if (served.kind === "answered") return deliver(routed, served.answer);
     if (served.kind === "gone") return reportResult(routed, "gone", 0);
     refuse(routed, served.reason, served);
--- a/packages/sidecar/src/caller_head.ts
+++ b/packages/sidecar/src/caller_head.ts
@@ -29,13 +29,14 @@
   readonly ownNames: ReadonlySet<string>;
 }
 
-/** The same head without the fields that are passed on, which take most of its memory. */
-export function withoutFields(head: CallerHead): CallerHead {
-  return { ...head, headers: [] };
+/** The same head without its path and the fields that are passed on, which take most of its memory. */
+export function withoutTexts(head: CallerHead): CallerHead {
+  return { ...head, path: "", headers: [] };
 }
 
 /** Drops the copies of a head that Node keeps for as long as its request is not answered. */
 export function releaseNodeHead(request: IncomingMessage): void {
+  request.url = "";
   request.rawHeaders = [];
   request.headers = {};
 }
--- a/packages/sidecar/src/caller_request.ts
+++ b/packages/sidecar/src/caller_request.ts
@@ -40,7 +40,7 @@
 export interface CallerRequest {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
-  /** Without the fields that are passed on when the request has been served. */
+  /** Without its path and the fields that are passed on when the request has been served. */
   head: CallerHead;
   readonly requestId: string;
   readonly startedMs: number;
--- a/packages/sidecar/src/forwarded_requests.ts
+++ b/packages/sidecar/src/forwarded_requests.ts
@@ -49,7 +49,7 @@
   const { requestId, ticket } = request;
   const release = options.memory.heads.hold(
     "forwarded_heads",
-    requestHeapBytes(request.headers),
+    requestHeapBytes(request),
   );
   const run = startWithRoom(request, { ...options, release });
   const ended = run.ended.finally(release).then((result) => {
